--- /dev/null
+++ b/decision.go
@@ -0,0 +1,136 @@
+package egretflow
+
+import (
+	"context"
+	"time"
+)
+
+// PrefixChunkBytes is the length of prompt text covered by each further
+// element of Work.Prefix.
+const PrefixChunkBytes = 1024
+
+// PromptBytesPerToken converts prompt bytes to tokens before an engine has
+// reported the exact count.
+const PromptBytesPerToken = 4
+
+// PrefixHash is the xxhash64 of the prompt from its start to the end of a
+// chunk of PrefixChunkBytes.
+type PrefixHash uint64
+
+// Work is what decisions know of a request.
+type Work struct {
+	Request    RequestID
+	Caller     CallerName
+	Route      RouteName
+	Pool       PoolName
+	Importance Importance
+	Idempotent bool
+	// PromptTokens and MaxTokens are estimates in tokens; both are 0 for a
+	// service call.
+	PromptTokens int
+	MaxTokens    int
+	// Prefix holds one hash per full chunk of the prompt, shortest first.
+	Prefix []PrefixHash
+	// Fingerprint identifies the caller and body for crash detection (5.6).
+	Fingerprint uint64
+	ArrivedAt   time.Time
+	// FirstTokenBy is ArrivedAt plus the first-token target of the route.
+	FirstTokenBy time.Time
+	// Deadline is the caller's deadline; zero if none.
+	Deadline time.Time
+	// Avoid lists servers that already failed the request.
+	Avoid []ServerName
+	// Hedge marks a second attempt beside a running one (5.4).
+	Hedge bool
+	// Retry marks an attempt after a failed one; it spends the retry budget.
+	Retry bool
+}
+
+// Assignment is a place on backend servers. For a service pool only Decode is
+// set and names the service's server.
+type Assignment struct {
+	Decision DecisionID
+	Attempt  AttemptID
+	Work     *Work
+	Prefill  *Server
+	Decode   *Server
+	// Slots is the number of decode slots that the request occupies; a long
+	// prompt takes more than one slot's share of blocks.
+	Slots int
+	// CachedTokens is the expected prefix reuse at the prefill server.
+	CachedTokens int
+	// PrefillBy, TransferBy and FirstTokenAt are the expected times of the
+	// stages, straggler estimates included.
+	PrefillBy    time.Time
+	TransferBy   time.Time
+	FirstTokenAt time.Time
+	// GrantExpiresAt is the deadline until which the dispatch may start (5.3).
+	GrantExpiresAt time.Time
+}
+
+// ObservationKind says what was observed of an attempt.
+type ObservationKind string
+
+// The observation kinds.
+const (
+	ObservationPrefillDone  ObservationKind = "PrefillDone"
+	ObservationTransferDone ObservationKind = "TransferDone"
+	ObservationTokens       ObservationKind = "Tokens"
+	ObservationServed       ObservationKind = "Served"
+	ObservationFailed       ObservationKind = "Failed"
+	ObservationCrashed      ObservationKind = "Crashed"
+	ObservationSilent       ObservationKind = "Silent"
+	ObservationRefused      ObservationKind = "Refused"
+	ObservationLoad         ObservationKind = "Load"
+)
+
+// Observation is what one attempt, or a load report, showed of a server.
+type Observation struct {
+	Kind    ObservationKind
+	Server  ServerName
+	Attempt AttemptID
+	// StartedAt and EndedAt bound the observed work.
+	StartedAt time.Time
+	EndedAt   time.Time
+	// Tokens is the number of prompt tokens computed, or of tokens generated.
+	Tokens int
+	// CachedTokens is the prefix reuse that the engine reported.
+	CachedTokens int
+	// Load is set for ObservationLoad.
+	Load *LoadReport
+}
+
+// LoadReport is the lagging load of a backend server.
+type LoadReport struct {
+	Server ServerName
+	// MeasuredAt is when the server took the reading, if it says; otherwise the
+	// time of receipt.
+	MeasuredAt time.Time
+	Running    int
+	Waiting    int
+	FreeBlocks int
+	Role       Role
+	Draining   bool
+}
+
+// Release says how an attempt ended.
+type Release struct {
+	Attempt AttemptID
+	// PrefillOnly frees the prefill place and keeps the decode place.
+	PrefillOnly bool
+	// WastedPrefillTokens counts computed prompt tokens whose result was not
+	// used.
+	WastedPrefillTokens int
+}
+
+// Scheduler owns admission, choice and grants of one instance. Acquire waits
+// in the admission queue and returns a *Refusal as error when the request
+// cannot meet its deadline.
+type Scheduler interface {
+	Acquire(ctx context.Context, work *Work) (*Assignment, error)
+	// Replace chooses a new prefill server for an assignment whose prefill
+	// failed and keeps its decode place.
+	Replace(ctx context.Context, a *Assignment) (*Assignment, error)
+	Observe(o Observation)
+	Release(r Release)
+}
--- /dev/null
+++ b/errors.go
@@ -0,0 +1,85 @@
+package egretflow
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Errors that callers of this module test for with errors.Is.
+var (
+	// ErrNotFound means that a key, route, pool, model or stream does not exist.
+	ErrNotFound = errors.New("not found")
+	// ErrConflict means that a compare-and-swap lost against another writer.
+	ErrConflict = errors.New("conflict")
+	// ErrUncertain means that a write may or may not have taken effect.
+	ErrUncertain = errors.New("outcome of the write is unknown")
+	// ErrUnavailable means that an outside system could not be reached.
+	ErrUnavailable = errors.New("unavailable")
+	// ErrUnauthorized means that a credential is missing or wrong.
+	ErrUnauthorized = errors.New("unauthorized")
+	// ErrForbidden means that the caller has no route to what it asked for.
+	ErrForbidden = errors.New("forbidden")
+)
+
+// FieldError names the exact field of a table, message or body that was
+// refused.
+type FieldError struct {
+	// Field is the path of the field, such as Routes[0].Pool.
+	Field string
+	// Reason says what is wrong with it.
+	Reason string
+}
+
+// Error implements error.
+func (e *FieldError) Error() string { return e.Field + ": " + e.Reason }
+
+// RefusalReason is the machine-readable reason of a refusal.
+type RefusalReason string
+
+// The refusal reasons.
+const (
+	RefusalOverload        RefusalReason = "Overload"
+	RefusalDeadline        RefusalReason = "Deadline"
+	RefusalNoServer        RefusalReason = "NoServer"
+	RefusalCrashSuspect    RefusalReason = "CrashSuspect"
+	RefusalDraining        RefusalReason = "Draining"
+	RefusalBadRequest      RefusalReason = "BadRequest"
+	RefusalUnauthorized    RefusalReason = "Unauthorized"
+	RefusalForbidden       RefusalReason = "Forbidden"
+	RefusalUnknownModel    RefusalReason = "UnknownModel"
+	RefusalTooManyStreams  RefusalReason = "TooManyStreams"
+	RefusalKeyReused       RefusalReason = "KeyReused"
+	RefusalStore           RefusalReason = "StoreUnavailable"
+	RefusalBackend         RefusalReason = "BackendFailed"
+	RefusalInProgress      RefusalReason = "InProgress"
+	RefusalClaimUnresolved RefusalReason = "ClaimUnresolved"
+)
+
+// Refusal is an error that reaches a caller. It always says whether the work
+// ran.
+type Refusal struct {
+	// Status is the HTTP status, 400 to 599.
+	Status int
+	// Reason is the machine-readable reason.
+	Reason RefusalReason
+	// RunState says whether the work ran.
+	RunState RunState
+	// Message is shown to the caller.
+	Message string
+	// RetryAt is the earliest time at which a retry is useful; zero if unknown.
+	RetryAt time.Time
+	// Err is the cause, for logs only.
+	Err error
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	if r.Err != nil {
+		return fmt.Sprintf("%s (%s): %s: %v", r.Reason, r.RunState, r.Message, r.Err)
+	}
+	return fmt.Sprintf("%s (%s): %s", r.Reason, r.RunState, r.Message)
+}
+
+// Unwrap returns the cause.
+func (r *Refusal) Unwrap() error { return r.Err }
--- /dev/null
+++ b/event.go
@@ -0,0 +1,91 @@
+package egretflow
+
+import "time"
+
+// EventName names one kind of event in logs and explanations (11).
+type EventName string
+
+// The events.
+const (
+	EventAdmitted          EventName = "Admitted"
+	EventRefused           EventName = "Refused"
+	EventAssigned          EventName = "Assigned"
+	EventPrefillDone       EventName = "PrefillDone"
+	EventFirstToken        EventName = "FirstToken"
+	EventCompleted         EventName = "Completed"
+	EventCancelled         EventName = "Cancelled"
+	EventRetried           EventName = "Retried"
+	EventHedged            EventName = "Hedged"
+	EventResumed           EventName = "Resumed"
+	EventAttemptFailed     EventName = "AttemptFailed"
+	EventSilentConnection  EventName = "SilentConnection"
+	EventMismatch          EventName = "AnswerMismatch"
+	EventSuspectServer     EventName = "SuspectServer"
+	EventServerRecovered   EventName = "ServerRecovered"
+	EventCrashSuspect      EventName = "CrashSuspect"
+	EventRevisionInForce   EventName = "RevisionInForce"
+	EventRevisionUnknown   EventName = "RevisionUnconfirmed"
+	EventMemberJoined      EventName = "MemberJoined"
+	EventMemberLost        EventName = "MemberLost"
+	EventGrantLapsed       EventName = "GrantLapsed"
+	EventOwnerChanged      EventName = "OwnerChanged"
+	EventClaimed           EventName = "Claimed"
+	EventClaimDone         EventName = "ClaimDone"
+	EventClaimRefused      EventName = "ClaimRefused"
+	EventOrderSent         EventName = "OrderSent"
+	EventOrderRefused      EventName = "OrderRefused"
+	EventOrderRepaired     EventName = "OrderRepaired"
+	EventLeaseAcquired     EventName = "LeaseAcquired"
+	EventLeaseLost         EventName = "LeaseLost"
+	EventAccessDenied      EventName = "AccessDenied"
+	EventShutdownStarted   EventName = "ShutdownStarted"
+	EventShutdownDone      EventName = "ShutdownDone"
+	EventStoreUnavailable  EventName = "StoreUnavailable"
+	EventStoreAvailable    EventName = "StoreAvailable"
+	EventInvariantViolated EventName = "InvariantViolated"
+	EventReloaded          EventName = "Reloaded"
+)
+
+// Event is one thing that happened, as logged and as kept for explanation.
+type Event struct {
+	Name     EventName
+	At       time.Time
+	Instance InstanceName
+	Request  RequestID  `json:",omitempty"`
+	Attempt  AttemptID  `json:",omitempty"`
+	Decision DecisionID `json:",omitempty"`
+	// Fields holds further key=value pairs in a fixed order.
+	Fields []EventField `json:",omitempty"`
+}
+
+// EventField is one key=value pair of an event.
+type EventField struct {
+	Key   string
+	Value string
+}
+
+// Recorder takes events. Implementations must not block.
+type Recorder interface {
+	Record(e Event)
+}
+
+// Invariant names one of the invariants of section 1.1.
+type Invariant string
+
+// The invariants.
+const (
+	InvariantMemoryFreed     Invariant = "I1MemoryFreed"
+	InvariantAnsweredOnce    Invariant = "I2AnsweredOnce"
+	InvariantWholeAnswer     Invariant = "I3WholeAnswer"
+	InvariantNotRunTrue      Invariant = "I4NotRunTrue"
+	InvariantAtMostOnce      Invariant = "I5AtMostOnce"
+	InvariantLeavingServer   Invariant = "I6LeavingServer"
+	InvariantNoCutOnShutdown Invariant = "I7NoCutOnShutdown"
+	InvariantNoRevert        Invariant = "I8NoRevert"
+)
+
+// Checker counts and reports violations of invariants. Check does nothing when
+// holds is true.
+type Checker interface {
+	Check(i Invariant, holds bool, request RequestID, detail string)
+}
--- /dev/null
+++ b/peer.go
@@ -0,0 +1,97 @@
+package egretflow
+
+import (
+	"context"
+	"net/netip"
+	"time"
+)
+
+// Member is an instance as the platform's list and the tracker know it.
+type Member struct {
+	Name          InstanceName
+	Address       netip.AddrPort
+	FailureDomain FailureDomain
+	Region        Region
+	State         MemberState
+	// HeardAt is the time of the last direct answer; zero if never.
+	HeardAt time.Time
+}
+
+// Demand is one holder's use of one server, as sent to the owner (5.3).
+type Demand struct {
+	_      struct{} `cbor:",toarray"`
+	Server ServerName
+	// InUse counts slots with running attempts, Held the slots granted.
+	InUse int
+	Held  int
+	// Wanted counts slots wanted beyond Held, by rank of importance.
+	Wanted [4]int
+}
+
+// Grant gives a holder slots of one server until a deadline.
+type Grant struct {
+	_      struct{} `cbor:",toarray"`
+	Server ServerName
+	Slots  int
+	// ExpiresAt is in the clock of the holder: its send time plus the lifetime.
+	ExpiresAt time.Time
+}
+
+// CrashReport charges a fingerprint with lost servers (5.6).
+type CrashReport struct {
+	_           struct{} `cbor:",toarray"`
+	Fingerprint uint64
+	Servers     []ServerName
+	ExpiresAt   time.Time
+}
+
+// ExchangeRequest is the periodic message to a peer of the slice.
+type ExchangeRequest struct {
+	_           struct{} `cbor:",toarray"`
+	From        InstanceName
+	Incarnation uint64
+	SentAt      time.Time
+	Revision    Revision
+	Leaving     bool
+	Demands     []Demand
+	Crashes     []CrashReport
+}
+
+// ExchangeResponse answers an ExchangeRequest.
+type ExchangeResponse struct {
+	_           struct{} `cbor:",toarray"`
+	From        InstanceName
+	Incarnation uint64
+	Revision    Revision
+	Leaving     bool
+	Grants      []Grant
+	Crashes     []CrashReport
+}
+
+// PullRequest asks for tables above a revision.
+type PullRequest struct {
+	_     struct{} `cbor:",toarray"`
+	Above Revision
+}
+
+// PullResponse carries the tables in force, or none when not higher.
+type PullResponse struct {
+	_      struct{} `cbor:",toarray"`
+	Tables []byte
+	// Confirmed says that the sender knows its revision to be current.
+	Confirmed bool
+}
+
+// Peers sends messages to other instances.
+type Peers interface {
+	Exchange(ctx context.Context, to Member, r *ExchangeRequest) (*ExchangeResponse, error)
+	Pull(ctx context.Context, to Member, r *PullRequest) (*PullResponse, error)
+	CommitClaims(ctx context.Context, to Member, r *CommitRequest) (*CommitResponse, error)
+}
+
+// PeerHandler answers messages of other instances.
+type PeerHandler interface {
+	HandleExchange(ctx context.Context, r *ExchangeRequest) (*ExchangeResponse, error)
+	HandlePull(ctx context.Context, r *PullRequest) (*PullResponse, error)
+	HandleCommitClaims(ctx context.Context, r *CommitRequest) (*CommitResponse, error)
+}
--- /dev/null
+++ b/table.go
@@ -0,0 +1,324 @@
+package egretflow
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Revision numbers accepted versions of the tables. It only grows (6.2).
+type Revision uint64
+
+// BlockTokens is the number of tokens that one block of engine memory holds.
+const BlockTokens = 16
+
+// Duration is a time.Duration written as "1.1s" in tables. Tables hold targets
+// and budgets; state and messages hold deadlines only.
+type Duration time.Duration
+
+// MarshalText writes the duration in Go syntax.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// UnmarshalText reads a non-negative duration in Go syntax.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("parse duration: %w", err)
+	}
+	if v < 0 {
+		return fmt.Errorf("duration %q is negative", string(text))
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// Route says which requests of which callers go to which pool and how much
+// they matter.
+type Route struct {
+	Name RouteName
+	// Callers that may use the route. "*" stands for every known caller.
+	Callers []CallerName
+	// Models served by a model route.
+	Models []ModelName `json:",omitempty"`
+	// Methods and PathPrefix select requests of a service route.
+	Methods    []string `json:",omitempty"`
+	PathPrefix string   `json:",omitempty"`
+	// Pool that serves the route.
+	Pool       PoolName
+	Importance Importance
+	// Idempotent says that a request may run more than once. Model routes are
+	// idempotent; a service route that is not needs an Idempotency-Key (7.1).
+	Idempotent bool
+	// FirstTokenTarget bounds the time to the first token or response byte.
+	FirstTokenTarget Duration
+	// TokenTarget bounds the mean time between tokens of a model route.
+	TokenTarget Duration `json:",omitempty"`
+	// RetryPercent and HedgePercent bound extra attempts per 100 requests.
+	RetryPercent int `json:",omitempty"`
+	HedgePercent int `json:",omitempty"`
+	// MaxStreams bounds the open streams of one caller at one instance; 0 means
+	// the default of the instance.
+	MaxStreams int `json:",omitempty"`
+}
+
+// Allows reports whether caller may use the route.
+func (r *Route) Allows(caller CallerName) bool {
+	return slices.Contains(r.Callers, caller) || slices.Contains(r.Callers, "*")
+}
+
+// Server is a backend server as the operators describe it.
+type Server struct {
+	Name          ServerName
+	Address       netip.AddrPort
+	FailureDomain FailureDomain
+	Role          Role
+	// Slots is the number of requests the server runs at a time.
+	Slots int
+	// Blocks is the engine memory in blocks of BlockTokens tokens.
+	Blocks int `json:",omitempty"`
+	// PrefillTokensPerSecond is the nominal prefill rate of a prefill server.
+	PrefillTokensPerSecond int `json:",omitempty"`
+	// LinkBytesPerSecond is the nominal rate of the KV transfer link.
+	LinkBytesPerSecond int64 `json:",omitempty"`
+	// ChecksFencing says that the engine refuses orders with an old fencing
+	// number (8.2).
+	ChecksFencing bool `json:",omitempty"`
+	// Drain asks for no new work (9.2).
+	Drain bool `json:",omitempty"`
+}
+
+// Pool is a named group of backend servers.
+type Pool struct {
+	Name PoolName
+	Kind PoolKind
+	// Model is the name that the engines of a model pool serve.
+	Model ModelName `json:",omitempty"`
+	// KVBytesPerToken is the size of the KV cache of one prompt token.
+	KVBytesPerToken int64 `json:",omitempty"`
+	// TokenGap is the nominal time between tokens of the decode servers.
+	TokenGap Duration `json:",omitempty"`
+	// ServerTLS asks for TLS towards the servers of the pool.
+	ServerTLS bool `json:",omitempty"`
+	Servers   []Server
+}
+
+// Tables are the two tables that operators edit, at one revision.
+type Tables struct {
+	Revision Revision
+	// EditID identifies the edit that produced the revision; it resolves a lost
+	// answer of the store (6.3).
+	EditID string `json:",omitempty"`
+	Routes []Route
+	Pools  []Pool
+}
+
+// UnmarshalJSON decodes strictly and checks the result.
+func (t *Tables) UnmarshalJSON(data []byte) error {
+	type plain Tables
+	var p plain
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&p); err != nil {
+		return fmt.Errorf("decode tables: %w", err)
+	}
+	checked := Tables(p)
+	if err := checked.Check(); err != nil {
+		return fmt.Errorf("check tables: %w", err)
+	}
+	*t = checked
+	return nil
+}
+
+// Check returns a *FieldError for the first field that is wrong.
+func (t *Tables) Check() error {
+	pools := make(map[PoolName]*Pool, len(t.Pools))
+	servers := make(map[ServerName]string)
+	for n := range t.Pools {
+		field := fmt.Sprintf("Pools[%d]", n)
+		pool := &t.Pools[n]
+		if _, ok := pools[pool.Name]; ok {
+			return &FieldError{field + ".Name", fmt.Sprintf("pool %q is defined twice", pool.Name)}
+		}
+		pools[pool.Name] = pool
+		if err := pool.check(field, servers); err != nil {
+			return err
+		}
+	}
+	routes := make(map[RouteName]bool, len(t.Routes))
+	for n := range t.Routes {
+		field := fmt.Sprintf("Routes[%d]", n)
+		route := &t.Routes[n]
+		if routes[route.Name] {
+			return &FieldError{field + ".Name", fmt.Sprintf("route %q is defined twice", route.Name)}
+		}
+		routes[route.Name] = true
+		if err := route.check(field, pools); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (p *Pool) check(field string, servers map[ServerName]string) error {
+	if err := CheckName(field+".Name", string(p.Name)); err != nil {
+		return err
+	}
+	switch {
+	case p.Kind != PoolKindModel && p.Kind != PoolKindService:
+		return &FieldError{field + ".Kind", "must be Model or Service"}
+	case p.Kind == PoolKindModel && p.Model == "":
+		return &FieldError{field + ".Model", "a model pool needs a model"}
+	case len(p.Servers) == 0:
+		return &FieldError{field + ".Servers", "a pool needs at least one server"}
+	case p.KVBytesPerToken < 0:
+		return &FieldError{field + ".KVBytesPerToken", "must not be negative"}
+	}
+	roles := map[Role]int{}
+	for n := range p.Servers {
+		s := &p.Servers[n]
+		at := fmt.Sprintf("%s.Servers[%d]", field, n)
+		if other, ok := servers[s.Name]; ok {
+			return &FieldError{at + ".Name", fmt.Sprintf("server %q is already defined at %s", s.Name, other)}
+		}
+		servers[s.Name] = at
+		if err := s.check(at, p.Kind); err != nil {
+			return err
+		}
+		roles[s.Role]++
+	}
+	if p.Kind == PoolKindModel && (roles[RolePrefill] == 0 || roles[RoleDecode] == 0) {
+		return &FieldError{field + ".Servers", "a model pool needs a Prefill and a Decode server"}
+	}
+	return nil
+}
+
+func (s *Server) check(field string, kind PoolKind) error {
+	if err := CheckName(field+".Name", string(s.Name)); err != nil {
+		return err
+	}
+	if err := CheckName(field+".FailureDomain", string(s.FailureDomain)); err != nil {
+		return err
+	}
+	switch {
+	case !s.Address.IsValid() || s.Address.Port() == 0:
+		return &FieldError{field + ".Address", "must be an IP address and a port"}
+	case s.Slots < 1:
+		return &FieldError{field + ".Slots", "must be at least 1"}
+	case kind == PoolKindService && s.Role != RoleService:
+		return &FieldError{field + ".Role", "must be Service in a service pool"}
+	case kind == PoolKindModel && s.Role != RolePrefill && s.Role != RoleDecode:
+		return &FieldError{field + ".Role", "must be Prefill or Decode in a model pool"}
+	case kind == PoolKindModel && s.Blocks < 1:
+		return &FieldError{field + ".Blocks", "must be at least 1 in a model pool"}
+	case s.PrefillTokensPerSecond < 0:
+		return &FieldError{field + ".PrefillTokensPerSecond", "must not be negative"}
+	case s.LinkBytesPerSecond < 0:
+		return &FieldError{field + ".LinkBytesPerSecond", "must not be negative"}
+	}
+	return nil
+}
+
+func (r *Route) check(field string, pools map[PoolName]*Pool) error {
+	if err := CheckName(field+".Name", string(r.Name)); err != nil {
+		return err
+	}
+	pool, ok := pools[r.Pool]
+	switch {
+	case !ok:
+		return &FieldError{field + ".Pool", fmt.Sprintf("pool %q does not exist", r.Pool)}
+	case len(r.Callers) == 0:
+		return &FieldError{field + ".Callers", "a route needs at least one caller"}
+	case !slices.Contains(Importances, r.Importance):
+		return &FieldError{field + ".Importance", "must be Critical, High, Normal or Low"}
+	case r.FirstTokenTarget <= 0:
+		return &FieldError{field + ".FirstTokenTarget", "must be positive"}
+	case pool.Kind == PoolKindModel && len(r.Models) == 0:
+		return &FieldError{field + ".Models", "a route to a model pool needs a model"}
+	case pool.Kind == PoolKindModel && !r.Idempotent:
+		return &FieldError{field + ".Idempotent", "a route to a model pool is idempotent"}
+	case pool.Kind == PoolKindService && !strings.HasPrefix(r.PathPrefix, "/"):
+		return &FieldError{field + ".PathPrefix", "must start with / on a route to a service pool"}
+	case r.RetryPercent < 0 || r.RetryPercent > 100:
+		return &FieldError{field + ".RetryPercent", "must be 0 to 100"}
+	case r.HedgePercent < 0 || r.HedgePercent > 100:
+		return &FieldError{field + ".HedgePercent", "must be 0 to 100"}
+	case r.MaxStreams < 0:
+		return &FieldError{field + ".MaxStreams", "must not be negative"}
+	}
+	for n, c := range r.Callers {
+		if c == "*" {
+			continue
+		}
+		if err := CheckName(fmt.Sprintf("%s.Callers[%d]", field, n), string(c)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Pool returns the pool with the given name.
+func (t *Tables) Pool(name PoolName) (*Pool, bool) {
+	for n := range t.Pools {
+		if t.Pools[n].Name == name {
+			return &t.Pools[n], true
+		}
+	}
+	return nil, false
+}
+
+// RouteForModel returns the route by which caller reaches model. The error is
+// ErrNotFound for a model that no route serves and ErrForbidden when routes
+// exist, but none for the caller (4.1).
+func (t *Tables) RouteForModel(caller CallerName, model ModelName) (*Route, error) {
+	err := ErrNotFound
+	for n := range t.Routes {
+		r := &t.Routes[n]
+		if !slices.Contains(r.Models, model) {
+			continue
+		}
+		if r.Allows(caller) {
+			return r, nil
+		}
+		err = ErrForbidden
+	}
+	return nil, fmt.Errorf("route for model %q: %w", model, err)
+}
+
+// RouteForPath returns the service route with the longest matching path
+// prefix that caller may use. Errors are as for RouteForModel.
+func (t *Tables) RouteForPath(caller CallerName, method, path string) (*Route, error) {
+	err := ErrNotFound
+	var best *Route
+	for n := range t.Routes {
+		r := &t.Routes[n]
+		if !r.matchesPath(method, path) {
+			continue
+		}
+		if !r.Allows(caller) {
+			err = ErrForbidden
+			continue
+		}
+		if best == nil || len(r.PathPrefix) > len(best.PathPrefix) {
+			best = r
+		}
+	}
+	if best == nil {
+		return nil, fmt.Errorf("route for %s %s: %w", method, path, err)
+	}
+	return best, nil
+}
+
+func (r *Route) matchesPath(method, path string) bool {
+	if r.PathPrefix == "" || !strings.HasPrefix(path, r.PathPrefix) {
+		return false
+	}
+	rest := path[len(r.PathPrefix):]
+	if rest != "" && !strings.HasSuffix(r.PathPrefix, "/") && rest[0] != '/' {
+		return false
+	}
+	return len(r.Methods) == 0 || slices.Contains(r.Methods, method)
+}
