Add a first scheduler that owns slots and grants of one instance

Cause: the request path and the supervisor need a working egretflow.Scheduler and egretflow.ExchangeState to build on.

--- /dev/null
+++ b/scheduler/scheduler.go
@@ -0,0 +1,173 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/egretflow/egretflow"
+)
+
+// Config holds the settings of a Scheduler.
+type Config struct {
+	Instance egretflow.InstanceName
+	Clock    egretflow.Clock
+	// Rand is used only by the goroutine of Run.
+	Rand     *rand.Rand
+	Recorder egretflow.Recorder
+	Checker  egretflow.Checker
+	// Peers says that slots are shared with other instances by grants (5.3).
+	Peers bool
+	// Policy selects how servers are chosen; empty means PolicyJoint.
+	Policy Policy
+}
+
+// Policy selects how servers are chosen.
+type Policy string
+
+// PolicyJoint chooses prefill server, link and decode server together (5.2).
+const PolicyJoint Policy = "Joint"
+
+// messageBuffer is the number of messages that wait for the goroutine before
+// senders block.
+const messageBuffer = 256
+
+// ErrStopped is returned after Run has ended.
+var ErrStopped = errors.New("scheduler stopped")
+
+// Scheduler implements egretflow.Scheduler and egretflow.ExchangeState.
+type Scheduler struct {
+	cfg      Config
+	messages chan message
+	stopped  chan struct{}
+}
+
+var (
+	_ egretflow.Scheduler     = (*Scheduler)(nil)
+	_ egretflow.ExchangeState = (*Scheduler)(nil)
+)
+
+// New returns a Scheduler that does nothing until Run is called.
+func New(cfg Config) *Scheduler {
+	return &Scheduler{
+		cfg:      cfg,
+		messages: make(chan message, messageBuffer),
+		stopped:  make(chan struct{}),
+	}
+}
+
+// Run owns the state until ctx ends. It must be called once. Requests that
+// still wait then get ErrStopped.
+func (s *Scheduler) Run(ctx context.Context) error {
+	defer close(s.stopped)
+	newTask(s.cfg).run(ctx, s.messages)
+	return nil
+}
+
+// send delivers m and reports whether the goroutine may still read it.
+func (s *Scheduler) send(m message) bool {
+	select {
+	case s.messages <- m:
+		return true
+	case <-s.stopped:
+		return false
+	}
+}
+
+// Apply takes new tables. Running attempts keep their servers.
+func (s *Scheduler) Apply(t *egretflow.Tables) { s.send(tablesMessage{tables: t}) }
+
+// Acquire waits for a place for work. The error is a *egretflow.Refusal, the
+// error of ctx or ErrStopped.
+func (s *Scheduler) Acquire(ctx context.Context, work *egretflow.Work) (*egretflow.Assignment, error) {
+	for {
+		a, err := s.await(ctx, &waiter{work: work, reply: make(chan reply, 1)})
+		if err != nil {
+			return nil, err
+		}
+		if a.GrantExpiresAt.IsZero() || s.cfg.Clock().Before(a.GrantExpiresAt) {
+			return a, nil
+		}
+		s.Release(egretflow.Release{Attempt: a.Attempt})
+	}
+}
+
+// Replace chooses another prefill server for a and keeps its decode place. The
+// returned assignment has the attempt id of a.
+func (s *Scheduler) Replace(ctx context.Context, a *egretflow.Assignment) (*egretflow.Assignment, error) {
+	return s.await(ctx, &waiter{work: a.Work, replaces: a.Attempt, reply: make(chan reply, 1)})
+}
+
+// await sends w and waits for exactly one reply. When ctx ends first, a place
+// that was assigned in the meantime is given back.
+func (s *Scheduler) await(ctx context.Context, w *waiter) (*egretflow.Assignment, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	if !s.send(acquireMessage{waiter: w}) {
+		return nil, ErrStopped
+	}
+	select {
+	case r := <-w.reply:
+		return r.assignment, r.err
+	case <-s.stopped:
+		return nil, ErrStopped
+	case <-ctx.Done():
+	}
+	if !s.send(cancelMessage{waiter: w}) {
+		return nil, ctx.Err()
+	}
+	select {
+	case r := <-w.reply:
+		if r.assignment != nil && w.replaces == "" {
+			s.Release(egretflow.Release{Attempt: r.assignment.Attempt})
+		}
+	case <-s.stopped:
+	}
+	return nil, ctx.Err()
+}
+
+// Observe takes what an attempt or a load report showed of a server.
+func (s *Scheduler) Observe(o egretflow.Observation) { s.send(observeMessage{observation: o}) }
+
+// Release gives back the place of an attempt, or only its prefill place.
+func (s *Scheduler) Release(r egretflow.Release) { s.send(releaseMessage{release: r}) }
+
+// Demands implements egretflow.ExchangeState.
+func (s *Scheduler) Demands(now time.Time) []egretflow.Demand {
+	m := demandsMessage{now: now, reply: make(chan []egretflow.Demand, 1)}
+	return ask(s, m, m.reply)
+}
+
+// ApplyGrants implements egretflow.ExchangeState.
+func (s *Scheduler) ApplyGrants(grants []egretflow.Grant) { s.send(grantsMessage{grants: grants}) }
+
+// SetUnavailable implements egretflow.ExchangeState. It replaces the set.
+func (s *Scheduler) SetUnavailable(servers []egretflow.ServerName) {
+	s.send(unavailableMessage{servers: servers})
+}
+
+// Crashes implements egretflow.ExchangeState.
+func (s *Scheduler) Crashes(now time.Time) []egretflow.CrashReport {
+	m := crashesMessage{now: now, reply: make(chan []egretflow.CrashReport, 1)}
+	return ask(s, m, m.reply)
+}
+
+// MergeCrashes implements egretflow.ExchangeState.
+func (s *Scheduler) MergeCrashes(reports []egretflow.CrashReport) {
+	s.send(mergeMessage{reports: reports})
+}
+
+func ask[T any](s *Scheduler, m message, reply chan T) T {
+	var zero T
+	if !s.send(m) {
+		return zero
+	}
+	select {
+	case v := <-reply:
+		return v
+	case <-s.stopped:
+		return zero
+	}
+}
