--- /dev/null
+++ b/admitter/doc.go
@@ -0,0 +1,38 @@
+// Package admitter queues the requests of one pool and refuses early those that
+// cannot meet their first-token target (5.1, 5.7).
+//
+// # Usage
+//
+//	q := admitter.NewQueue()
+//	if v := q.Offer(item, capacity, now); !v.Admitted {
+//		// refuse with NotRun; the first token is expected at v.FirstTokenAt
+//	}
+//	for _, item := range q.Shed(capacity, now) {
+//		// refuse with NotRun
+//	}
+//	for _, item := range q.Heads(4) {
+//		if placed(item) {
+//			q.Take(item)
+//		}
+//	}
+//
+// # Rules
+//
+//  1. Order: importance, then start-time fair queueing between callers, then
+//     the first-token deadline inside a caller. The cost of a request is its
+//     prompt tokens to compute plus OutputCost per output token.
+//  2. Expected first token = now + wait + Item.Service. The wait is the longer
+//     of prefill tokens ahead over the prefill rate and decode slots ahead over
+//     the rate at which slots become free.
+//  3. An item whose expected first token is later than its FirstTokenBy is
+//     refused when it is offered. Shed applies the same test again in service
+//     order, so a more important arrival displaces the less important items
+//     that it makes late, and no others.
+//  4. An item without FirstTokenBy (a continued stream) is refused only when
+//     the queue is full.
+//  5. An item that does not fit on any server is passed by others at most
+//     MaxBypassed times; then it blocks the items behind it, so that a request
+//     with a long prompt is not starved by short ones.
+//  6. At most MaxItems wait. A full queue gives up its last item for a more
+//     important one.
+package admitter
--- /dev/null
+++ b/admitter/queue.go
@@ -0,0 +1,244 @@
+package admitter
+
+import (
+	"slices"
+	"time"
+
+	"github.com/egretflow/egretflow"
+)
+
+const (
+	// MaxItems bounds the memory of one queue. At 68 requests/s and a target of
+	// 1.1 s about 75 requests can wait and still be useful.
+	MaxItems = 1024
+	// MaxBypassed bounds how often an item that does not fit is passed by.
+	MaxBypassed = 16
+)
+
+// Verdict is the result of an offer.
+type Verdict struct {
+	Admitted bool
+	// FirstTokenAt is the expected time of the first token.
+	FirstTokenAt time.Time
+	// Wait is the expected time in the queue.
+	Wait time.Duration
+	// Displaced had to leave a full queue for the offered item.
+	Displaced *Item
+}
+
+// Queue holds the waiting requests of one pool. It is not safe for concurrent
+// use.
+type Queue struct {
+	classes [4]class
+	length  int
+	// cursors and batch are reused between walks.
+	cursors []cursor
+	batch   []*Item
+}
+
+// NewQueue returns an empty queue.
+func NewQueue() *Queue {
+	q := &Queue{}
+	for n := range q.classes {
+		q.classes[n].flows = map[egretflow.CallerName]*flow{}
+	}
+	return q
+}
+
+// Len returns the number of waiting items.
+func (q *Queue) Len() int { return q.length }
+
+// Waiting returns the decode slots and the items that wait, by rank of
+// importance.
+func (q *Queue) Waiting() (slots, items [4]int) {
+	for n := range q.classes {
+		slots[n], items[n] = int(q.classes[n].slots), q.classes[n].length
+	}
+	return slots, items
+}
+
+// Offer queues item if it can still meet its target.
+func (q *Queue) Offer(item *Item, capacity Capacity, now time.Time) Verdict {
+	rank := item.Work.Importance.Rank()
+	c := &q.classes[rank]
+	f := c.flow(item.Work.Caller)
+	at := f.insert(item)
+	q.length++
+	tokens, slots := c.ahead(f, at)
+	for n := range rank {
+		tokens += q.classes[n].tokens
+		slots += q.classes[n].slots
+	}
+	wait := capacity.wait(tokens, slots+float64(item.Slots))
+	v := Verdict{Admitted: true, Wait: wait, FirstTokenAt: now.Add(wait + item.Service)}
+	switch {
+	case item.late(v.FirstTokenAt):
+		v.Admitted = false
+	case q.length > MaxItems:
+		v.Displaced = q.last(rank)
+		v.Admitted = v.Displaced != nil
+	}
+	if !v.Admitted {
+		q.Remove(item)
+	} else if v.Displaced != nil {
+		q.Remove(v.Displaced)
+	}
+	return v
+}
+
+// last returns the item that is served last among those less important than
+// rank, or nil.
+func (q *Queue) last(rank int) *Item {
+	for n := len(q.classes) - 1; n > rank; n-- {
+		if q.classes[n].length == 0 {
+			continue
+		}
+		var last *Item
+		q.walkClass(&q.classes[n], func(item *Item) bool { last = item; return true })
+		return last
+	}
+	return nil
+}
+
+// Remove drops item without serving it.
+func (q *Queue) Remove(item *Item) {
+	if item.flow == nil {
+		return
+	}
+	c := item.flow.class
+	item.flow.delete(item)
+	q.length--
+	if c.length == 0 {
+		c.forget()
+	}
+}
+
+// Take removes item because it was placed, and charges its caller.
+func (q *Queue) Take(item *Item) {
+	f := item.flow
+	if f == nil {
+		return
+	}
+	c := f.class
+	c.virtual = max(c.virtual, f.start)
+	f.start += item.cost()
+	q.Remove(item)
+}
+
+// Shed removes and returns the items that can no longer meet their target.
+// The result is valid until the next call of a method of q.
+func (q *Queue) Shed(capacity Capacity, now time.Time) []*Item {
+	var tokens, slots float64
+	q.batch = q.batch[:0]
+	q.walk(func(item *Item) bool {
+		wait := capacity.wait(tokens, slots+float64(item.Slots))
+		if item.late(now.Add(wait + item.Service)) {
+			q.batch = append(q.batch, item)
+			return true
+		}
+		tokens += float64(item.Tokens)
+		slots += float64(item.Slots)
+		return true
+	})
+	for _, item := range q.batch {
+		q.Remove(item)
+	}
+	for n := range q.classes {
+		q.classes[n].forget()
+	}
+	return q.batch
+}
+
+// Heads returns the next items in service order, at most n, and fewer when an
+// item that was passed by too often blocks the rest. The result is valid until
+// the next call of a method of q other than Take and Remove.
+func (q *Queue) Heads(n int) []*Item {
+	q.batch = q.batch[:0]
+	q.walk(func(item *Item) bool {
+		q.batch = append(q.batch, item)
+		return len(q.batch) < n && item.bypassed < MaxBypassed
+	})
+	return q.batch
+}
+
+// Bypassed notes that an item behind item was placed.
+func (q *Queue) Bypassed(item *Item) { item.bypassed++ }
+
+// cursor is the position of a walk in one flow.
+type cursor struct {
+	flow *flow
+	next int
+	tag  float64
+}
+
+func (c *cursor) item() *Item { return c.flow.items[c.next] }
+
+// before orders cursors by start tag, then deadline, then caller.
+func (c *cursor) before(other *cursor) bool {
+	if c.tag != other.tag {
+		return c.tag < other.tag
+	}
+	if d := compareDeadlines(c.item().Work, other.item().Work); d != 0 {
+		return d < 0
+	}
+	return c.flow.caller < other.flow.caller
+}
+
+// walk visits the items in service order until visit returns false. The queue
+// must not change meanwhile.
+func (q *Queue) walk(visit func(*Item) bool) {
+	for n := range q.classes {
+		if q.classes[n].length > 0 && !q.walkClass(&q.classes[n], visit) {
+			return
+		}
+	}
+}
+
+func (q *Queue) walkClass(c *class, visit func(*Item) bool) bool {
+	heap := q.cursors[:0]
+	for _, f := range c.order {
+		if len(f.items) > 0 {
+			heap = append(heap, cursor{flow: f, tag: f.start})
+		}
+	}
+	q.cursors = heap
+	slices.SortFunc(heap, func(a, b cursor) int {
+		if a.before(&b) {
+			return -1
+		}
+		return 1
+	})
+	for len(heap) > 0 {
+		top := &heap[0]
+		item := top.item()
+		if !visit(item) {
+			return false
+		}
+		top.next++
+		top.tag += item.cost()
+		if top.next == len(top.flow.items) {
+			heap[0] = heap[len(heap)-1]
+			heap = heap[:len(heap)-1]
+		}
+		siftDown(heap)
+	}
+	return true
+}
+
+// siftDown restores the order of a heap whose first element changed.
+func siftDown(heap []cursor) {
+	for n := 0; ; {
+		child := 2*n + 1
+		if child >= len(heap) {
+			return
+		}
+		if child+1 < len(heap) && heap[child+1].before(&heap[child]) {
+			child++
+		}
+		if !heap[child].before(&heap[n]) {
+			return
+		}
+		heap[n], heap[child] = heap[child], heap[n]
+		n = child
+	}
+}
--- /dev/null
+++ b/admitter/queue_test.go
@@ -0,0 +1,198 @@
+package admitter
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/egretflow/egretflow"
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed of rapid so that the verdict never changes.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "200", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+var start = time.Unix(1000, 0)
+
+// capacity serves one item of 1,000 tokens per 100 ms.
+var capacity = Capacity{PrefillTokensPerSecond: 10_000, SlotsPerSecond: 10, FreeSlots: 1}
+
+func newItem(caller string, importance egretflow.Importance, within time.Duration) *Item {
+	w := &egretflow.Work{Caller: egretflow.CallerName(caller), Importance: importance, ArrivedAt: start, FirstTokenBy: start.Add(within)}
+	return &Item{Work: w, Tokens: 1000, Slots: 1, Service: 150 * time.Millisecond}
+}
+
+func serve(q *Queue, n int) []string {
+	var order []string
+	for range n {
+		item := q.Heads(1)[0]
+		order = append(order, string(item.Work.Caller))
+		q.Take(item)
+	}
+	return order
+}
+
+// One caller that sends many requests must not delay another of its class.
+func TestCallersShareAClass(t *testing.T) {
+	q := NewQueue()
+	for range 6 {
+		q.Offer(newItem("busy", egretflow.ImportanceNormal, time.Minute), capacity, start)
+	}
+	q.Offer(newItem("quiet", egretflow.ImportanceNormal, time.Minute), capacity, start)
+	q.Offer(newItem("urgent", egretflow.ImportanceCritical, time.Minute), capacity, start)
+	want := "[urgent busy quiet busy busy busy busy busy]"
+	if got := fmt.Sprint(serve(q, 8)); got != want {
+		t.Errorf("order %s, want %s", got, want)
+	}
+}
+
+// A request that would be answered too late wastes prefill work if it runs and
+// time of its caller if it is refused late.
+func TestOfferRefusesWhatMissesItsTarget(t *testing.T) {
+	q := NewQueue()
+	admitted := 0
+	for range 50 {
+		if q.Offer(newItem("a", egretflow.ImportanceNormal, time.Second), capacity, start).Admitted {
+			admitted++
+		}
+	}
+	// 150 ms of service leave 850 ms of waiting: 8 items and the one that starts.
+	if admitted != 9 {
+		t.Errorf("%d of 50 admitted, want 9", admitted)
+	}
+	v := q.Offer(newItem("a", egretflow.ImportanceNormal, time.Second), capacity, start)
+	if v.Admitted || !v.FirstTokenAt.After(start.Add(time.Second)) {
+		t.Errorf("verdict %+v, want a refusal with the late time", v)
+	}
+}
+
+// An important request that arrives into a full backlog must get in, and only
+// less important ones pay for it.
+func TestShedDisplacesLowestImportance(t *testing.T) {
+	q := NewQueue()
+	for range 9 {
+		q.Offer(newItem("low", egretflow.ImportanceLow, time.Second), capacity, start)
+	}
+	for range 3 {
+		if !q.Offer(newItem("top", egretflow.ImportanceCritical, time.Second), capacity, start).Admitted {
+			t.Fatal("critical request refused behind low ones")
+		}
+	}
+	shed := q.Shed(capacity, start)
+	if len(shed) != 3 {
+		t.Errorf("%d items shed, want 3", len(shed))
+	}
+	for _, item := range shed {
+		if item.Work.Importance != egretflow.ImportanceLow {
+			t.Errorf("shed an item of importance %s", item.Work.Importance)
+		}
+	}
+}
+
+// A long prompt that never fits between short ones would starve.
+func TestBypassIsBounded(t *testing.T) {
+	q := NewQueue()
+	long := newItem("long", egretflow.ImportanceNormal, time.Minute)
+	q.Offer(long, capacity, start)
+	q.Offer(newItem("short", egretflow.ImportanceNormal, time.Minute), capacity, start)
+	for range MaxBypassed {
+		q.Bypassed(long)
+	}
+	if got := len(q.Heads(4)); got != 1 {
+		t.Errorf("Heads returned %d items behind a blocked one", got-1)
+	}
+}
+
+// The queue is bounded even when requests have no target to miss.
+func TestQueueIsBounded(t *testing.T) {
+	q := NewQueue()
+	for n := range 2 * MaxItems {
+		item := newItem(fmt.Sprint(n), egretflow.ImportanceLow, 0)
+		item.Work.FirstTokenBy = time.Time{}
+		q.Offer(item, capacity, start)
+	}
+	if q.Len() != MaxItems {
+		t.Errorf("%d items, want %d", q.Len(), MaxItems)
+	}
+	top := newItem("top", egretflow.ImportanceCritical, time.Second)
+	if v := q.Offer(top, capacity, start); !v.Admitted || v.Displaced == nil {
+		t.Errorf("critical request not admitted to a full queue: %+v", v)
+	}
+}
+
+// Any sequence of operations keeps the sums, the order and the promise of Shed.
+func TestQueueAccounting(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := NewQueue()
+		now := start
+		waiting := map[*Item]bool{}
+		remove := func(item *Item) {
+			if !waiting[item] {
+				t.Fatal("an item left the queue twice")
+			}
+			delete(waiting, item)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"offer": func(t *rapid.T) {
+				item := newItem(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "caller"),
+					rapid.SampledFrom(egretflow.Importances).Draw(t, "importance"),
+					time.Duration(rapid.IntRange(0, 2000).Draw(t, "target"))*time.Millisecond)
+				item.Tokens = rapid.IntRange(0, 5000).Draw(t, "tokens")
+				item.Slots = rapid.IntRange(1, 4).Draw(t, "slots")
+				if v := q.Offer(item, capacity, now); v.Admitted {
+					waiting[item] = true
+				} else if !item.late(v.FirstTokenAt) {
+					t.Fatal("refused although it would be in time")
+				}
+			},
+			"take": func(t *rapid.T) {
+				if heads := q.Heads(3); len(heads) > 0 {
+					item := heads[rapid.IntRange(0, len(heads)-1).Draw(t, "head")]
+					q.Take(item)
+					remove(item)
+				}
+			},
+			"shed": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+				for _, item := range q.Shed(capacity, now) {
+					remove(item)
+				}
+				if len(q.Shed(capacity, now)) != 0 {
+					t.Fatal("a second Shed at the same time removed more")
+				}
+			},
+			"": func(t *rapid.T) { checkQueue(t, q, waiting) },
+		})
+	})
+}
+
+func checkQueue(t *rapid.T, q *Queue, waiting map[*Item]bool) {
+	var slots [4]int
+	rank, visited := 0, 0
+	q.walk(func(item *Item) bool {
+		if r := item.Work.Importance.Rank(); r < rank {
+			t.Fatalf("rank %d served after %d", r, rank)
+		} else {
+			rank = r
+		}
+		if !waiting[item] {
+			t.Fatal("walk visits an item that left")
+		}
+		slots[rank] += item.Slots
+		visited++
+		return true
+	})
+	if got, _ := q.Waiting(); got != slots || visited != q.Len() || visited != len(waiting) {
+		t.Fatalf("slots %v and %d items, want %v and %d", got, q.Len(), slots, len(waiting))
+	}
+}
--- /dev/null
+++ b/crashdetector/crashdetector_test.go
@@ -0,0 +1,85 @@
+package crashdetector
+
+import (
+	"testing"
+	"time"
+
+	"github.com/egretflow/egretflow"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+
+func TestVerdictFollowsLosses(t *testing.T) {
+	tests := []struct {
+		name string
+		do   func(d *Detector)
+		at   int
+		want Verdict
+	}{
+		{"unknown", func(*Detector) {}, 0, Allow},
+		{"one loss", func(d *Detector) { d.Charge(1, "a", at(0)) }, 1, Isolate},
+		{"one loss reported by two attempts", func(d *Detector) { d.Charge(1, "a", at(0)); d.Charge(1, "a", at(1)) }, 2, Isolate},
+		{"two servers", func(d *Detector) { d.Charge(1, "a", at(0)); d.Charge(1, "b", at(1)) }, 2, Reject},
+		{"the only server twice", func(d *Detector) { d.Charge(1, "a", at(0)); d.Charge(1, "a", at(30)) }, 31, Reject},
+		{"expired", func(d *Detector) { d.Charge(1, "a", at(0)); d.Charge(1, "b", at(1)) }, 602, Allow},
+		{"cleared by completing", func(d *Detector) { d.Charge(1, "a", at(0)); d.Clear(1) }, 1, Allow},
+		{"lost again after completing", func(d *Detector) { d.Charge(1, "a", at(0)); d.Clear(1); d.Charge(1, "b", at(5)) }, 6, Isolate},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			d := New()
+			test.do(d)
+			if got := d.Verdict(1, at(test.at)); got != test.want {
+				t.Errorf("Verdict = %s, want %s", got, test.want)
+			}
+		})
+	}
+}
+
+// A caller that retries at another instance must not crash a third server.
+func TestMergeSpreadsLosses(t *testing.T) {
+	first, second := New(), New()
+	first.Charge(7, "a", at(0))
+	second.Merge(first.Reports(at(1)), at(1))
+	second.Charge(7, "b", at(2))
+	first.Merge(second.Reports(at(3)), at(3))
+	for name, d := range map[string]*Detector{"first": first, "second": second} {
+		if got := d.Verdict(7, at(4)); got != Reject {
+			t.Errorf("%s: Verdict = %s, want Reject", name, got)
+		}
+	}
+}
+
+// Peers that repeat an old report must not charge a cleared request again.
+func TestMergeKeepsClearedRequest(t *testing.T) {
+	d, peer := New(), New()
+	d.Charge(7, "a", at(0))
+	peer.Merge(d.Reports(at(1)), at(1))
+	d.Clear(7)
+	d.Merge(peer.Reports(at(2)), at(2))
+	if got := d.Verdict(7, at(3)); got != Allow {
+		t.Errorf("Verdict = %s, want Allow", got)
+	}
+}
+
+// A crash loop with ever new requests must not exhaust memory or push out the
+// requests that are rejected.
+func TestMemoryIsBounded(t *testing.T) {
+	d := New()
+	d.Charge(1, "a", at(0))
+	d.Charge(1, "b", at(1))
+	for n := range 5 * maxEntries {
+		d.Charge(uint64(n+2), egretflow.ServerName("c"), at(2))
+	}
+	if len(d.entries) > maxEntries {
+		t.Errorf("%d entries, want at most %d", len(d.entries), maxEntries)
+	}
+	if got := d.Verdict(1, at(3)); got != Reject {
+		t.Errorf("Verdict = %s, want Reject", got)
+	}
+	if n := len(d.Reports(at(3))); n != maxReports {
+		t.Errorf("%d reports, want %d", n, maxReports)
+	}
+}
--- a/decision.go
+++ b/decision.go
@@ -82,6 +82,7 @@
 	ObservationSilent       ObservationKind = "Silent"
 	ObservationRefused      ObservationKind = "Refused"
 	ObservationLoad         ObservationKind = "Load"
+	ObservationCache        ObservationKind = "Cache"
 )
 
 // Observation is what one attempt, or a load report, showed of a server.
@@ -98,6 +99,26 @@
 	CachedTokens int
 	// Load is set for ObservationLoad.
 	Load *LoadReport
+	// Cache is set for ObservationCache.
+	Cache *CacheEvent
+}
+
+// CacheEventType says what an engine did with cached prompt blocks.
+type CacheEventType string
+
+// The cache event types, spelled as the engines send them.
+const (
+	CacheEventStored  CacheEventType = "BlockStored"
+	CacheEventRemoved CacheEventType = "BlockRemoved"
+	CacheEventCleared CacheEventType = "AllBlocksCleared"
+)
+
+// CacheEvent is one event of an engine's prefix cache. Events arrive late and
+// some are missing.
+type CacheEvent struct {
+	Sequence uint64
+	Type     CacheEventType
+	Hashes   []PrefixHash
 }
 
 // LoadReport is the lagging load of a backend server.
--- a/event.go
+++ b/event.go
@@ -82,6 +82,13 @@
 	InvariantLeavingServer   Invariant = "I6LeavingServer"
 	InvariantNoCutOnShutdown Invariant = "I7NoCutOnShutdown"
 	InvariantNoRevert        Invariant = "I8NoRevert"
+	// InvariantReservedFirst: no prefill starts without a decode reservation
+	// (5.2).
+	InvariantReservedFirst Invariant = "R52ReservedFirst"
+	// InvariantWithinGrant: slots are taken only under an unexpired grant (5.3).
+	InvariantWithinGrant Invariant = "R53WithinGrant"
+	// InvariantReleasedOnce: each assignment is released exactly once.
+	InvariantReleasedOnce Invariant = "ReleasedOnce"
 )
 
 // Checker counts and reports violations of invariants. Check does nothing when
--- /dev/null
+++ b/picker/doc.go
@@ -0,0 +1,34 @@
+// Package picker chooses the servers of a request: prefill server, link and
+// decode server together (5.2). It also accounts for what is reserved on them.
+//
+// # Usage
+//
+//	pool := picker.NewPool(r)
+//	pool.Apply(table, now)
+//	p, ok := pool.Pick(work, picker.Options{}, now)
+//	if ok {
+//		pool.Reserve(p)
+//	}
+//	pool.FinishPrefill(p) // and FinishTransfer, ReleasePrefill
+//	pool.ReleaseAll(p)
+//
+// # Rules
+//
+//  1. The expected first token of a pair is prefill backlog plus uncached
+//     tokens over the prefill rate, then the KV bytes over the slower of the
+//     two links, no earlier than the transfers that both links already have
+//     pending, then one token of the decode server. Each part is scaled by the
+//     straggler estimate of its server or link.
+//  2. Candidates are the servers that hold the longest known prefix, plus
+//     SampleSize random servers with free slots. The cost of a choice therefore
+//     does not depend on the size of the fleet.
+//  3. A suspect server is chosen only for a probe, or when no other has a free
+//     slot.
+//  4. Prefix reuse is learned from own placements and scaled by a trust value
+//     per server, which follows the cached_tokens that the engine reports and
+//     falls when cache events are missing.
+//  5. A prompt whose tokens need more than one slot's share of the engine's
+//     blocks occupies several slots.
+//  6. The baseline policies choose from lagging load reports, reserve nothing
+//     and know no grants. They exist for comparison.
+package picker
--- /dev/null
+++ b/picker/pick.go
@@ -0,0 +1,275 @@
+package picker
+
+import (
+	"slices"
+	"time"
+
+	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/estimator"
+)
+
+const (
+	// SampleSize is the number of random servers considered per role. With 12
+	// samples the best of them is among the best fifth of the fleet in 93% of
+	// the choices.
+	SampleSize = 12
+	// fallbackSize bounds the search for a server with several free slots.
+	fallbackSize = 64
+	// suspectPenalty in seconds ranks suspect servers behind all others.
+	suspectPenalty = 1e6
+	// occupancyWeight spreads decode work: a full engine takes this much longer
+	// per token than an idle one.
+	occupancyWeight = 0.5
+	// defaultService is the time of a service call before any was measured.
+	defaultService = 50 * time.Millisecond
+)
+
+// Options restrict a choice.
+type Options struct {
+	// Isolate keeps the request off servers with another isolated one (5.6).
+	Isolate bool
+	// Healthy excludes suspect servers, for hedges.
+	Healthy bool
+	// Decode is set when only the prefill server is chosen again.
+	Decode *Server
+}
+
+// Placement is a choice of servers and what is reserved on them.
+type Placement struct {
+	Prefill *Server
+	Decode  *Server
+	Slots   int
+	// CachedTokens is the expected prefix reuse.
+	CachedTokens int
+	// PrefillBy, TransferBy and FirstTokenAt are expected times.
+	PrefillBy    time.Time
+	TransferBy   time.Time
+	FirstTokenAt time.Time
+	// Suspect says that a suspect server was chosen, Probe that it is tested.
+	Suspect bool
+	Probe   bool
+	// Candidates is the number of pairs that were compared.
+	Candidates int
+
+	startedAt time.Time
+	isolated  bool
+	matched   int
+	tokens    float64
+	backlog   float64
+	bytes     int64
+	// What is still reserved: the prefill slot, the prompt tokens, the decode
+	// link and the prefill link.
+	heldPrefill  bool
+	computing    bool
+	transferring bool
+	sending      bool
+}
+
+// candidate is a server with the terms of its expected time, in seconds.
+type candidate struct {
+	server  *Server
+	seconds float64
+	cached  int
+	matched int
+	// drain is the time until pending transfers on the link are done, perByte
+	// the time per KV byte.
+	drain   float64
+	perByte float64
+	probe   bool
+	suspect bool
+}
+
+// Pick chooses the servers with the earliest expected first token.
+func (p *Pool) Pick(w *egretflow.Work, o Options, now time.Time) (Placement, bool) {
+	decodes := p.decodeCandidates(w, o, now)
+	if len(decodes) == 0 {
+		return Placement{}, false
+	}
+	if p.kind == egretflow.PoolKindService {
+		best := slices.MinFunc(decodes, func(a, b candidate) int { return compare(a.score(), b.score()) })
+		pl := Placement{Decode: best.server, Slots: 1, Candidates: len(decodes), Suspect: best.suspect, Probe: best.probe, startedAt: now, isolated: o.Isolate}
+		pl.FirstTokenAt = now.Add(toDuration(best.seconds))
+		pl.PrefillBy, pl.TransferBy = now, now
+		return pl, true
+	}
+	prefills := p.prefillCandidates(w, o, now)
+	if len(prefills) == 0 {
+		return Placement{}, false
+	}
+	return p.bestPair(w, o, prefills, decodes, now), true
+}
+
+func (p *Pool) bestPair(w *egretflow.Work, o Options, prefills, decodes []candidate, now time.Time) Placement {
+	bytes := int64(w.PromptTokens) * p.kvBytes
+	var bestPrefill, bestDecode *candidate
+	bestScore, bestStart, bestTransfer := 0.0, 0.0, 0.0
+	for i := range prefills {
+		a := &prefills[i]
+		for j := range decodes {
+			b := &decodes[j]
+			start := max(a.seconds, a.drain, b.drain)
+			transfer := float64(bytes) * max(a.perByte, b.perByte)
+			score := start + transfer + b.seconds + a.rank() + b.rank()
+			if bestPrefill == nil || score < bestScore {
+				bestPrefill, bestDecode = a, b
+				bestScore, bestStart, bestTransfer = score, start, transfer
+			}
+		}
+	}
+	a, b := bestPrefill, bestDecode
+	pl := Placement{
+		Prefill: a.server, Decode: b.server, Slots: b.server.SlotsFor(w), CachedTokens: a.cached,
+		Suspect: a.suspect || b.suspect, Probe: a.probe || b.probe, Candidates: len(prefills) * len(decodes),
+		startedAt: now, isolated: o.Isolate, matched: a.matched, bytes: bytes,
+		tokens: float64(w.PromptTokens - a.cached), backlog: a.server.backlog(now),
+	}
+	pl.PrefillBy = now.Add(toDuration(a.seconds))
+	pl.TransferBy = now.Add(toDuration(bestStart + bestTransfer))
+	pl.FirstTokenAt = pl.TransferBy.Add(toDuration(b.seconds))
+	return pl
+}
+
+// rank puts probes before and suspects behind all others.
+func (c *candidate) rank() float64 {
+	switch {
+	case c.probe:
+		return -suspectPenalty
+	case c.suspect:
+		return suspectPenalty
+	}
+	return 0
+}
+
+func (c *candidate) score() float64 { return c.seconds + c.rank() }
+
+func compare(a, b float64) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// usable reports whether w may be placed on s at all.
+func usable(s *Server, w *egretflow.Work, o Options, now time.Time) bool {
+	switch {
+	case now.Before(s.pausedUntil):
+		return false
+	case o.Isolate && s.isolated > 0:
+		return false
+	case o.Healthy && s.Speed.Suspect():
+		return false
+	}
+	return len(w.Avoid) == 0 || !slices.Contains(w.Avoid, s.Spec.Name)
+}
+
+// decodeCandidates samples servers of the last stage with enough free slots.
+func (p *Pool) decodeCandidates(w *egretflow.Work, o Options, now time.Time) []candidate {
+	list := p.candidates[0][:0]
+	if o.Decode != nil {
+		list = append(list, p.decodeCandidate(o.Decode, w, now))
+		p.candidates[0] = list
+		return list
+	}
+	g := p.decode
+	for n := 0; n < len(g.open) && n < fallbackSize && len(list) < SampleSize; {
+		s := p.draw(g, n)
+		free := s.free(now)
+		if free <= 0 {
+			g.leave(s)
+			continue
+		}
+		if free >= s.SlotsFor(w) && usable(s, w, o, now) {
+			list = append(list, p.decodeCandidate(s, w, now))
+		}
+		n++
+	}
+	p.candidates[0] = list
+	return list
+}
+
+// draw moves a random server that was not drawn yet to position n.
+func (p *Pool) draw(g *group, n int) *Server {
+	g.swap(n, n+p.rand.IntN(len(g.open)-n))
+	return g.open[n]
+}
+
+func (p *Pool) decodeCandidate(s *Server, w *egretflow.Work, now time.Time) candidate {
+	c := p.linkTerms(s)
+	occupancy := float64(s.inUse) / float64(s.Spec.Slots)
+	step := p.gap.Seconds()
+	if p.kind == egretflow.PoolKindService {
+		if step = p.perService; step == 0 {
+			step = defaultService.Seconds()
+		}
+	} else if s.load.Waiting > 0 && s.loadAge(now) < loadLifetime {
+		step += float64(s.load.Waiting) * p.gap.Seconds()
+	}
+	c.seconds = step * (1 + occupancyWeight*occupancy) * s.Speed.Factor()
+	c.suspect = s.Speed.Suspect()
+	c.probe = c.suspect && mayProbe(s, w, step, now)
+	return c
+}
+
+// mayProbe reports whether w may test the suspect server s. The request must
+// still meet its target on a server at the limit of suspicion.
+func mayProbe(s *Server, w *egretflow.Work, nominal float64, now time.Time) bool {
+	if !w.Idempotent || w.Hedge || w.Retry || !s.Speed.ProbeDue(now) {
+		return false
+	}
+	return w.FirstTokenBy.IsZero() || now.Add(toDuration(nominal*estimator.SuspectRatio)).Before(w.FirstTokenBy)
+}
+
+func (p *Pool) linkTerms(s *Server) candidate {
+	c := candidate{server: s}
+	if s.Spec.LinkBytesPerSecond > 0 {
+		c.perByte = s.Link.Factor() / float64(s.Spec.LinkBytesPerSecond)
+		c.drain = float64(s.transfers) * c.perByte
+	}
+	return c
+}
+
+// prefillCandidates lists the servers with the longest known prefix and a
+// sample of the others.
+func (p *Pool) prefillCandidates(w *egretflow.Work, o Options, now time.Time) []candidate {
+	list := p.candidates[1][:0]
+	var buffer [maxMatches]match
+	matches := p.prefixes.find(w.Prefix, buffer[:0])
+	for _, m := range matches {
+		if m.server.role == p.prefill.role && m.server.free(now) > 0 && usable(m.server, w, o, now) {
+			list = append(list, p.prefillCandidate(m.server, w, m.chunks, now))
+		}
+	}
+	g := p.prefill
+	limit := len(list) + SampleSize
+	for n := 0; n < len(g.open) && n < fallbackSize && len(list) < limit; {
+		s := p.draw(g, n)
+		if s.free(now) <= 0 {
+			g.leave(s)
+			continue
+		}
+		if !contains(matches, s) && usable(s, w, o, now) {
+			list = append(list, p.prefillCandidate(s, w, 0, now))
+		}
+		n++
+	}
+	p.candidates[1] = list
+	return list
+}
+
+func (p *Pool) prefillCandidate(s *Server, w *egretflow.Work, chunks int, now time.Time) candidate {
+	c := p.linkTerms(s)
+	c.matched = min(chunks*chunkTokens, max(0, w.PromptTokens-1))
+	c.cached = int(float64(c.matched) * s.cache.trust)
+	nominal := (s.backlog(now) + float64(w.PromptTokens-c.cached)) / s.prefillRate()
+	c.seconds = nominal * s.Speed.Factor()
+	c.suspect = s.Speed.Suspect()
+	c.probe = c.suspect && mayProbe(s, w, nominal, now)
+	return c
+}
+
+func toDuration(seconds float64) time.Duration {
+	return time.Duration(seconds * float64(time.Second))
+}
--- /dev/null
+++ b/picker/server.go
@@ -0,0 +1,167 @@
+package picker
+
+import (
+	"time"
+
+	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/estimator"
+)
+
+const (
+	// loadLifetime is the age at which a load report is ignored.
+	loadLifetime = 2 * time.Second
+	// refusedPause is how long a server that refused work as full is left
+	// alone; load reports lag by up to 1 s, so the pause does not wait for one.
+	refusedPause = 100 * time.Millisecond
+	// defaultPrefillRate in tokens/s and defaultGap stand in for tables that
+	// name none.
+	defaultPrefillRate = 8000
+	defaultGap         = 25 * time.Millisecond
+)
+
+// Server is the accounting of one backend server. Spec is replaced as a whole
+// when the tables change, so assignments may keep a pointer to it.
+type Server struct {
+	Spec *egretflow.Server
+	// Speed and Link are the straggler estimates of the engine and of its link.
+	Speed *estimator.Server
+	Link  *estimator.Server
+
+	role        egretflow.Role
+	limit       int
+	expiresAt   time.Time
+	unavailable bool
+	draining    bool
+	gone        bool
+	pausedUntil time.Time
+
+	inUse int
+	// outstanding counts prompt tokens placed here and not computed yet, others
+	// estimates those of other instances.
+	outstanding float64
+	others      float64
+	// transfers counts KV bytes reserved here and not transferred yet.
+	transfers int64
+	// isolated counts running requests that are suspected of crashing servers.
+	isolated int
+
+	// counted is the part of the server in the sums of the pool.
+	counted Totals
+
+	load  egretflow.LoadReport
+	cache cacheState
+	// openAt is the position in group.open; -1 when not in it.
+	openAt int
+}
+
+// Role returns the role that the engine serves.
+func (s *Server) Role() egretflow.Role { return s.role }
+
+// InUse returns the slots that running attempts occupy.
+func (s *Server) InUse() int { return s.inUse }
+
+// Limit returns the slots that may be used at now, by grant or by table.
+func (s *Server) Limit(now time.Time) int {
+	if s.unavailable || s.draining || s.gone || s.Spec.Drain || s.expired(now) {
+		return 0
+	}
+	return s.limit
+}
+
+// Held returns the slots that are granted at now, usable or not.
+func (s *Server) Held(now time.Time) int {
+	if s.expired(now) {
+		return 0
+	}
+	return s.limit
+}
+
+// ExpiresAt returns the deadline of the grant; zero without peers.
+func (s *Server) ExpiresAt() time.Time { return s.expiresAt }
+
+func (s *Server) expired(now time.Time) bool {
+	return !s.expiresAt.IsZero() && !now.Before(s.expiresAt)
+}
+
+func (s *Server) free(now time.Time) int { return s.Limit(now) - s.inUse }
+
+func (s *Server) prefillRate() float64 {
+	if s.Spec.PrefillTokensPerSecond > 0 {
+		return float64(s.Spec.PrefillTokensPerSecond)
+	}
+	return defaultPrefillRate
+}
+
+// SlotsFor returns the slots whose share of blocks holds prompt and output.
+func (s *Server) SlotsFor(w *egretflow.Work) int {
+	share := s.Spec.Blocks / s.Spec.Slots
+	if share == 0 {
+		return 1
+	}
+	blocks := (w.PromptTokens + w.MaxTokens + egretflow.BlockTokens - 1) / egretflow.BlockTokens
+	return min(max(1, (blocks+share-1)/share), s.Spec.Slots)
+}
+
+// report takes a lagging load report. others follows it slowly, because part of
+// its difference to the own count is the lag.
+func (s *Server) report(load *egretflow.LoadReport, tokensPerPrefill float64) {
+	if load.MeasuredAt.Before(s.load.MeasuredAt) {
+		return
+	}
+	s.load = *load
+	s.draining = load.Draining
+	foreign := max(0, load.Running+load.Waiting-s.inUse)
+	s.others += (float64(foreign)*tokensPerPrefill - s.others) / 2
+}
+
+func (s *Server) loadAge(now time.Time) time.Duration { return now.Sub(s.load.MeasuredAt) }
+
+// backlog returns the prompt tokens that are computed before new work.
+func (s *Server) backlog(now time.Time) float64 {
+	if s.loadAge(now) > loadLifetime {
+		return s.outstanding
+	}
+	return s.outstanding + s.others
+}
+
+// group holds the servers of one role.
+type group struct {
+	role egretflow.Role
+	all  []*Server
+	// open holds at least the servers with free slots; others leave it when a
+	// choice meets them.
+	open  []*Server
+	speed *estimator.Group
+	links *estimator.Group
+	// used counts the slots in use.
+	used int
+	// next is the position of RoundRobin.
+	next int
+}
+
+func newGroup(role egretflow.Role) *group {
+	return &group{role: role, speed: estimator.NewGroup(), links: estimator.NewGroup()}
+}
+
+func (g *group) enter(s *Server) {
+	if s.openAt >= 0 || s.role != g.role || s.limit <= s.inUse || s.unavailable || s.draining || s.gone || s.Spec.Drain {
+		return
+	}
+	s.openAt = len(g.open)
+	g.open = append(g.open, s)
+}
+
+func (g *group) leave(s *Server) {
+	if s.openAt < 0 || s.openAt >= len(g.open) || g.open[s.openAt] != s {
+		return
+	}
+	last := g.open[len(g.open)-1]
+	g.open[s.openAt], last.openAt = last, s.openAt
+	g.open = g.open[:len(g.open)-1]
+	s.openAt = -1
+}
+
+func (g *group) swap(a, b int) {
+	g.open[a], g.open[b] = g.open[b], g.open[a]
+	g.open[a].openAt, g.open[b].openAt = a, b
+}
--- /dev/null
+++ b/scheduler/attempt.go
@@ -0,0 +1,177 @@
+package scheduler
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/admitter"
+	"github.com/egretflow/egretflow/picker"
+)
+
+// attempt is a running assignment.
+type attempt struct {
+	// assignment is what the caller has; the first one is stored beside it.
+	assignment *egretflow.Assignment
+	first      egretflow.Assignment
+	placement  picker.Placement
+	pool       *pool
+	startedAt  time.Time
+	isolated   bool
+	// produced says that the attempt sent output, crashed that it lost a server.
+	produced bool
+	crashed  bool
+	ended    bool
+}
+
+// start reserves the places of pl and hands them to w.
+func (t *task) start(w *waiter, pl picker.Placement) {
+	p := w.pool
+	a := &w.attempt
+	a.placement, a.pool, a.startedAt, a.isolated = pl, p, t.now, w.isolate
+	if t.joint() {
+		t.checkRoom(w.work, &pl)
+	}
+	p.picker.Reserve(&a.placement, w.work, t.now)
+	if a.isolated {
+		t.isolated[w.work.Fingerprint] = true
+	}
+	decision, id := t.newIDs()
+	a.first = egretflow.Assignment{Decision: decision, Attempt: id, Work: w.work}
+	a.assignment = &a.first
+	fill(a.assignment, &a.placement)
+	t.attempts[id] = a
+	if pl.Prefill != nil {
+		t.prefills = append(t.prefills, a)
+	}
+	p.running++
+	p.rates.begin(w.work, p.picker.Gap())
+	w.counted = false // the attempt owns the stream from here on
+	t.recordAssignment(a)
+	w.finish(a.assignment, nil)
+}
+
+// checkRoom asserts the rules of reservation and grants (5.2, 5.3).
+func (t *task) checkRoom(work *egretflow.Work, pl *picker.Placement) {
+	if pl.Decode == nil {
+		t.cfg.Checker.Check(egretflow.InvariantReservedFirst, false, work.Request, "placement without a decode server")
+		return
+	}
+	t.checkGrant(work, pl.Decode, pl.Slots)
+	if pl.Prefill != nil {
+		t.checkGrant(work, pl.Prefill, 1)
+	}
+}
+
+func (t *task) checkGrant(work *egretflow.Work, s *picker.Server, slots int) {
+	if s.InUse()+slots > s.Limit(t.now) {
+		t.cfg.Checker.Check(egretflow.InvariantWithinGrant, false, work.Request,
+			fmt.Sprintf("server %s: %d of %d slots in use, %d more taken", s.Spec.Name, s.InUse(), s.Limit(t.now), slots))
+	}
+}
+
+// fill copies a placement into the assignment that the caller sees.
+func fill(a *egretflow.Assignment, pl *picker.Placement) {
+	a.Decode, a.Slots, a.CachedTokens = pl.Decode.Spec, pl.Slots, pl.CachedTokens
+	a.PrefillBy, a.TransferBy, a.FirstTokenAt = pl.PrefillBy, pl.TransferBy, pl.FirstTokenAt
+	a.GrantExpiresAt = pl.Decode.ExpiresAt()
+	if pl.Prefill == nil {
+		return
+	}
+	a.Prefill = pl.Prefill.Spec
+	if e := pl.Prefill.ExpiresAt(); e.Before(a.GrantExpiresAt) {
+		a.GrantExpiresAt = e
+	}
+}
+
+func (t *task) release(r egretflow.Release) {
+	a, ok := t.attempts[r.Attempt]
+	if !ok {
+		t.cfg.Checker.Check(egretflow.InvariantReleasedOnce, false, "", "release of an attempt that is not running: "+string(r.Attempt))
+		return
+	}
+	p := a.pool
+	if r.PrefillOnly {
+		p.picker.ReleasePrefill(&a.placement)
+		t.dispatch(p)
+		return
+	}
+	a.ended = true
+	delete(t.attempts, r.Attempt)
+	p.picker.ReleaseAll(&a.placement)
+	p.running--
+	p.rates.end(t.now, a.placement.Slots, t.now.Sub(a.startedAt))
+	work := a.assignment.Work
+	t.streams.Close(work)
+	if a.isolated {
+		delete(t.isolated, work.Fingerprint)
+	}
+	if a.produced && !a.crashed && work.Fingerprint != 0 {
+		t.crashes.Clear(work.Fingerprint)
+	}
+	t.dispatch(p)
+}
+
+// acquirePrefill takes a wait for another prefill server. It spends the retry
+// budget, because the prompt is computed again (5.5).
+func (t *task) acquirePrefill(w *waiter) {
+	a, ok := t.attempts[w.replaces]
+	if !ok {
+		w.finish(nil, fmt.Errorf("replace prefill of attempt %s: %w", w.replaces, egretflow.ErrNotFound))
+		return
+	}
+	w.pool = a.pool
+	if r := t.routes[w.work.Route]; r != nil && !r.retries.Spend(t.now) {
+		t.refuse(w, http.StatusServiceUnavailable, egretflow.RefusalOverload, "the retry budget of the route is spent", admitter.Verdict{})
+		return
+	}
+	a.pool.picker.ReleasePrefill(&a.placement)
+	a.pool.replacing = append(a.pool.replacing, w)
+	t.dispatch(a.pool)
+}
+
+// dispatchPrefills serves the waits for another prefill server, which hold
+// decode slots meanwhile and so go before the queue.
+func (t *task) dispatchPrefills(p *pool) {
+	if len(p.replacing) > 0 {
+		p.replacing = slices.DeleteFunc(p.replacing, t.replace)
+	}
+}
+
+// replace reports whether w got its result.
+func (t *task) replace(w *waiter) bool {
+	a, ok := t.attempts[w.replaces]
+	if !ok {
+		w.finish(nil, fmt.Errorf("replace prefill of attempt %s: %w", w.replaces, egretflow.ErrNotFound))
+		return true
+	}
+	o := picker.Options{Decode: a.placement.Decode, Isolate: w.isolate}
+	pl, ok := t.pick(a.pool, w.work, o)
+	if !ok {
+		if by := w.work.FirstTokenBy; !by.IsZero() && t.now.After(by) {
+			t.refuseLate(w, admitter.Verdict{})
+			return true
+		}
+		return false
+	}
+	a.pool.picker.ReplacePrefill(&a.placement, pl, w.work, t.now)
+	next := *a.assignment
+	next.Decision = egretflow.DecisionID(t.newID())
+	fill(&next, &a.placement)
+	// The decode place was taken under an earlier grant and is kept.
+	next.GrantExpiresAt = pl.Prefill.ExpiresAt()
+	a.assignment = &next
+	t.prefills = append(t.prefills, a)
+	t.recordAssignment(a)
+	w.finish(&next, nil)
+	return true
+}
+
+func (t *task) pick(p *pool, work *egretflow.Work, o picker.Options) (picker.Placement, bool) {
+	if t.joint() {
+		return p.picker.Pick(work, o, t.now)
+	}
+	return p.picker.PickBaseline(t.cfg.Policy, work, o, t.now)
+}
--- a/scheduler/message.go
+++ b/scheduler/message.go
@@ -4,31 +4,45 @@
 	"time"
 
 	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/admitter"
 )
 
 // message is one of the types below.
 type message interface{ isMessage() }
 
-// reply ends one wait: either an assignment or an error.
-type reply struct {
-	assignment *egretflow.Assignment
-	err        error
-}
-
-// waiter is a request that waits for a place. Its reply channel has room for
-// the one reply, so the goroutine never blocks on it.
+// waiter is a request that waits for a place.
 type waiter struct {
 	work *egretflow.Work
 	// replaces is the attempt whose prefill place is chosen again; empty for a
 	// new attempt.
 	replaces egretflow.AttemptID
-	reply    chan reply
-	done     bool
+	// ready has room for the one signal that assignment or err is set, so the
+	// goroutine of Run never blocks on it.
+	ready      chan struct{}
+	assignment *egretflow.Assignment
+	err        error
+
+	// The rest belongs to the goroutine of Run.
+	pool *pool
+	item admitter.Item
+	// isolate keeps the request apart from other crash suspects (5.6).
+	isolate bool
+	// counted says that the wait counts as an open stream.
+	counted bool
+	done    bool
+	// attempt is the attempt that starts when the wait ends. It is part of the
+	// waiter to save an allocation.
+	attempt attempt
+}
+
+func newWaiter(work *egretflow.Work, replaces egretflow.AttemptID) *waiter {
+	return &waiter{work: work, replaces: replaces, ready: make(chan struct{}, 1)}
 }
 
 func (w *waiter) finish(a *egretflow.Assignment, err error) {
 	w.done = true
-	w.reply <- reply{assignment: a, err: err}
+	w.assignment, w.err = a, err
+	w.ready <- struct{}{}
 }
 
 type (
--- /dev/null
+++ b/scheduler/observe.go
@@ -0,0 +1,158 @@
+package scheduler
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/estimator"
+	"github.com/egretflow/egretflow/picker"
+)
+
+// overdueRatio is the multiple of the nominal prefill time after which a
+// running prefill counts as evidence against its server.
+const overdueRatio = estimator.SuspectRatio
+
+func (t *task) observe(o *egretflow.Observation) {
+	p, ok := t.poolOf[o.Server]
+	if !ok {
+		return
+	}
+	s, ok := p.picker.Server(o.Server)
+	if !ok {
+		return
+	}
+	a := t.attempts[o.Attempt]
+	switch o.Kind {
+	case egretflow.ObservationPrefillDone:
+		t.prefillDone(p, s, a, o)
+	case egretflow.ObservationTransferDone:
+		t.transferDone(p, a, o)
+	case egretflow.ObservationTokens:
+		t.tokens(p, s, a, o)
+	case egretflow.ObservationServed:
+		if a != nil {
+			a.produced = true
+		}
+		t.change(s, s.Speed.Observe(p.picker.ServiceRatio(o.EndedAt.Sub(o.StartedAt)), t.now))
+	case egretflow.ObservationCrashed:
+		t.crashed(s, a)
+		t.change(s, s.Speed.Fail(t.now))
+	case egretflow.ObservationFailed, egretflow.ObservationSilent:
+		t.change(s, s.Speed.Fail(t.now))
+	case egretflow.ObservationRefused:
+		p.picker.Pause(s, t.now)
+	case egretflow.ObservationLoad:
+		if o.Load != nil {
+			p.picker.Report(s, o.Load, t.now)
+			t.dispatch(p)
+		}
+	case egretflow.ObservationCache:
+		if o.Cache != nil {
+			p.picker.CacheEvent(s, o.Cache, t.now)
+		}
+	}
+}
+
+// computing reports whether a is an attempt whose prefill runs on s. A late
+// observation of a replaced prefill server must not end the new prefill.
+func computing(a *attempt, s *picker.Server) bool {
+	return a != nil && a.placement.Prefill == s && a.placement.Computing()
+}
+
+func (t *task) prefillDone(p *pool, s *picker.Server, a *attempt, o *egretflow.Observation) {
+	p.rates.prefilled(t.now, o.Tokens)
+	if !computing(a, s) {
+		return
+	}
+	if ratio, ok := a.placement.PrefillRatio(o.EndedAt.Sub(o.StartedAt), o.Tokens); ok {
+		t.change(s, s.Speed.Observe(ratio, t.now))
+	}
+	p.picker.Cached(&a.placement, o.CachedTokens)
+	p.picker.FinishPrefill(&a.placement)
+}
+
+func (t *task) transferDone(p *pool, a *attempt, o *egretflow.Observation) {
+	if a == nil || a.placement.Prefill == nil {
+		return
+	}
+	if ratio, ok := a.placement.TransferRatio(o.EndedAt.Sub(o.StartedAt)); ok {
+		a.placement.Prefill.Link.Observe(ratio, t.now)
+		a.placement.Decode.Link.Observe(ratio, t.now)
+	}
+	p.picker.FinishTransfer(&a.placement)
+}
+
+func (t *task) tokens(p *pool, s *picker.Server, a *attempt, o *egretflow.Observation) {
+	if a != nil && o.Tokens > 0 {
+		a.produced = true
+		p.picker.FinishTransfer(&a.placement)
+	}
+	if took := o.EndedAt.Sub(o.StartedAt); o.Tokens > 0 && took > 0 {
+		gap := took / time.Duration(o.Tokens)
+		t.change(s, s.Speed.Observe(gap.Seconds()/p.picker.Gap().Seconds(), t.now))
+	}
+}
+
+// crashed charges the lost server to the request of a, or to all requests that
+// ran on it when no attempt is named (5.6).
+func (t *task) crashed(s *picker.Server, a *attempt) {
+	if a != nil {
+		t.charge(a, s)
+		return
+	}
+	var ids []egretflow.AttemptID
+	for id, other := range t.attempts {
+		if other.placement.Decode == s || computing(other, s) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		t.charge(t.attempts[id], s)
+	}
+}
+
+func (t *task) charge(a *attempt, s *picker.Server) {
+	work := a.assignment.Work
+	a.crashed = true
+	if work.Fingerprint == 0 {
+		return
+	}
+	t.crashes.Charge(work.Fingerprint, s.Spec.Name, t.now)
+	t.record(egretflow.EventCrashSuspect, work, a.assignment, []egretflow.EventField{
+		{Key: "Server", Value: string(s.Spec.Name)},
+		{Key: "Verdict", Value: string(t.verdict(work))},
+	})
+}
+
+// change records that a server became suspect or recovered.
+func (t *task) change(s *picker.Server, c estimator.Change) {
+	if c == estimator.ChangeNone {
+		return
+	}
+	name := egretflow.EventSuspectServer
+	if c == estimator.ChangeRecovered {
+		name = egretflow.EventServerRecovered
+	}
+	t.record(name, nil, nil, []egretflow.EventField{
+		{Key: "Server", Value: string(s.Spec.Name)},
+		{Key: "Factor", Value: strconv.FormatFloat(s.Speed.Factor(), 'f', 2, 64)},
+	})
+}
+
+// checkOverdue takes running prefills that are late as evidence before they
+// end, so that a stalled server is avoided at once (5.4).
+func (t *task) checkOverdue() {
+	t.prefills = slices.DeleteFunc(t.prefills, func(a *attempt) bool {
+		if a.ended || !a.placement.Computing() {
+			return true
+		}
+		if ratio, ok := a.placement.OverdueRatio(t.now); ok && ratio > overdueRatio {
+			s := a.placement.Prefill
+			t.change(s, s.Speed.Overdue(ratio, t.now))
+		}
+		return false
+	})
+}
--- /dev/null
+++ b/scheduler/rates.go
@@ -0,0 +1,156 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/admitter"
+)
+
+const (
+	// rateWindow is the time over which service rates are measured (5.7).
+	rateWindow  = time.Second
+	rateBuckets = 10
+	bucketTime  = rateWindow / rateBuckets
+	// holdWeight is the weight of one request in the mean time that a slot is
+	// held.
+	holdWeight = 0.05
+	// defaultHold stands in for requests that name no output length.
+	defaultHold = 500 * time.Millisecond
+	// fullSamples is the number of finished requests in the window from which
+	// on the measured rate counts in full. With two slots and 3 s per request
+	// most windows hold none at all.
+	fullSamples = 8
+)
+
+type bucket struct {
+	number     int64
+	prefills   float64
+	tokens     float64
+	ends       float64
+	slots      float64
+	turnedAway [4]int
+}
+
+// rates measures what a pool serves for this instance.
+type rates struct {
+	buckets [rateBuckets]bucket
+	// hold is the mean time in seconds that a decode slot is held.
+	hold     float64
+	measured bool
+	// saturatedSince is when requests began to wait; zero while none do.
+	saturatedSince time.Time
+}
+
+func (r *rates) bucket(now time.Time) *bucket {
+	number := now.UnixNano() / int64(bucketTime)
+	b := &r.buckets[number%rateBuckets]
+	if b.number != number {
+		*b = bucket{number: number}
+	}
+	return b
+}
+
+// begin estimates the hold time before any was measured.
+func (r *rates) begin(work *egretflow.Work, gap time.Duration) {
+	if r.measured {
+		return
+	}
+	hold := (time.Duration(work.MaxTokens) * gap).Seconds()
+	if hold == 0 {
+		hold = defaultHold.Seconds()
+	}
+	r.observeHold(hold)
+}
+
+func (r *rates) observeHold(hold float64) {
+	if r.hold == 0 {
+		r.hold = hold
+	}
+	r.hold += holdWeight * (hold - r.hold)
+}
+
+// end counts the slots of a finished request.
+func (r *rates) end(now time.Time, slots int, held time.Duration) {
+	b := r.bucket(now)
+	b.ends++
+	b.slots += float64(slots)
+	if !r.measured {
+		r.measured, r.hold = true, 0
+	}
+	r.observeHold(max(held, time.Millisecond).Seconds())
+}
+
+// prefilled counts computed prompt tokens.
+func (r *rates) prefilled(now time.Time, tokens int) {
+	b := r.bucket(now)
+	b.prefills++
+	b.tokens += float64(tokens)
+}
+
+// turnAway counts the slots of a request that was refused.
+func (r *rates) turnAway(now time.Time, rank, slots int) { r.bucket(now).turnedAway[rank] += slots }
+
+// saturate notes whether requests wait.
+func (r *rates) saturate(waiting bool, now time.Time) {
+	switch {
+	case !waiting:
+		r.saturatedSince = time.Time{}
+	case r.saturatedSince.IsZero():
+		r.saturatedSince = now
+	}
+}
+
+// sum returns what was served and refused in the window.
+func (r *rates) sum(now time.Time) bucket {
+	number := now.UnixNano() / int64(bucketTime)
+	var sum bucket
+	for n := range r.buckets {
+		b := &r.buckets[n]
+		if b.number <= number-rateBuckets || b.number > number {
+			continue
+		}
+		sum.prefills += b.prefills
+		sum.tokens += b.tokens
+		sum.ends += b.ends
+		sum.slots += b.slots
+		for rank := range b.turnedAway {
+			sum.turnedAway[rank] += b.turnedAway[rank]
+		}
+	}
+	return sum
+}
+
+// blend moves from the nominal to the measured rate over one window while
+// requests wait: only then does the measured rate show the capacity.
+func (r *rates) blend(nominal, served, samples float64, now time.Time) float64 {
+	if r.saturatedSince.IsZero() {
+		return nominal
+	}
+	share := min(1, now.Sub(r.saturatedSince).Seconds()/rateWindow.Seconds())
+	share *= min(1, samples/fullSamples)
+	return nominal + share*(served/rateWindow.Seconds()-nominal)
+}
+
+// capacity returns what p can serve, from sums that are refreshed now and then.
+func (t *task) capacity(p *pool) admitter.Capacity {
+	if t.now.Sub(p.totalsAt) >= totalsInterval {
+		p.totals, p.totalsAt = p.picker.Totals(t.now), t.now
+	}
+	served := p.rates.sum(t.now)
+	used := p.picker.Used()
+	if p.totals.Slots == 0 {
+		// Without a grant the capacity is unknown; requests wait for one.
+		return admitter.Capacity{FreeSlots: admitter.MaxItems}
+	}
+	nominalSlots := 0.0
+	if p.rates.hold > 0 {
+		nominalSlots = float64(max(used, 1)) / p.rates.hold
+	}
+	return admitter.Capacity{
+		PrefillTokensPerSecond: p.rates.blend(p.totals.PrefillRate, served.tokens, served.prefills, t.now),
+		PrefillOutstanding:     max(0, p.totals.Others) + p.picker.Outstanding(),
+		FreeSlots:              max(0, p.totals.Slots-used),
+		SlotsPerSecond:         p.rates.blend(nominalSlots, served.slots, served.ends, t.now),
+	}
+}
--- /dev/null
+++ b/scheduler/record.go
@@ -0,0 +1,133 @@
+package scheduler
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/admitter"
+)
+
+// idDigits is the length of an id in hex digits. Ids hold no dots, because
+// event ids of streams use them as separators (4.6).
+const idDigits = 16
+
+// newIDs returns two random ids from one allocation.
+func (t *task) newIDs() (egretflow.DecisionID, egretflow.AttemptID) {
+	var b [2 * idDigits]byte
+	hexDigits(b[:idDigits], t.cfg.Rand.Uint64())
+	hexDigits(b[idDigits:], t.cfg.Rand.Uint64())
+	s := string(b[:])
+	return egretflow.DecisionID(s[:idDigits]), egretflow.AttemptID(s[idDigits:])
+}
+
+func (t *task) newID() string {
+	var b [idDigits]byte
+	hexDigits(b[:], t.cfg.Rand.Uint64())
+	return string(b[:])
+}
+
+func hexDigits(b []byte, v uint64) {
+	for n := range b {
+		b[n] = "0123456789abcdef"[v>>(4*n)&15]
+	}
+}
+
+// record sends an event; work, a and fields may be nil.
+func (t *task) record(name egretflow.EventName, work *egretflow.Work, a *egretflow.Assignment, fields []egretflow.EventField) {
+	e := egretflow.Event{Name: name, At: t.now, Instance: t.cfg.Instance, Fields: fields}
+	if work != nil {
+		e.Request = work.Request
+	}
+	if a != nil {
+		e.Attempt, e.Decision = a.Attempt, a.Decision
+	}
+	t.cfg.Recorder.Record(e)
+}
+
+// text collects the numbers of an event in one string, so that an event costs
+// two allocations.
+type text struct {
+	buffer [128]byte
+	used   int
+	ends   [8]int
+	count  int
+}
+
+func (x *text) int(v int) {
+	x.used += len(strconv.AppendInt(x.buffer[x.used:x.used], int64(v), 10))
+	x.ends[x.count] = x.used
+	x.count++
+}
+
+func (x *text) milliseconds(from, to time.Time) { x.int(int(to.Sub(from).Milliseconds())) }
+
+// field returns part n of s, which is the whole text.
+func (x *text) field(s string, n int) string {
+	begin := 0
+	if n > 0 {
+		begin = x.ends[n-1]
+	}
+	return s[begin:x.ends[n]]
+}
+
+// recordAssignment explains a choice: servers, expected times since arrival in
+// milliseconds, reuse, and what it was chosen from.
+func (t *task) recordAssignment(a *attempt) {
+	as, pl := a.assignment, &a.placement
+	var x text
+	x.milliseconds(as.Work.ArrivedAt, t.now)
+	x.milliseconds(t.now, pl.PrefillBy)
+	x.milliseconds(t.now, pl.TransferBy)
+	x.milliseconds(t.now, pl.FirstTokenAt)
+	x.int(pl.CachedTokens)
+	x.int(pl.Slots)
+	x.int(pl.Candidates)
+	s := string(x.buffer[:x.used])
+	prefill := ""
+	if as.Prefill != nil {
+		prefill = string(as.Prefill.Name)
+	}
+	reason := "EarliestFirstToken"
+	switch {
+	case !t.joint():
+		reason = string(t.cfg.Policy)
+	case pl.Probe:
+		reason = "Probe"
+	case pl.Suspect:
+		reason = "OnlySuspectsFree"
+	}
+	t.record(egretflow.EventAssigned, as.Work, as, []egretflow.EventField{
+		{Key: "Prefill", Value: prefill},
+		{Key: "Decode", Value: string(as.Decode.Name)},
+		{Key: "Reason", Value: reason},
+		{Key: "WaitedMs", Value: x.field(s, 0)},
+		{Key: "PrefillMs", Value: x.field(s, 1)},
+		{Key: "TransferMs", Value: x.field(s, 2)},
+		{Key: "FirstTokenMs", Value: x.field(s, 3)},
+		{Key: "CachedTokens", Value: x.field(s, 4)},
+		{Key: "Slots", Value: x.field(s, 5)},
+		{Key: "Candidates", Value: x.field(s, 6)},
+	})
+}
+
+// recordRefusal explains a refusal: the reason and by how much the target would
+// be missed.
+func (t *task) recordRefusal(work *egretflow.Work, r *egretflow.Refusal, v admitter.Verdict) {
+	fields := []egretflow.EventField{
+		{Key: "Reason", Value: string(r.Reason)},
+		{Key: "RunState", Value: string(r.RunState)},
+		{Key: "Message", Value: r.Message},
+		{Key: "Importance", Value: string(work.Importance)},
+	}
+	if !v.FirstTokenAt.IsZero() {
+		var x text
+		x.milliseconds(t.now, v.FirstTokenAt)
+		x.milliseconds(t.now, work.FirstTokenBy)
+		s := string(x.buffer[:x.used])
+		fields = append(fields,
+			egretflow.EventField{Key: "FirstTokenMs", Value: x.field(s, 0)},
+			egretflow.EventField{Key: "TargetMs", Value: x.field(s, 1)})
+	}
+	t.record(egretflow.EventRefused, work, nil, fields)
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/picker"
 )
 
 // Config holds the settings of a Scheduler.
@@ -19,15 +20,23 @@
 	Checker  egretflow.Checker
 	// Peers says that slots are shared with other instances by grants (5.3).
 	Peers bool
-	// Policy selects how servers are chosen; empty means PolicyJoint.
-	Policy Policy
+	// Policy selects how servers are chosen; empty means picker.PolicyJoint.
+	// The other policies are baselines for load runs.
+	Policy picker.Policy
+	// MaxStreams bounds the open streams of one caller on a route that names no
+	// bound; 0 means DefaultMaxStreams.
+	MaxStreams int
 }
 
-// Policy selects how servers are chosen.
-type Policy string
+// DefaultMaxStreams is the default of Config.MaxStreams.
+const DefaultMaxStreams = 1000
 
-// PolicyJoint chooses prefill server, link and decode server together (5.2).
-const PolicyJoint Policy = "Joint"
+func (c *Config) maxStreams() int {
+	if c.MaxStreams == 0 {
+		return DefaultMaxStreams
+	}
+	return c.MaxStreams
+}
 
 // messageBuffer is the number of messages that wait for the goroutine before
 // senders block.
@@ -82,7 +91,7 @@
 // error of ctx or ErrStopped.
 func (s *Scheduler) Acquire(ctx context.Context, work *egretflow.Work) (*egretflow.Assignment, error) {
 	for {
-		a, err := s.await(ctx, &waiter{work: work, reply: make(chan reply, 1)})
+		a, err := s.await(ctx, newWaiter(work, ""))
 		if err != nil {
 			return nil, err
 		}
@@ -96,10 +105,10 @@
 // Replace chooses another prefill server for a and keeps its decode place. The
 // returned assignment has the attempt id of a.
 func (s *Scheduler) Replace(ctx context.Context, a *egretflow.Assignment) (*egretflow.Assignment, error) {
-	return s.await(ctx, &waiter{work: a.Work, replaces: a.Attempt, reply: make(chan reply, 1)})
+	return s.await(ctx, newWaiter(a.Work, a.Attempt))
 }
 
-// await sends w and waits for exactly one reply. When ctx ends first, a place
+// await sends w and waits for the one result. When ctx ends first, a place
 // that was assigned in the meantime is given back.
 func (s *Scheduler) await(ctx context.Context, w *waiter) (*egretflow.Assignment, error) {
 	if err := ctx.Err(); err != nil {
@@ -109,8 +118,8 @@
 		return nil, ErrStopped
 	}
 	select {
-	case r := <-w.reply:
-		return r.assignment, r.err
+	case <-w.ready:
+		return w.assignment, w.err
 	case <-s.stopped:
 		return nil, ErrStopped
 	case <-ctx.Done():
@@ -119,9 +128,9 @@
 		return nil, ctx.Err()
 	}
 	select {
-	case r := <-w.reply:
-		if r.assignment != nil && w.replaces == "" {
-			s.Release(egretflow.Release{Attempt: r.assignment.Attempt})
+	case <-w.ready:
+		if w.assignment != nil && w.replaces == "" {
+			s.Release(egretflow.Release{Attempt: w.assignment.Attempt})
 		}
 	case <-s.stopped:
 	}
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -2,52 +2,82 @@
 
 import (
 	"context"
-	"fmt"
-	"net/http"
-	"slices"
-	"strconv"
 	"time"
 
 	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/admitter"
+	"github.com/egretflow/egretflow/crashdetector"
+	"github.com/egretflow/egretflow/limiter"
+	"github.com/egretflow/egretflow/picker"
 )
 
-// tickInterval is how often waiting requests are checked against their
-// deadlines when nothing else happens.
-const tickInterval = 20 * time.Millisecond
-
-// server is the accounting of one backend server.
-type server struct {
-	spec        egretflow.Server
-	pool        egretflow.PoolName
-	inUse       int
-	granted     int
-	expiresAt   time.Time
-	unavailable bool
-}
+const (
+	// tickInterval is how often waiting requests and running prefills are
+	// checked when nothing else happens.
+	tickInterval = 20 * time.Millisecond
+	// totalsInterval is how often the capacity of a pool is summed up.
+	totalsInterval = 100 * time.Millisecond
+)
 
-// attempt is a running assignment.
-type attempt struct {
-	assignment *egretflow.Assignment
-	prefill    *server
-	decode     *server
+// pool is the state of one pool.
+type pool struct {
+	picker *picker.Pool
+	queue  *admitter.Queue
+	// replacing holds waits for another prefill server, oldest first.
+	replacing []*waiter
+	// fifo holds the waits under a baseline policy.
+	fifo []*waiter
+	// suspects holds the waits of crash suspects, oldest first.
+	suspects []*waiter
+	running  int
+	rates    rates
+	totals   picker.Totals
+	totalsAt time.Time
+	// blocked is the head of the queue that did not fit last.
+	blocked *waiter
+	// lastRank is the rank of importance of the last request.
+	lastRank int
+}
+
+// route is the state of one route.
+type route struct {
+	retries    *limiter.Budget
+	hedges     *limiter.Budget
+	maxStreams int
 }
 
 // task holds the state of a Scheduler. Only the goroutine of Run touches it.
 type task struct {
 	cfg      Config
-	servers  map[egretflow.ServerName]*server
-	order    []*server
-	pools    map[egretflow.PoolName]egretflow.PoolKind
+	now      time.Time
+	pools    map[egretflow.PoolName]*pool
+	order    []*pool
+	poolOf   map[egretflow.ServerName]*pool
+	routes   map[egretflow.RouteName]*route
 	attempts map[egretflow.AttemptID]*attempt
-	queue    []*waiter
+	// prefills lists the running attempts by start; finished ones leave at the
+	// next tick.
+	prefills    []*attempt
+	streams     *limiter.Streams
+	crashes     *crashdetector.Detector
+	isolated    map[uint64]bool
+	unavailable map[egretflow.ServerName]bool
+	// rotation moves demand between servers that are otherwise equal.
+	rotation int
 }
 
 func newTask(cfg Config) *task {
 	return &task{
-		cfg:      cfg,
-		servers:  map[egretflow.ServerName]*server{},
-		pools:    map[egretflow.PoolName]egretflow.PoolKind{},
-		attempts: map[egretflow.AttemptID]*attempt{},
+		cfg:         cfg,
+		now:         cfg.Clock(),
+		pools:       map[egretflow.PoolName]*pool{},
+		poolOf:      map[egretflow.ServerName]*pool{},
+		routes:      map[egretflow.RouteName]*route{},
+		attempts:    map[egretflow.AttemptID]*attempt{},
+		streams:     limiter.NewStreams(),
+		crashes:     crashdetector.New(),
+		isolated:    map[uint64]bool{},
+		unavailable: map[egretflow.ServerName]bool{},
 	}
 }
 
@@ -57,243 +87,110 @@
 	for {
 		select {
 		case <-ctx.Done():
-			for _, w := range t.queue {
-				w.finish(nil, ErrStopped)
-			}
 			return
 		case <-ticker.C:
+			t.now = t.cfg.Clock()
+			t.tick()
 		case m := <-messages:
+			t.now = t.cfg.Clock()
 			t.handle(m)
 		}
-		t.dispatch()
 	}
 }
 
 func (t *task) handle(m message) {
 	switch m := m.(type) {
 	case acquireMessage:
-		t.queue = append(t.queue, m.waiter)
+		t.acquire(m.waiter)
 	case cancelMessage:
 		t.cancel(m.waiter)
 	case releaseMessage:
 		t.release(m.release)
+	case observeMessage:
+		t.observe(&m.observation)
 	case tablesMessage:
 		t.applyTables(m.tables)
 	case grantsMessage:
-		for _, g := range m.grants {
-			if s, ok := t.servers[g.Server]; ok {
-				s.granted, s.expiresAt = g.Slots, g.ExpiresAt
-			}
-		}
+		t.applyGrants(m.grants)
 	case unavailableMessage:
-		for _, s := range t.order {
-			s.unavailable = slices.Contains(m.servers, s.spec.Name)
-		}
+		t.setUnavailable(m.servers)
 	case demandsMessage:
-		m.reply <- t.demands()
+		m.reply <- t.demands(m.now)
 	case crashesMessage:
-		m.reply <- nil
-	case observeMessage, mergeMessage:
+		m.reply <- t.crashes.Reports(m.now)
+	case mergeMessage:
+		t.crashes.Merge(m.reports, t.now)
 	}
 }
 
-func (t *task) cancel(w *waiter) {
-	if w.done {
-		return
-	}
-	t.queue = slices.DeleteFunc(t.queue, func(q *waiter) bool { return q == w })
-	w.finish(nil, context.Canceled)
-}
-
-func (t *task) release(r egretflow.Release) {
-	a, ok := t.attempts[r.Attempt]
-	if !ok {
-		t.cfg.Checker.Check(egretflow.InvariantMemoryFreed, false, "", "release of unknown attempt "+string(r.Attempt))
-		return
-	}
-	if a.prefill != nil {
-		a.prefill.inUse--
-		a.prefill = nil
-	}
-	if r.PrefillOnly {
-		return
+// tick does what no message triggers: shedding, overdue prefills, expired
+// grants, paused servers.
+func (t *task) tick() {
+	t.checkOverdue()
+	for _, p := range t.order {
+		if p.queue.Len() > 0 {
+			for _, item := range p.queue.Shed(t.capacity(p), t.now) {
+				t.refuseLate(item.Owner.(*waiter), admitter.Verdict{FirstTokenAt: item.Work.FirstTokenBy})
+			}
+		}
+		t.dispatch(p)
 	}
-	a.decode.inUse -= a.assignment.Slots
-	delete(t.attempts, r.Attempt)
 }
 
 func (t *task) applyTables(tables *egretflow.Tables) {
-	previous := t.servers
-	t.servers = map[egretflow.ServerName]*server{}
+	previous := t.pools
+	t.pools = make(map[egretflow.PoolName]*pool, len(tables.Pools))
 	t.order = t.order[:0]
-	clear(t.pools)
+	clear(t.poolOf)
 	for n := range tables.Pools {
-		p := &tables.Pools[n]
-		t.pools[p.Name] = p.Kind
-		for _, spec := range p.Servers {
-			s, ok := previous[spec.Name]
-			if !ok {
-				s = &server{}
-			}
-			s.spec, s.pool = spec, p.Name
-			t.servers[spec.Name] = s
-			t.order = append(t.order, s)
-		}
-	}
-}
-
-func (t *task) free(s *server, now time.Time) int {
-	switch {
-	case s.unavailable || s.spec.Drain:
-		return 0
-	case !t.cfg.Peers:
-		return s.spec.Slots - s.inUse
-	case !now.Before(s.expiresAt):
-		return 0
-	}
-	return s.granted - s.inUse
-}
-
-func (t *task) choose(w *egretflow.Work, role egretflow.Role, slots int, now time.Time) *server {
-	var best *server
-	bestFree := 0
-	for _, s := range t.order {
-		if s.pool != w.Pool || s.spec.Role != role || slices.Contains(w.Avoid, s.spec.Name) {
-			continue
+		table := &tables.Pools[n]
+		p, ok := previous[table.Name]
+		if !ok {
+			p = &pool{picker: picker.NewPool(t.cfg.Rand, t.cfg.Peers && t.joint()), queue: admitter.NewQueue()}
 		}
-		if free := t.free(s, now); free >= slots && free > bestFree {
-			best, bestFree = s, free
+		p.picker.Apply(table, t.now)
+		p.totalsAt = time.Time{}
+		t.pools[table.Name] = p
+		t.order = append(t.order, p)
+		for k := range table.Servers {
+			t.poolOf[table.Servers[k].Name] = p
 		}
+		delete(previous, table.Name)
 	}
-	return best
-}
-
-// dispatch starts waiting requests in order of importance and arrival.
-func (t *task) dispatch() {
-	now := t.cfg.Clock()
-	slices.SortStableFunc(t.queue, func(a, b *waiter) int {
-		return a.work.Importance.Rank() - b.work.Importance.Rank()
-	})
-	t.queue = slices.DeleteFunc(t.queue, func(w *waiter) bool { return t.settle(w, now) })
-}
-
-// settle reports whether w got its reply.
-func (t *task) settle(w *waiter, now time.Time) bool {
-	if w.replaces != "" {
-		return t.replace(w, now)
-	}
-	kind, ok := t.pools[w.work.Pool]
-	if !ok {
-		w.finish(nil, t.refusal(w.work, egretflow.RefusalNoServer, "the pool has no servers", now))
-		return true
-	}
-	if by := w.work.FirstTokenBy; !by.IsZero() && now.After(by) {
-		w.finish(nil, t.refusal(w.work, egretflow.RefusalOverload, "the first-token target cannot be met", now))
-		return true
-	}
-	role := egretflow.RoleDecode
-	if kind == egretflow.PoolKindService {
-		role = egretflow.RoleService
-	}
-	decode := t.choose(w.work, role, 1, now)
-	if decode == nil {
-		return false
-	}
-	slots := slotsFor(w.work, &decode.spec)
-	if decode = t.choose(w.work, role, slots, now); decode == nil {
-		return false
-	}
-	var prefill *server
-	if role == egretflow.RoleDecode {
-		if prefill = t.choose(w.work, egretflow.RolePrefill, 1, now); prefill == nil {
-			return false
-		}
-	}
-	w.finish(t.assign(w.work, prefill, decode, slots, now), nil)
-	return true
-}
-
-func (t *task) assign(w *egretflow.Work, prefill, decode *server, slots int, now time.Time) *egretflow.Assignment {
-	a := &egretflow.Assignment{
-		Decision: egretflow.DecisionID(t.id()), Attempt: egretflow.AttemptID(t.id()), Work: w,
-		Decode: &decode.spec, Slots: slots, GrantExpiresAt: decode.expiresAt,
-		PrefillBy: now, TransferBy: now, FirstTokenAt: now,
-	}
-	decode.inUse += slots
-	if prefill != nil {
-		prefill.inUse++
-		a.Prefill = &prefill.spec
-		if prefill.expiresAt.Before(a.GrantExpiresAt) {
-			a.GrantExpiresAt = prefill.expiresAt
-		}
-	}
-	t.attempts[a.Attempt] = &attempt{assignment: a, prefill: prefill, decode: decode}
-	t.cfg.Recorder.Record(egretflow.Event{
-		Name: egretflow.EventAssigned, At: now, Instance: t.cfg.Instance,
-		Request: w.Request, Attempt: a.Attempt, Decision: a.Decision,
-	})
-	return a
-}
-
-func (t *task) replace(w *waiter, now time.Time) bool {
-	a, ok := t.attempts[w.replaces]
-	if !ok {
-		w.finish(nil, fmt.Errorf("replace prefill of attempt %s: %w", w.replaces, egretflow.ErrNotFound))
-		return true
-	}
-	prefill := t.choose(w.work, egretflow.RolePrefill, 1, now)
-	if prefill == nil {
-		if by := w.work.FirstTokenBy; !by.IsZero() && now.After(by) {
-			w.finish(nil, t.refusal(w.work, egretflow.RefusalOverload, "no prefill server is free", now))
-			return true
-		}
-		return false
+	for _, p := range previous {
+		t.refuseAll(p)
 	}
-	if a.prefill != nil {
-		a.prefill.inUse--
+	t.applyRoutes(tables.Routes)
+	t.markUnavailable()
+	for _, p := range t.order {
+		t.dispatch(p)
 	}
-	a.prefill = prefill
-	prefill.inUse++
-	next := *a.assignment
-	next.Prefill = &prefill.spec
-	a.assignment = &next
-	w.finish(&next, nil)
-	return true
 }
 
-func (t *task) refusal(w *egretflow.Work, reason egretflow.RefusalReason, message string, now time.Time) *egretflow.Refusal {
-	state := egretflow.RunStateNotRun
-	if w.Retry || w.Hedge {
-		state = egretflow.RunStateMayHaveRun
-	}
-	return &egretflow.Refusal{
-		Status: http.StatusServiceUnavailable, Reason: reason, RunState: state, Message: message,
-		RetryAt: now.Add(time.Second + time.Duration(t.cfg.Rand.Int64N(int64(time.Second)))),
-	}
-}
-
-func (t *task) demands() []egretflow.Demand {
-	demands := make([]egretflow.Demand, 0, len(t.order))
-	for _, s := range t.order {
-		d := egretflow.Demand{Server: s.spec.Name, InUse: s.inUse, Held: s.granted}
-		for _, w := range t.queue {
-			if w.work.Pool == s.pool {
-				d.Wanted[w.work.Importance.Rank()]++
+func (t *task) applyRoutes(tables []egretflow.Route) {
+	previous := t.routes
+	t.routes = make(map[egretflow.RouteName]*route, len(tables))
+	for n := range tables {
+		table := &tables[n]
+		r, ok := previous[table.Name]
+		if !ok {
+			r = &route{
+				retries: limiter.NewBudget(limiter.BudgetConfig{FloorPerSecond: limiter.RetryFloorPerSecond}, t.now),
+				hedges:  limiter.NewBudget(limiter.BudgetConfig{}, t.now),
 			}
 		}
-		demands = append(demands, d)
+		r.retries.SetPercent(orDefault(table.RetryPercent, limiter.DefaultRetryPercent))
+		r.hedges.SetPercent(orDefault(table.HedgePercent, limiter.DefaultHedgePercent))
+		r.maxStreams = orDefault(table.MaxStreams, t.cfg.maxStreams())
+		t.routes[table.Name] = r
 	}
-	return demands
 }
 
-func (t *task) id() string { return strconv.FormatUint(t.cfg.Rand.Uint64(), 16) }
-
-// slotsFor returns the slots whose share of blocks holds prompt and output.
-func slotsFor(w *egretflow.Work, s *egretflow.Server) int {
-	share := s.Blocks / s.Slots
-	if share == 0 {
-		return 1
+func orDefault(value, otherwise int) int {
+	if value == 0 {
+		return otherwise
 	}
-	blocks := (w.PromptTokens + w.MaxTokens + egretflow.BlockTokens - 1) / egretflow.BlockTokens
-	return min(max(1, (blocks+share-1)/share), s.Slots)
+	return value
 }
+
+func (t *task) joint() bool { return t.cfg.Policy == "" || t.cfg.Policy == picker.PolicyJoint }
