Add the stand-in model engine and its faults

Cause: router, load and path work need an engine to run against before any real engine is available. Change: internal/stub/engine models slots, priorities, memory blocks, the prompt cache, serialised prefill, KV export over a limited link and resumable streams; internal/stub/fault holds the faults of docs/engine-protocol.md.

--- /dev/null
+++ b/internal/stub/engine/config.go
@@ -0,0 +1,99 @@
+package engine
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/egretflow/egretflow"
+)
+
+// Defaults of Config.
+const (
+	DefaultSlots          = 20
+	DefaultBlocks         = 4000
+	DefaultTokenGap       = 25 * time.Millisecond
+	DefaultPrefillKept    = 800 * time.Millisecond
+	DefaultStreamKept     = 3 * time.Second
+	DefaultReportLag      = time.Second
+	DefaultMaxWaiting     = 64
+	DefaultRestartAfter   = 2 * time.Second
+	DefaultEventGapChance = 0.02
+)
+
+// Config describes an engine. Zero values take the defaults above; a zero rate
+// means that the step takes no time.
+type Config struct {
+	// Name is the engine id in KV transfers.
+	Name string
+	Role egretflow.Role
+	// Model is the only model that is served; empty serves any name.
+	Model string
+	// Address is reported to decode engines as the source of KV transfers. By
+	// default it is the local address of the connection.
+	Address netip.AddrPort
+	// Slots is the number of requests that run at a time, MaxWaiting the number
+	// that may wait for a slot before the engine answers 503.
+	Slots      int
+	MaxWaiting int
+	// Blocks is the engine memory in blocks of egretflow.BlockTokens tokens.
+	Blocks                 int
+	PrefillTokensPerSecond int
+	TokenGap               time.Duration
+	// LinkBytesPerSecond is the rate of the link over which the engine exports
+	// KV caches.
+	LinkBytesPerSecond int64
+	KVBytesPerToken    int64
+	// PrefillKept is how long the result of a prefill waits for its import.
+	PrefillKept time.Duration
+	// StreamKept is how long a disconnected or finished stream can be resumed.
+	StreamKept time.Duration
+	// ReportLag is the interval at which the load report is renewed, and the
+	// delay of cache events.
+	ReportLag time.Duration
+	// EventGapChance is the share of cache events that are lost; negative for
+	// none.
+	EventGapChance float64
+	// ChecksFencing makes the engine reject orders with a stale fencing token.
+	ChecksFencing bool
+	// Weights is the store that models are loaded from; nil loads at once.
+	Weights *WeightStore
+	// ModelBytes is the size of a model in the weight store.
+	ModelBytes int64
+	// RestartAfter is how long a crashed engine is down.
+	RestartAfter time.Duration
+	// OnCrash is called on its own goroutine when the engine crashes.
+	OnCrash func()
+	Clock   egretflow.Clock
+	Rand    *rand.Rand
+	// Client fetches KV caches from other engines.
+	Client *http.Client
+}
+
+func (c *Config) setDefaults() {
+	setDefault(&c.Slots, DefaultSlots)
+	setDefault(&c.MaxWaiting, DefaultMaxWaiting)
+	setDefault(&c.Blocks, DefaultBlocks)
+	setDefault(&c.TokenGap, DefaultTokenGap)
+	setDefault(&c.PrefillKept, DefaultPrefillKept)
+	setDefault(&c.StreamKept, DefaultStreamKept)
+	setDefault(&c.ReportLag, DefaultReportLag)
+	setDefault(&c.EventGapChance, DefaultEventGapChance)
+	setDefault(&c.RestartAfter, DefaultRestartAfter)
+	setDefault(&c.Role, egretflow.RoleDecode)
+	setDefault(&c.Client, http.DefaultClient)
+	if c.Clock == nil {
+		c.Clock = egretflow.SystemClock
+	}
+	if c.Rand == nil {
+		c.Rand = rand.New(rand.NewPCG(1, 1))
+	}
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/stub/engine/engine.go
@@ -0,0 +1,157 @@
+package engine
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/egretflow/egretflow/internal/stub/fault"
+)
+
+// Engine is a stand-in engine. It is an http.Handler and safe for concurrent
+// use.
+type Engine struct {
+	// Faults are the faults that are set on the engine.
+	Faults *fault.Set
+
+	cfg     Config
+	handler http.Handler
+
+	mu    sync.Mutex
+	timer *time.Timer
+	// worked is the time that the engine could work, which passes more slowly
+	// than the clock during Slow and Stall faults. Fields named due count in it.
+	worked     time.Duration
+	workedAt   time.Time
+	speed      float64
+	speedUntil time.Time
+
+	seq     uint64
+	tasks   map[string]*task
+	waiting []*task
+	// prefills holds the tasks with a slot whose prompt is not computed.
+	prefills []*task
+	// prefilling is the task whose prompt is being computed until prefillDue.
+	prefilling   *task
+	prefillStart time.Duration
+	prefillDue   time.Duration
+	imports      []*task
+	decodes      []*task
+	stepDue      time.Duration
+	link         link
+	memory       *memory
+
+	report      loadReport
+	events      eventLog
+	commands    commands
+	stats       Stats
+	downUntil   time.Time
+	incarnation int
+}
+
+// New returns an idle engine.
+func New(cfg Config) *Engine {
+	cfg.setDefaults()
+	e := &Engine{cfg: cfg, Faults: fault.NewSet(cfg.Clock), speed: 1, workedAt: cfg.Clock()}
+	e.commands.state = OrderState{Role: cfg.Role, Model: cfg.Model}
+	e.events.changed = make(chan struct{})
+	e.reset()
+	e.report.takenAt = cfg.Clock()
+	e.snapshot()
+	e.Faults.OnChange(e.faultsChanged)
+	e.handler = e.Faults.Handler(e.routes())
+	return e
+}
+
+// ServeHTTP implements http.Handler.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.handler.ServeHTTP(w, r) }
+
+func (e *Engine) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", func(w http.ResponseWriter, r *http.Request) { e.serveCompletion(w, r, true) })
+	mux.HandleFunc("POST /v1/completions", func(w http.ResponseWriter, r *http.Request) { e.serveCompletion(w, r, false) })
+	mux.HandleFunc("GET /v1/streams/{attempt}", e.serveResume)
+	mux.HandleFunc("GET /v1/models", e.serveModels)
+	mux.HandleFunc("POST /abort_request", e.serveAbort)
+	mux.HandleFunc("POST /kv_transfer", e.serveTransfer)
+	mux.HandleFunc("GET /kv_events", e.serveEvents)
+	mux.HandleFunc("GET /load", e.serveLoad)
+	mux.HandleFunc("GET /orders", e.serveOrderState)
+	mux.HandleFunc("POST /orders", e.serveOrder)
+	mux.HandleFunc("POST /drain", e.serveDrain)
+	mux.HandleFunc("DELETE /drain", e.serveDrain)
+	mux.HandleFunc("GET /stats", e.serveStats)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.down() {
+			panic(http.ErrAbortHandler)
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// reset empties the engine.
+func (e *Engine) reset() {
+	e.tasks = map[string]*task{}
+	e.waiting, e.prefills, e.imports, e.decodes = nil, nil, nil, nil
+	e.prefilling = nil
+	e.link = link{results: map[int]*result{}}
+	e.memory = newMemory(e.cfg.Blocks,
+		func(hashes []uint64) { e.recordEvent(eventStored, hashes) },
+		func(hashes []uint64) { e.recordEvent(eventRemoved, hashes) })
+}
+
+// do runs f on the state of the engine at the current time and then performs
+// the work that has become possible.
+func (e *Engine) do(f func(now time.Time)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.cfg.Clock()
+	e.renewReport(now)
+	e.passTime(now)
+	e.work(now)
+	f(now)
+	e.work(now)
+	e.arm(now)
+}
+
+func (e *Engine) down() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cfg.Clock().Before(e.downUntil) || e.Faults.Active(fault.Crash)
+}
+
+func (e *Engine) faultsChanged(f fault.Fault) {
+	e.do(func(now time.Time) {
+		if f.Kind == fault.Crash {
+			// Take uses up Count; the fault itself keeps the engine down.
+			e.crash(now, now)
+		}
+	})
+}
+
+// crash loses all state and refuses connections until the given time.
+func (e *Engine) crash(now, until time.Time) {
+	e.stats.Crashes++
+	for _, t := range e.tasks {
+		e.end(now, t, "", &apiError{http.StatusServiceUnavailable, "engine_crashed", "the engine crashed"})
+		if t.reader != nil {
+			close(t.reader.replaced)
+			t.reader = nil
+		}
+	}
+	for _, r := range e.link.results {
+		e.dropResult(r)
+	}
+	e.recordEvent(eventCleared, nil)
+	e.reset()
+	e.incarnation++
+	e.downUntil = until
+	if e.cfg.OnCrash != nil {
+		go e.cfg.OnCrash()
+	}
+}
+
+// engineID changes with each crash, so that results from before it cannot be
+// confused with later ones.
+func (e *Engine) engineID() string { return fmt.Sprintf("%s-%d", e.cfg.Name, e.incarnation) }
--- /dev/null
+++ b/internal/stub/engine/events.go
@@ -0,0 +1,102 @@
+package engine
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// keptEvents bounds the cache events that a late reader can still get.
+const keptEvents = 4096
+
+const (
+	eventStored  = "BlockStored"
+	eventRemoved = "BlockRemoved"
+	eventCleared = "AllBlocksCleared"
+)
+
+// cacheEvent is one change of the prompt cache.
+type cacheEvent struct {
+	seq    int
+	sentAt time.Time
+
+	Type        string   `json:"type"`
+	BlockHashes []uint64 `json:"block_hashes,omitempty"`
+}
+
+// eventLog holds the newest cache events.
+type eventLog struct {
+	seq     int
+	events  []cacheEvent
+	changed chan struct{}
+}
+
+// recordEvent appends an event that is sent after ReportLag. Some are lost; a
+// reader sees the gap in the sequence numbers.
+func (e *Engine) recordEvent(kind string, hashes []uint64) {
+	l := &e.events
+	l.seq++
+	if e.cfg.Rand.Float64() < e.cfg.EventGapChance {
+		return
+	}
+	l.events = append(l.events, cacheEvent{
+		seq: l.seq, sentAt: e.cfg.Clock().Add(e.cfg.ReportLag), Type: kind, BlockHashes: hashes,
+	})
+	if len(l.events) > keptEvents {
+		l.events = append([]cacheEvent(nil), l.events[len(l.events)-keptEvents/2:]...)
+	}
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// eventsAfter returns the events after seq that may be sent, when the next one
+// may, and a channel that is closed by a later event.
+func (e *Engine) eventsAfter(seq int) (ready []cacheEvent, next time.Time, changed <-chan struct{}) {
+	e.do(func(now time.Time) {
+		changed = e.events.changed
+		for _, ev := range e.events.events {
+			if ev.seq <= seq {
+				continue
+			}
+			if ev.sentAt.After(now) {
+				next = ev.sentAt
+				return
+			}
+			ready = append(ready, ev)
+		}
+	})
+	return ready, next, changed
+}
+
+// serveEvents streams the kept cache events and then the new ones.
+func (e *Engine) serveEvents(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	flusher, _ := w.(http.Flusher)
+	seq := 0
+	for {
+		ready, next, changed := e.eventsAfter(seq)
+		for _, ev := range ready {
+			data, err := json.Marshal(ev)
+			if err != nil {
+				panic(fmt.Sprintf("marshal event: %v", err))
+			}
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", ev.seq, data)
+			seq = ev.seq
+		}
+		if flusher != nil {
+			flusher.Flush()
+		}
+		var due <-chan time.Time
+		if !next.IsZero() {
+			due = time.After(next.Sub(e.cfg.Clock()))
+		}
+		select {
+		case <-due:
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
