--- a/internal/stub/engine/request.go
+++ b/internal/stub/engine/request.go
@@ -74,6 +74,7 @@
 	t := &task{
 		id: r.Header.Get("X-Request-Id"), model: b.Model, chat: chat, stream: b.Stream,
 		usage: b.StreamOptions.IncludeUsage, priority: b.Priority, maxTokens: defaultMaxTokens,
+		kind: kindCombined,
 	}
 	if b.MaxTokens != nil {
 		t.maxTokens = *b.MaxTokens
