Add the client of the key-value store

Cause: editor, distributor and claimer need the store behind one interface whose errors say whether a write may have taken effect. Not yet run against the store stand-in.

--- /dev/null
+++ b/storeclient/wire.go
@@ -0,0 +1,144 @@
+package storeclient
+
+import "github.com/egretflow/egretflow"
+
+// The types of this file are the messages of the etcd v3 gateway. It encodes
+// bytes in base64, as encoding/json does, and 64-bit integers as strings, and
+// leaves out fields with zero values.
+
+type header struct {
+	Revision int64 `json:"revision,string"`
+}
+
+type rangeRequest struct {
+	Key      []byte `json:"key"`
+	RangeEnd []byte `json:"range_end,omitempty"`
+}
+
+type rangeResponse struct {
+	KVs []keyValue `json:"kvs"`
+}
+
+type keyValue struct {
+	Key            []byte `json:"key"`
+	Value          []byte `json:"value"`
+	ModRevision    int64  `json:"mod_revision,string"`
+	CreateRevision int64  `json:"create_revision,string"`
+}
+
+func (kv keyValue) entry() egretflow.StoreEntry {
+	value := kv.Value
+	if value == nil {
+		value = []byte{}
+	}
+	return egretflow.StoreEntry{
+		Key:            string(kv.Key),
+		Value:          value,
+		ModRevision:    kv.ModRevision,
+		CreateRevision: kv.CreateRevision,
+	}
+}
+
+type txnRequest struct {
+	Compare []compare   `json:"compare"`
+	Success []requestOp `json:"success"`
+}
+
+type compare struct {
+	Key         []byte `json:"key"`
+	Target      string `json:"target"`
+	Result      string `json:"result"`
+	ModRevision int64  `json:"mod_revision,string"`
+}
+
+type requestOp struct {
+	Put    *putRequest   `json:"request_put,omitempty"`
+	Delete *rangeRequest `json:"request_delete_range,omitempty"`
+}
+
+type putRequest struct {
+	Key   []byte `json:"key"`
+	Value []byte `json:"value"`
+	Lease int64  `json:"lease,string,omitempty"`
+}
+
+type txnResponse struct {
+	Header    header `json:"header"`
+	Succeeded bool   `json:"succeeded"`
+}
+
+func encodeTxn(txn egretflow.StoreTxn) txnRequest {
+	r := txnRequest{Compare: []compare{}, Success: []requestOp{}}
+	for _, c := range txn.Conditions {
+		r.Compare = append(r.Compare, compare{
+			Key: []byte(c.Key), Target: "MOD", Result: "EQUAL", ModRevision: c.ModRevision,
+		})
+	}
+	for _, w := range txn.Writes {
+		if w.Delete {
+			r.Success = append(r.Success, requestOp{Delete: &rangeRequest{Key: []byte(w.Key)}})
+			continue
+		}
+		put := &putRequest{Key: []byte(w.Key), Value: w.Value, Lease: int64(w.Lease)}
+		r.Success = append(r.Success, requestOp{Put: put})
+	}
+	return r
+}
+
+type leaseRequest struct {
+	ID  int64 `json:"ID,string,omitempty"`
+	TTL int64 `json:"TTL,string,omitempty"`
+}
+
+type leaseResponse struct {
+	ID  int64 `json:"ID,string"`
+	TTL int64 `json:"TTL,string"`
+}
+
+type watchRequest struct {
+	Create watchCreate `json:"create_request"`
+}
+
+type watchCreate struct {
+	Key           []byte `json:"key"`
+	RangeEnd      []byte `json:"range_end,omitempty"`
+	StartRevision int64  `json:"start_revision,string"`
+}
+
+type watchMessage struct {
+	Result struct {
+		Canceled        bool         `json:"canceled"`
+		CancelReason    string       `json:"cancel_reason"`
+		CompactRevision int64        `json:"compact_revision,string"`
+		Events          []watchEvent `json:"events"`
+	} `json:"result"`
+	Error *struct {
+		Message string `json:"message"`
+	} `json:"error"`
+}
+
+type watchEvent struct {
+	Type string   `json:"type"`
+	KV   keyValue `json:"kv"`
+}
+
+func (e watchEvent) entry() egretflow.StoreEntry {
+	entry := e.KV.entry()
+	if e.Type == "DELETE" {
+		entry.Value = nil
+	}
+	return entry
+}
+
+// prefixEnd returns the first key after all keys with the prefix. For a prefix
+// of 0xff bytes only, it is the gateway's sign for no end.
+func prefixEnd(prefix string) []byte {
+	end := []byte(prefix)
+	for n := len(end) - 1; n >= 0; n-- {
+		if end[n] < 0xff {
+			end[n]++
+			return end[:n+1]
+		}
+	}
+	return []byte{0}
+}
