--- /dev/null
+++ b/allocator/allocator_test.go
@@ -0,0 +1,110 @@
+package allocator_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/allocator"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// harness drives one owner and several holders by hand.
+type harness struct {
+	now     time.Time
+	owner   *allocator.Owner
+	holders map[egretflow.InstanceName]*allocator.Holder
+	names   []egretflow.InstanceName
+}
+
+func newHarness(holders int, servers ...allocator.Capacity) *harness {
+	h := &harness{now: start, owner: allocator.NewOwner(), holders: map[egretflow.InstanceName]*allocator.Holder{}}
+	owned := map[egretflow.ServerName]bool{}
+	var names []egretflow.ServerName
+	for _, s := range servers {
+		owned[s.Server] = true
+		names = append(names, s.Server)
+	}
+	for n := range holders {
+		name := egretflow.InstanceName(fmt.Sprintf("i%d", n))
+		h.names = append(h.names, name)
+		h.holders[name] = allocator.NewHolder()
+		h.holders[name].SetServers(names)
+	}
+	h.owner.SetView(allocator.View{Holders: h.names, Servers: servers, Owned: owned}, h.now)
+	return h
+}
+
+// exchange runs one round of all named holders, half a second after the last.
+func (h *harness) exchange(names ...egretflow.InstanceName) {
+	h.now = h.now.Add(500 * time.Millisecond)
+	for n, name := range names {
+		at := h.now.Add(time.Duration(n) * time.Millisecond)
+		holder := h.holders[name]
+		holder.Apply(h.owner.Answer(&egretflow.ExchangeRequest{From: name, Incarnation: 1, SentAt: at, Demands: holder.Demands(at)}, at))
+	}
+}
+
+func (h *harness) rounds(n int, names ...egretflow.InstanceName) {
+	for range n {
+		h.exchange(names...)
+	}
+}
+
+func (h *harness) free(name egretflow.InstanceName, server egretflow.ServerName) int {
+	return h.holders[name].Free(server, h.now.Add(10*time.Millisecond))
+}
+
+func decode(name egretflow.ServerName, slots int) allocator.Capacity {
+	return allocator.Capacity{Server: name, Slots: slots, Group: allocator.Group{Pool: "p", Role: egretflow.RoleDecode}}
+}
+
+// Guards against an instance that cannot start any request of a role because
+// small servers have fewer slots than there are holders.
+func TestBaselineGivesEveryHolderAPlace(t *testing.T) {
+	h := newHarness(8, decode("a", 3), decode("b", 3), decode("c", 3))
+	h.rounds(6, h.names...)
+	total := 0
+	for _, name := range h.names {
+		places := h.free(name, "a") + h.free(name, "b") + h.free(name, "c")
+		total += places
+		if places < 1 {
+			t.Errorf("holder %s has no place", name)
+		}
+	}
+	if total != 9 {
+		t.Errorf("granted %d slots, want all 9", total)
+	}
+}
+
+// Guards against idle baseline slots that stay with a holder while another one
+// has a queue, and against low importance taking slots from high.
+func TestDemand(t *testing.T) {
+	tests := []struct {
+		name   string
+		wanted map[egretflow.InstanceName][4]int
+		want   []int
+	}{
+		{"idle", nil, []int{4, 4, 4, 4}},
+		{"one wants all", map[egretflow.InstanceName][4]int{"i0": {0, 0, 20, 0}}, []int{13, 1, 1, 1}},
+		{"equal classes share", map[egretflow.InstanceName][4]int{"i0": {0, 0, 20, 0}, "i1": {0, 0, 20, 0}}, []int{7, 7, 1, 1}},
+		{"critical before low", map[egretflow.InstanceName][4]int{"i0": {0, 0, 0, 20}, "i1": {9, 0, 0, 0}}, []int{1, 13, 1, 1}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(4, decode("a", 16))
+			h.rounds(6, h.names...)
+			for name, wanted := range test.wanted {
+				h.holders[name].Want("a", wanted)
+			}
+			h.rounds(3, h.names...)
+			for n, name := range h.names {
+				if got := h.free(name, "a"); got != test.want[n] {
+					t.Errorf("holder %s has %d slots, want %d", name, got, test.want[n])
+				}
+			}
+		})
+	}
+}
