--- a/internal/pipenet/conn.go
+++ b/internal/pipenet/conn.go
@@ -1,6 +1,7 @@
 package pipenet
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/netip"
@@ -45,7 +46,7 @@
 			case c := <-l.queue:
 				c.in.reset()
 				c.out.reset()
-				c.Close()
+				_ = c.Close()
 			default:
 				return
 			}
@@ -65,7 +66,7 @@
 
 func (c *conn) Read(p []byte) (int, error) {
 	count, err := c.in.read(p)
-	if err != nil && err != io.EOF {
+	if err != nil && !errors.Is(err, io.EOF) {
 		err = opError("read", c.remote, err)
 	}
 	return count, err
--- a/internal/pipenet/network.go
+++ b/internal/pipenet/network.go
@@ -28,6 +28,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/netip"
@@ -227,7 +228,8 @@
 }
 
 func opError(op string, addr netip.AddrPort, err error) error {
-	if errno, ok := err.(syscall.Errno); ok {
+	var errno syscall.Errno
+	if errors.As(err, &errno) {
 		err = os.NewSyscallError(op, errno)
 	}
 	return &net.OpError{Op: op, Net: "tcp", Addr: net.TCPAddrFromAddrPort(addr), Err: err}
--- a/internal/pipenet/pipenet_test.go
+++ b/internal/pipenet/pipenet_test.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { ln.Close() })
+	t.Cleanup(func() { _ = ln.Close() })
 	client, err = n.Dialer(clientHost)(t.Context(), "tcp", serverAddr.String())
 	if err != nil {
 		t.Fatal(err)
@@ -110,7 +110,7 @@
 		}
 		srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })}
 		go func() { _ = srv.Serve(ln) }()
-		defer srv.Close()
+		defer func() { _ = srv.Close() }()
 		transport := &http.Transport{DialContext: n.Dialer(clientHost)}
 		defer transport.CloseIdleConnections()
 		get := func(ctx context.Context) (time.Duration, error) {
--- /dev/null
+++ b/internal/stub/lister/lister_test.go
@@ -0,0 +1,89 @@
+package lister
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/internal/stub/fault"
+)
+
+func do(l *Lister, method, path, body string) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	l.ServeHTTP(w, httptest.NewRequest(method, path, strings.NewReader(body)))
+	return w
+}
+
+// names returns the names and states of the list as a client reads them.
+func names(t *testing.T, l *Lister) string {
+	t.Helper()
+	var targets []struct {
+		Targets []netip.AddrPort
+		Labels  map[string]string
+	}
+	w := do(l, http.MethodGet, "/targets", "")
+	if err := json.Unmarshal(w.Body.Bytes(), &targets); err != nil {
+		t.Fatalf("decode %q: %v", w.Body, err)
+	}
+	var all []string
+	for _, target := range targets {
+		all = append(all, fmt.Sprintf("%s=%s", target.Labels["Name"], target.Labels["State"]))
+	}
+	return strings.Join(all, " ")
+}
+
+// The list shows changes after the lag, and none while it is stalled.
+func TestLag(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := New(Config{Lag: 5 * time.Second, Entries: []Entry{{
+			Name: "a", Address: netip.MustParseAddrPort("10.0.0.1:80"), State: egretflow.MemberStateLive, Kind: KindInstance,
+		}}})
+		check := func(want string) {
+			t.Helper()
+			if got := names(t, l); got != want {
+				t.Errorf("list %q, want %q", got, want)
+			}
+		}
+		for _, body := range []string{
+			`{"Name":"a","Address":"10.0.0.1:80","State":"Leaving","Kind":"Instance"}`,
+			`{"Name":"b","Address":"10.0.0.2:80","State":"Live","Kind":"BackendServer"}`,
+		} {
+			if w := do(l, http.MethodPost, "/entries", body); w.Code != http.StatusNoContent {
+				t.Fatalf("status %d: %s", w.Code, w.Body)
+			}
+		}
+		time.Sleep(5*time.Second - time.Nanosecond)
+		check("a=Live")
+		time.Sleep(time.Nanosecond)
+		check("a=Leaving b=Live")
+		do(l, http.MethodDelete, "/entries/a", "")
+		l.Faults.Add(fault.Fault{Kind: fault.Stall, Until: time.Now().Add(time.Minute)})
+		time.Sleep(30 * time.Second)
+		check("a=Leaving b=Live")
+		time.Sleep(30 * time.Second)
+		check("b=Live")
+	})
+}
+
+// A wrong entry is rejected instead of being listed.
+func TestWrongEntries(t *testing.T) {
+	l := New(Config{})
+	for _, body := range []string{
+		`{`,
+		`{"Name":"","Address":"10.0.0.2:80","State":"Live","Kind":"Instance"}`,
+		`{"Name":"b","State":"Live","Kind":"Instance"}`,
+		`{"Name":"b","Address":"10.0.0.2:80","State":"Dead","Kind":"Instance"}`,
+		`{"Name":"b","Address":"10.0.0.2:80","State":"Live","Kind":"Pod"}`,
+	} {
+		if w := do(l, http.MethodPost, "/entries", body); w.Code != http.StatusBadRequest {
+			t.Errorf("%s: status %d", body, w.Code)
+		}
+	}
+}
