--- a/internal/stub/engine/engine_test.go
+++ b/internal/stub/engine/engine_test.go
@@ -64,7 +64,7 @@
 	t.Helper()
 	data, err := json.Marshal(c)
 	if err != nil {
-		t.Fatal(err)
+		panic(err)
 	}
 	r := httptest.NewRequest(http.MethodPost, "http://10.0.0.1:80"+path, strings.NewReader(string(data)))
 	r.Header.Set("X-Request-Id", id)
