Clear the engine memory when a model is replaced

Cause: prefill results and cached chunks of the old model stayed valid after an order loaded another model. Change: such an order drops them, as a crash does, and reports AllBlocksCleared. Conclusion: the model load test now keeps a prefill result across the order and finds its memory free.

--- a/internal/stub/engine/engine.go
+++ b/internal/stub/engine/engine.go
@@ -96,11 +96,24 @@
 	e.waiting, e.prefills, e.imports, e.decodes = nil, nil, nil, nil
 	e.prefilling = nil
 	e.link = link{results: map[int]*result{}}
-	e.memory = newMemory(e.cfg.Blocks,
+	e.memory = e.emptyMemory()
+}
+
+func (e *Engine) emptyMemory() *memory {
+	return newMemory(e.cfg.Blocks,
 		func(hashes []uint64) { e.recordEvent(eventStored, hashes) },
 		func(hashes []uint64) { e.recordEvent(eventRemoved, hashes) })
 }
 
+// clearMemory drops the prefill results and the cache. No task may run.
+func (e *Engine) clearMemory() {
+	for _, r := range e.link.results {
+		e.dropResult(r)
+	}
+	e.memory = e.emptyMemory()
+	e.recordEvent(eventCleared, nil)
+}
+
 // do runs f on the state of the engine at the current time and then performs
 // the work that has become possible.
 func (e *Engine) do(f func(now time.Time)) {
@@ -140,10 +153,7 @@
 			t.reader = nil
 		}
 	}
-	for _, r := range e.link.results {
-		e.dropResult(r)
-	}
-	e.recordEvent(eventCleared, nil)
+	e.clearMemory()
 	e.reset()
 	e.incarnation++
 	e.downUntil = until
--- a/internal/stub/engine/orders.go
+++ b/internal/stub/engine/orders.go
@@ -127,6 +127,7 @@
 	for _, t := range e.tasks {
 		e.end(now, t, "abort", &apiError{http.StatusServiceUnavailable, "model_loading", "the model is being replaced"})
 	}
+	e.clearMemory()
 	if e.cfg.Weights != nil {
 		e.commands.readyAt = e.cfg.Weights.Load(now, e.cfg.ModelBytes)
 	}
--- a/internal/stub/engine/state_test.go
+++ b/internal/stub/engine/state_test.go
@@ -92,14 +92,19 @@
 }
 
 // Two engines that load at once share the rate of the weight store, and reject
-// requests until they are ready.
+// requests until they are ready. Prefill results of the old model are gone.
 func TestModelLoad(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		weights := &WeightStore{BytesPerSecond: 1000}
 		cfg := Config{Model: "old", Weights: weights, ModelBytes: 5000}
 		first, second := New(cfg), New(cfg)
 		for _, e := range []*Engine{first, second} {
+			post(t, e, "/v1/completions", "", call{"model": "old", "prompt": strings.Repeat("a", 2048), "kv_transfer_params": call{"do_remote_decode": true}})
+			if e.Stats().BlocksInUse == 0 {
+				t.Error("the prefill result holds no memory")
+			}
 			post(t, e, "/orders", "", call{"fencing": 1, "role": "Decode", "model": "new"})
+			checkIdle(t, e)
 		}
 		status := func(e *Engine) int {
 			return post(t, e, "/v1/completions", "", call{"model": "new", "prompt": "x", "max_tokens": 1}).Code
