Add slices and the messages between instances

Exchange messages carry the number of slices, so an instance without history adopts the number of its peers. Conclusion: the messenger has no tests yet, they need the in-memory network.

--- /dev/null
+++ b/messenger/check.go
@@ -0,0 +1,162 @@
+package messenger
+
+import (
+	"fmt"
+
+	"github.com/egretflow/egretflow"
+)
+
+// check returns a *egretflow.FieldError for the first wrong field.
+func check(message any) error {
+	switch m := message.(type) {
+	case *egretflow.ExchangeRequest:
+		return checkExchangeRequest(m)
+	case *egretflow.ExchangeResponse:
+		return checkExchangeResponse(m)
+	case *egretflow.PullResponse:
+		return checkLength("Tables", len(m.Tables), MaxMessageBytes)
+	case *egretflow.CommitRequest:
+		return checkCommitRequest(m)
+	case *egretflow.CommitResponse:
+		return checkCommitResponse(m)
+	}
+	return nil
+}
+
+func checkExchangeRequest(r *egretflow.ExchangeRequest) error {
+	if err := egretflow.CheckName("From", string(r.From)); err != nil {
+		return err
+	}
+	if err := checkLength("Demands", len(r.Demands), MaxDemands); err != nil {
+		return err
+	}
+	seen := make(map[egretflow.ServerName]bool, len(r.Demands))
+	for n, d := range r.Demands {
+		field := fmt.Sprintf("Demands[%d]", n)
+		if err := egretflow.CheckName(field+".Server", string(d.Server)); err != nil {
+			return err
+		}
+		if seen[d.Server] {
+			return &egretflow.FieldError{Field: field + ".Server", Reason: fmt.Sprintf("server %q is named twice", d.Server)}
+		}
+		seen[d.Server] = true
+		for _, count := range []int{d.InUse, d.Held, d.Wanted[0], d.Wanted[1], d.Wanted[2], d.Wanted[3]} {
+			if err := checkSlots(field, count); err != nil {
+				return err
+			}
+		}
+	}
+	return checkCrashes(r.Crashes)
+}
+
+func checkExchangeResponse(r *egretflow.ExchangeResponse) error {
+	if err := egretflow.CheckName("From", string(r.From)); err != nil {
+		return err
+	}
+	if err := checkLength("Grants", len(r.Grants), MaxDemands); err != nil {
+		return err
+	}
+	for n, g := range r.Grants {
+		field := fmt.Sprintf("Grants[%d]", n)
+		if err := egretflow.CheckName(field+".Server", string(g.Server)); err != nil {
+			return err
+		}
+		if err := checkSlots(field, g.Slots); err != nil {
+			return err
+		}
+	}
+	return checkCrashes(r.Crashes)
+}
+
+func checkCrashes(reports []egretflow.CrashReport) error {
+	if err := checkLength("Crashes", len(reports), MaxCrashes); err != nil {
+		return err
+	}
+	for n, c := range reports {
+		field := fmt.Sprintf("Crashes[%d].Servers", n)
+		if err := checkLength(field, len(c.Servers), MaxCrashServers); err != nil {
+			return err
+		}
+		for _, s := range c.Servers {
+			if err := egretflow.CheckName(field, string(s)); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func checkCommitRequest(r *egretflow.CommitRequest) error {
+	if err := egretflow.CheckName("From", string(r.From)); err != nil {
+		return err
+	}
+	if err := checkLength("Claims", len(r.Claims), MaxClaims); err != nil {
+		return err
+	}
+	for n := range r.Claims {
+		if err := checkClaim(fmt.Sprintf("Claims[%d]", n), &r.Claims[n]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkCommitResponse(r *egretflow.CommitResponse) error {
+	if err := checkLength("Results", len(r.Results), MaxClaims); err != nil {
+		return err
+	}
+	for n := range r.Results {
+		result := &r.Results[n]
+		field := fmt.Sprintf("Results[%d]", n)
+		switch result.Error {
+		case "":
+			if err := checkClaim(field+".Claim", &result.Claim); err != nil {
+				return err
+			}
+		case "Uncertain", "Unavailable":
+		default:
+			return &egretflow.FieldError{Field: field + ".Error", Reason: "must be empty, Uncertain or Unavailable"}
+		}
+	}
+	return nil
+}
+
+func checkClaim(field string, c *egretflow.Claim) error {
+	if c.KeyHash == "" {
+		return &egretflow.FieldError{Field: field + ".KeyHash", Reason: "must not be empty"}
+	}
+	if err := checkLength(field+".KeyHash", len(c.KeyHash), MaxTextBytes); err != nil {
+		return err
+	}
+	if err := checkLength(field+".Token", len(c.Token), MaxTextBytes); err != nil {
+		return err
+	}
+	var state egretflow.ClaimState
+	if err := state.UnmarshalText([]byte(c.State)); err != nil {
+		return &egretflow.FieldError{Field: field + ".State", Reason: err.Error()}
+	}
+	if err := egretflow.CheckName(field+".Holder", string(c.Holder)); err != nil {
+		return err
+	}
+	if c.Outcome == nil {
+		return nil
+	}
+	if err := checkLength(field+".Outcome.ContentType", len(c.Outcome.ContentType), MaxTextBytes); err != nil {
+		return err
+	}
+	return checkLength(field+".Outcome.Body", len(c.Outcome.Body), egretflow.MaxStoreValueBytes)
+}
+
+func checkLength(field string, n, limit int) error {
+	if n > limit {
+		return &egretflow.FieldError{Field: field, Reason: fmt.Sprintf("has length %d, at most %d is accepted", n, limit)}
+	}
+	return nil
+}
+
+func checkSlots(field string, n int) error {
+	if n < 0 || n > MaxSlots {
+		return &egretflow.FieldError{Field: field, Reason: fmt.Sprintf("has count %d, want 0 to %d", n, MaxSlots)}
+	}
+	return nil
+}
--- /dev/null
+++ b/messenger/credential.go
@@ -0,0 +1,97 @@
+package messenger
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+
+	"github.com/egretflow/egretflow"
+)
+
+// Verifier decides whether a request comes from a peer. A refusal wraps
+// egretflow.ErrUnauthorized.
+type Verifier interface {
+	VerifyPeer(r *http.Request) error
+}
+
+// KeyVerifier accepts the bearer keys with one of the given SHA-256 hashes. It
+// is safe for concurrent use.
+type KeyVerifier struct {
+	hashes atomic.Pointer[[][sha256.Size]byte]
+}
+
+// NewKeyVerifier takes hashes in hex.
+func NewKeyVerifier(hashes []string) (*KeyVerifier, error) {
+	v := &KeyVerifier{}
+	if err := v.Set(hashes); err != nil {
+		return nil, err
+	}
+	return v, nil
+}
+
+// Set replaces the hashes; it keeps the old ones on error.
+func (v *KeyVerifier) Set(hashes []string) error {
+	parsed := make([][sha256.Size]byte, len(hashes))
+	for n, h := range hashes {
+		raw, err := hex.DecodeString(h)
+		if err != nil || len(raw) != sha256.Size {
+			return fmt.Errorf("peer key hash %d: want %d hex digits", n, 2*sha256.Size)
+		}
+		copy(parsed[n][:], raw)
+	}
+	v.hashes.Store(&parsed)
+	return nil
+}
+
+// VerifyPeer implements Verifier. It compares with every hash in constant time.
+func (v *KeyVerifier) VerifyPeer(r *http.Request) error {
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || key == "" {
+		return fmt.Errorf("verify peer key: missing: %w", egretflow.ErrUnauthorized)
+	}
+	got := sha256.Sum256([]byte(key))
+	match := 0
+	for _, want := range *v.hashes.Load() {
+		match |= subtle.ConstantTimeCompare(got[:], want[:])
+	}
+	if match != 1 {
+		return fmt.Errorf("verify peer key: unknown: %w", egretflow.ErrUnauthorized)
+	}
+	return nil
+}
+
+// CertificateVerifier accepts TLS connections with a client certificate that
+// the TLS settings of the listener have verified.
+type CertificateVerifier struct {
+	// CommonName, if set, must be the subject's common name.
+	CommonName string
+}
+
+// VerifyPeer implements Verifier.
+func (v CertificateVerifier) VerifyPeer(r *http.Request) error {
+	if r.TLS == nil || len(r.TLS.VerifiedChains) == 0 {
+		return fmt.Errorf("verify peer certificate: missing: %w", egretflow.ErrUnauthorized)
+	}
+	if name := r.TLS.VerifiedChains[0][0].Subject.CommonName; v.CommonName != "" && name != v.CommonName {
+		return fmt.Errorf("verify peer certificate: name %q: %w", name, egretflow.ErrUnauthorized)
+	}
+	return nil
+}
+
+// AnyVerifier accepts what one of its members accepts.
+type AnyVerifier []Verifier
+
+// VerifyPeer implements Verifier.
+func (v AnyVerifier) VerifyPeer(r *http.Request) error {
+	err := fmt.Errorf("verify peer: no credential is configured: %w", egretflow.ErrUnauthorized)
+	for _, member := range v {
+		if err = member.VerifyPeer(r); err == nil {
+			return nil
+		}
+	}
+	return err
+}
--- /dev/null
+++ b/messenger/wire.go
@@ -0,0 +1,187 @@
+package messenger
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/egretflow/egretflow"
+)
+
+// The wire types are the compact forms of the Exchange messages. Times are
+// microseconds since the Unix epoch. Server is a uint32 or a string (rule 3).
+
+type wireDemand struct {
+	_      struct{} `cbor:",toarray"`
+	Server any
+	InUse  uint32
+	Held   uint32
+	// Wanted omits trailing zeros.
+	Wanted []uint32
+}
+
+type wireGrant struct {
+	_      struct{} `cbor:",toarray"`
+	Server any
+	Slots  uint32
+	// Early is how many microseconds before the ExpiresAt of the response the
+	// grant ends.
+	Early uint32
+}
+
+type wireCrash struct {
+	_           struct{} `cbor:",toarray"`
+	Fingerprint uint64
+	Servers     []string
+	ExpiresAt   int64
+}
+
+type wireRequest struct {
+	_           struct{} `cbor:",toarray"`
+	From        string
+	Incarnation uint64
+	SentAt      int64
+	Revision    uint64
+	Leaving     bool
+	Slices      uint32
+	Demands     []wireDemand
+	Crashes     []wireCrash
+}
+
+type wireResponse struct {
+	_           struct{} `cbor:",toarray"`
+	From        string
+	Incarnation uint64
+	Revision    uint64
+	Leaving     bool
+	Slices      uint32
+	ExpiresAt   int64
+	Grants      []wireGrant
+	Crashes     []wireCrash
+}
+
+func (n *Names) wireRequest(r *egretflow.ExchangeRequest) *wireRequest {
+	w := &wireRequest{
+		From:        string(r.From),
+		Incarnation: r.Incarnation,
+		SentAt:      r.SentAt.UnixMicro(),
+		Revision:    uint64(r.Revision),
+		Leaving:     r.Leaving,
+		Slices:      uint32(r.Slices),
+		Demands:     make([]wireDemand, len(r.Demands)),
+		Crashes:     wireCrashes(r.Crashes),
+	}
+	for i, d := range r.Demands {
+		w.Demands[i] = wireDemand{
+			Server: n.encode(d.Server),
+			InUse:  uint32(d.InUse),
+			Held:   uint32(d.Held),
+			Wanted: wireWanted(d.Wanted),
+		}
+	}
+	return w
+}
+
+func wireWanted(wanted [4]int) []uint32 {
+	short := []uint32{}
+	for class, n := range wanted {
+		if n == 0 {
+			continue
+		}
+		for len(short) < class {
+			short = append(short, 0)
+		}
+		short = append(short, uint32(n))
+	}
+	return short
+}
+
+func wireCrashes(reports []egretflow.CrashReport) []wireCrash {
+	crashes := make([]wireCrash, len(reports))
+	for i, c := range reports {
+		crashes[i] = wireCrash{Fingerprint: c.Fingerprint, ExpiresAt: c.ExpiresAt.UnixMicro(), Servers: make([]string, len(c.Servers))}
+		for j, s := range c.Servers {
+			crashes[i].Servers[j] = string(s)
+		}
+	}
+	return crashes
+}
+
+func (n *Names) wireResponse(r *egretflow.ExchangeResponse) *wireResponse {
+	w := &wireResponse{
+		From:        string(r.From),
+		Incarnation: r.Incarnation,
+		Revision:    uint64(r.Revision),
+		Leaving:     r.Leaving,
+		Slices:      uint32(r.Slices),
+		Grants:      make([]wireGrant, len(r.Grants)),
+		Crashes:     wireCrashes(r.Crashes),
+	}
+	for _, g := range r.Grants {
+		w.ExpiresAt = max(w.ExpiresAt, g.ExpiresAt.UnixMicro())
+	}
+	for i, g := range r.Grants {
+		w.Grants[i] = wireGrant{
+			Server: n.encode(g.Server),
+			Slots:  uint32(g.Slots),
+			Early:  uint32(w.ExpiresAt - g.ExpiresAt.UnixMicro()),
+		}
+	}
+	return w
+}
+
+func (n *Names) exchangeRequest(w *wireRequest) (*egretflow.ExchangeRequest, error) {
+	r := &egretflow.ExchangeRequest{
+		From:        egretflow.InstanceName(w.From),
+		Incarnation: w.Incarnation,
+		SentAt:      time.UnixMicro(w.SentAt),
+		Revision:    egretflow.Revision(w.Revision),
+		Leaving:     w.Leaving,
+		Slices:      int(w.Slices),
+		Crashes:     crashReports(w.Crashes),
+	}
+	for i, d := range w.Demands {
+		if len(d.Wanted) > len(egretflow.Importances) {
+			return nil, fmt.Errorf("demand %d: %d classes, want at most %d", i, len(d.Wanted), len(egretflow.Importances))
+		}
+		server, ok := n.decode(d.Server)
+		if !ok {
+			continue
+		}
+		demand := egretflow.Demand{Server: server, InUse: int(d.InUse), Held: int(d.Held)}
+		for class, wanted := range d.Wanted {
+			demand.Wanted[class] = int(wanted)
+		}
+		r.Demands = append(r.Demands, demand)
+	}
+	return r, nil
+}
+
+func (n *Names) exchangeResponse(w *wireResponse) *egretflow.ExchangeResponse {
+	r := &egretflow.ExchangeResponse{
+		From:        egretflow.InstanceName(w.From),
+		Incarnation: w.Incarnation,
+		Revision:    egretflow.Revision(w.Revision),
+		Leaving:     w.Leaving,
+		Slices:      int(w.Slices),
+		Crashes:     crashReports(w.Crashes),
+	}
+	for _, g := range w.Grants {
+		if server, ok := n.decode(g.Server); ok {
+			ends := time.UnixMicro(w.ExpiresAt - int64(g.Early))
+			r.Grants = append(r.Grants, egretflow.Grant{Server: server, Slots: int(g.Slots), ExpiresAt: ends})
+		}
+	}
+	return r
+}
+
+func crashReports(crashes []wireCrash) []egretflow.CrashReport {
+	var reports []egretflow.CrashReport
+	for _, c := range crashes {
+		report := egretflow.CrashReport{Fingerprint: c.Fingerprint, ExpiresAt: time.UnixMicro(c.ExpiresAt)}
+		for _, s := range c.Servers {
+			report.Servers = append(report.Servers, egretflow.ServerName(s))
+		}
+		reports = append(reports, report)
+	}
+	return reports
+}
--- a/peer.go
+++ b/peer.go
@@ -53,8 +53,10 @@
 	SentAt      time.Time
 	Revision    Revision
 	Leaving     bool
-	Demands     []Demand
-	Crashes     []CrashReport
+	// Slices is the number of slices in the sender's region (5.3).
+	Slices  int
+	Demands []Demand
+	Crashes []CrashReport
 }
 
 // ExchangeResponse answers an ExchangeRequest.
@@ -64,8 +66,10 @@
 	Incarnation uint64
 	Revision    Revision
 	Leaving     bool
-	Grants      []Grant
-	Crashes     []CrashReport
+	// Slices is the number of slices in the sender's region (5.3).
+	Slices  int
+	Grants  []Grant
+	Crashes []CrashReport
 }
 
 // PullRequest asks for tables above a revision.
