Serve chat requests through frontend, scheduler, prefill and decode

There was no request path. This adds the frontend (OpenAI API, keys, limits, rejections), the relayer (prefill, KV transfer, decode, resume, continue on another server, hedge, abort), keys and certificates with reload, events, metrics, invariants, the supervisor and the program with demo and serve.

Failure handling is not tested yet; service routes and the operator listener are missing.

--- /dev/null
+++ b/authenticator/keys.go
@@ -0,0 +1,146 @@
+// Package authenticator identifies callers, operators and peers by keys of
+// which only hashes are kept, and loads TLS certificates (12).
+//
+// # Usage
+//
+//	keys, err := authenticator.Open("callers.json", clock, recorder)
+//	go keys.Run(ctx)
+//	caller, ok := keys.Identify(token)
+//
+// A key file is JSON:
+//
+//	{"Keys": [{"Name": "vonwiller", "SHA256": ["<64 hex digits>"]}]}
+//
+// # Rules
+//
+//  1. Callers, operators and peers have separate files, so a key of one kind
+//     never opens the interface of another.
+//  2. A file is read again when its modification time or size changes. A file
+//     that cannot be read or is malformed leaves the previous keys in force and
+//     is reported once per change.
+package authenticator
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+
+	"github.com/egretflow/egretflow"
+)
+
+// hash is the SHA-256 of a key.
+type hash [sha256.Size]byte
+
+// UnmarshalText reads 64 hex digits.
+func (h *hash) UnmarshalText(text []byte) error {
+	if hex.DecodedLen(len(text)) != len(h) {
+		return fmt.Errorf("hash has %d characters, want %d", len(text), 2*len(h))
+	}
+	if _, err := hex.Decode(h[:], text); err != nil {
+		return fmt.Errorf("decode hash: %w", err)
+	}
+	return nil
+}
+
+// keyFile is the content of a key file.
+type keyFile struct {
+	Keys []struct {
+		Name   string
+		SHA256 []hash
+	}
+}
+
+type keySet map[hash]string
+
+func parseKeys(data []byte) (keySet, error) {
+	var file keyFile
+	if err := json.Unmarshal(data, &file); err != nil {
+		return nil, fmt.Errorf("decode keys: %w", err)
+	}
+	set := keySet{}
+	for n, key := range file.Keys {
+		if err := egretflow.CheckName(fmt.Sprintf("Keys[%d].Name", n), key.Name); err != nil {
+			return nil, fmt.Errorf("check keys: %w", err)
+		}
+		for _, h := range key.SHA256 {
+			if other, ok := set[h]; ok && other != key.Name {
+				return nil, fmt.Errorf("check keys: %s and %s have the same key", other, key.Name)
+			}
+			set[h] = key.Name
+		}
+	}
+	return set, nil
+}
+
+// Keys is a set of named keys that follows its file.
+type Keys struct {
+	file    watchedFile
+	current atomic.Pointer[keySet]
+}
+
+// Open reads the key file at path.
+func Open(path string, clock egretflow.Clock, recorder egretflow.Recorder) (*Keys, error) {
+	k := &Keys{}
+	k.file = watchedFile{path: path, clock: clock, recorder: recorder, load: k.load}
+	if err := k.file.reload(); err != nil {
+		return nil, err
+	}
+	return k, nil
+}
+
+// Static returns keys that never change. Keys are given in clear text with
+// their names; it is meant for the demo and for tests.
+func Static(names map[string]string) *Keys {
+	set := keySet{}
+	for key, name := range names {
+		set[sha256.Sum256([]byte(key))] = name
+	}
+	k := &Keys{}
+	k.current.Store(&set)
+	return k
+}
+
+func (k *Keys) load() error {
+	data, err := os.ReadFile(k.file.path)
+	if err != nil {
+		return fmt.Errorf("read keys: %w", err)
+	}
+	set, err := parseKeys(data)
+	if err != nil {
+		return fmt.Errorf("key file %s: %w", k.file.path, err)
+	}
+	k.current.Store(&set)
+	return nil
+}
+
+// Identify returns the name that belongs to key. The lookup is by hash, so its
+// time tells nothing about the keys.
+func (k *Keys) Identify(key string) (string, bool) {
+	if key == "" {
+		return "", false
+	}
+	name, ok := (*k.current.Load())[sha256.Sum256([]byte(key))]
+	return name, ok
+}
+
+// Hash returns the form of a key that is written to a key file.
+func Hash(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+const bearer = "Bearer "
+
+// BearerToken returns the token of the Authorization header, or "".
+func BearerToken(r *http.Request) string {
+	value := r.Header.Get("Authorization")
+	if len(value) < len(bearer) || !strings.EqualFold(value[:len(bearer)], bearer) {
+		return ""
+	}
+	return value[len(bearer):]
+}
--- /dev/null
+++ b/explainer/explainer.go
@@ -0,0 +1,185 @@
+// Package explainer keeps the newest events of an instance in a bounded ring,
+// so that operators can ask what happened to a request, and writes one log line
+// per event (11).
+//
+// # Usage
+//
+//	e := explainer.New(4096, logrus.StandardLogger())
+//	e.Record(egretflow.Event{Name: egretflow.EventAssigned, At: now, Request: id})
+//	events := e.Explain(string(id))
+//
+// # Rules
+//
+//  1. Record never blocks on output: lines go through a bounded channel to Run,
+//     and a full channel drops the line, counts it and keeps the event.
+//  2. A line has the keys time, event, instance, request, attempt, decision and
+//     then the fields of the event in their order.
+package explainer
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"github.com/egretflow/egretflow"
+	"github.com/sirupsen/logrus"
+)
+
+// DefaultEvents is the number of events that an instance keeps.
+const DefaultEvents = 8192
+
+// queuedLines bounds the log lines that wait for output.
+const queuedLines = 1024
+
+// Explainer implements egretflow.Recorder.
+type Explainer struct {
+	logger  *logrus.Logger
+	lines   chan egretflow.Event
+	dropped atomic.Uint64
+
+	mu   sync.Mutex
+	ring []egretflow.Event
+	next int
+}
+
+var _ egretflow.Recorder = (*Explainer)(nil)
+
+// New returns an Explainer that keeps the given number of events. A nil logger
+// writes no lines.
+func New(events int, logger *logrus.Logger) *Explainer {
+	return &Explainer{logger: logger, lines: make(chan egretflow.Event, queuedLines), ring: make([]egretflow.Event, 0, events)}
+}
+
+// Record keeps e and queues its log line.
+func (x *Explainer) Record(e egretflow.Event) {
+	x.mu.Lock()
+	if len(x.ring) < cap(x.ring) {
+		x.ring = append(x.ring, e)
+	} else {
+		x.ring[x.next] = e
+		x.next = (x.next + 1) % len(x.ring)
+	}
+	x.mu.Unlock()
+	if x.logger == nil {
+		return
+	}
+	select {
+	case x.lines <- e:
+	default:
+		x.dropped.Add(1)
+	}
+}
+
+// Run writes log lines until ctx ends, and then those that are queued.
+func (x *Explainer) Run(ctx context.Context) error {
+	for {
+		select {
+		case e := <-x.lines:
+			x.write(e)
+		case <-ctx.Done():
+			x.drain()
+			return nil
+		}
+	}
+}
+
+func (x *Explainer) drain() {
+	for {
+		select {
+		case e := <-x.lines:
+			x.write(e)
+		default:
+			return
+		}
+	}
+}
+
+// Dropped returns the number of log lines that were not written.
+func (x *Explainer) Dropped() uint64 { return x.dropped.Load() }
+
+func (x *Explainer) write(e egretflow.Event) {
+	x.logger.WithTime(e.At).Log(level(e.Name), line(e))
+}
+
+func level(name egretflow.EventName) logrus.Level {
+	switch name {
+	case egretflow.EventInvariantViolated:
+		return logrus.ErrorLevel
+	case egretflow.EventAccessDenied, egretflow.EventMismatch, egretflow.EventAttemptFailed, egretflow.EventStoreUnavailable:
+		return logrus.WarnLevel
+	}
+	return logrus.InfoLevel
+}
+
+// line writes the event as key=value pairs in a fixed order.
+func line(e egretflow.Event) string {
+	var b strings.Builder
+	pair := func(key, value string) {
+		if value == "" {
+			return
+		}
+		if b.Len() > 0 {
+			b.WriteByte(' ')
+		}
+		b.WriteString(key + "=" + quote(value))
+	}
+	pair("event", string(e.Name))
+	pair("instance", string(e.Instance))
+	pair("request", string(e.Request))
+	pair("attempt", string(e.Attempt))
+	pair("decision", string(e.Decision))
+	for _, f := range e.Fields {
+		pair(f.Key, f.Value)
+	}
+	return b.String()
+}
+
+func quote(value string) string {
+	if strings.ContainsAny(value, " =\"\\") || strings.ContainsFunc(value, func(r rune) bool { return r < ' ' || r == 0x7f }) {
+		return strconv.Quote(value)
+	}
+	return value
+}
+
+// Explain returns the kept events of a request, attempt or decision, oldest
+// first. A request is also found by the X-Request-Id that its caller sent.
+func (x *Explainer) Explain(id string) []egretflow.Event {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	related := x.requests(id)
+	var found []egretflow.Event
+	for n := range x.ring {
+		e := x.ring[(x.next+n)%len(x.ring)]
+		if related[e.Request] || string(e.Attempt) == id || string(e.Decision) == id {
+			found = append(found, e)
+		}
+	}
+	return found
+}
+
+// requests returns the requests that id belongs to.
+func (x *Explainer) requests(id string) map[egretflow.RequestID]bool {
+	related := map[egretflow.RequestID]bool{}
+	for n := range x.ring {
+		e := &x.ring[n]
+		matches := string(e.Request) == id || string(e.Attempt) == id || string(e.Decision) == id
+		if e.Request != "" && (matches || callerID(e) == id) {
+			related[e.Request] = true
+		}
+	}
+	return related
+}
+
+// CallerIDField is the field that holds the X-Request-Id of the caller.
+const CallerIDField = "caller_request"
+
+func callerID(e *egretflow.Event) string {
+	for _, f := range e.Fields {
+		if f.Key == CallerIDField {
+			return f.Value
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/frontend/refusal.go
@@ -0,0 +1,127 @@
+package frontend
+
+import (
+	"context"
+	"errors"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/egretflow/egretflow"
+	"github.com/labstack/echo/v4"
+)
+
+// Response headers (4.2).
+const (
+	headerRequestID = "X-Request-Id"
+	headerRunState  = "Egretflow-Run-State"
+	headerDeadline  = "X-Request-Deadline"
+	headerEventID   = "Last-Event-ID"
+	headerKey       = "Idempotency-Key"
+	headerTrace     = "Traceparent"
+)
+
+// retryAfter is the mean pause that callers are asked for when the rejection
+// has no better estimate.
+const retryAfter = 2 * time.Second
+
+// errorBody is the error object of the OpenAI API with the run state.
+type errorBody struct {
+	Error errorObject `json:"error"`
+}
+
+type errorObject struct {
+	Message   string             `json:"message"`
+	Type      string             `json:"type"`
+	Code      string             `json:"code"`
+	Param     string             `json:"param,omitempty"`
+	RunState  egretflow.RunState `json:"run_state"`
+	RequestID string             `json:"request_id"`
+}
+
+func refuse(status int, reason egretflow.RefusalReason, message string, err error) *egretflow.Refusal {
+	return &egretflow.Refusal{Status: status, Reason: reason, RunState: egretflow.RunStateNotRun, Message: message, Err: err}
+}
+
+func badRequest(err error) *egretflow.Refusal {
+	return refuse(http.StatusBadRequest, egretflow.RefusalBadRequest, err.Error(), err)
+}
+
+func (f *Frontend) refuseLater(status int, reason egretflow.RefusalReason, message string) *egretflow.Refusal {
+	refusal := refuse(status, reason, message, nil)
+	refusal.RetryAt = f.cfg.Clock().Add(f.jitter(retryAfter))
+	return refusal
+}
+
+// asRefusal returns the rejection for any error of a handler.
+func asRefusal(err error) *egretflow.Refusal {
+	var refusal *egretflow.Refusal
+	var httpError *echo.HTTPError
+	switch {
+	case errors.As(err, &refusal):
+		return refusal
+	case errors.As(err, &httpError):
+		return refuse(httpError.Code, egretflow.RefusalBadRequest, http.StatusText(httpError.Code), err)
+	}
+	return &egretflow.Refusal{
+		Status: http.StatusInternalServerError, Reason: egretflow.RefusalBackend,
+		RunState: egretflow.RunStateMayHaveRun, Message: "internal error", Err: err,
+	}
+}
+
+// writeError is the error handler of echo.
+func (f *Frontend) writeError(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	if errors.Is(err, context.Canceled) && c.Request().Context().Err() != nil {
+		return
+	}
+	refusal := asRefusal(err)
+	x := requestOf(c)
+	h := c.Response().Header()
+	h.Set(headerRunState, string(refusal.RunState))
+	if !refusal.RetryAt.IsZero() {
+		seconds := math.Ceil(refusal.RetryAt.Sub(f.cfg.Clock()).Seconds())
+		h.Set("Retry-After", strconv.Itoa(max(1, int(seconds))))
+	}
+	if refusal.Status == http.StatusRequestEntityTooLarge || refusal.Status == http.StatusRequestTimeout {
+		// The rest of the body is not read.
+		h.Set("Connection", "close")
+	}
+	f.record(egretflow.EventRefused, x.id, x.callerID(), field("reason", string(refusal.Reason)),
+		field("run_state", string(refusal.RunState)), field("status", strconv.Itoa(refusal.Status)), field("error", refusal.Error()))
+	// The connection may be gone; there is nothing left to tell then.
+	_ = c.JSON(refusal.Status, newErrorBody(refusal, x))
+}
+
+func newErrorBody(refusal *egretflow.Refusal, x *request) errorBody {
+	body := errorBody{Error: errorObject{
+		Message: refusal.Message, Type: errorType(refusal.Status), Code: string(refusal.Reason),
+		RunState: refusal.RunState, RequestID: x.shownID,
+	}}
+	var fieldError *egretflow.FieldError
+	if errors.As(refusal.Err, &fieldError) {
+		body.Error.Param = fieldError.Field
+	}
+	return body
+}
+
+func errorType(status int) string {
+	switch {
+	case status == http.StatusUnauthorized:
+		return "authentication_error"
+	case status == http.StatusForbidden:
+		return "permission_error"
+	case status == http.StatusTooManyRequests:
+		return "rate_limit_error"
+	case status < http.StatusInternalServerError:
+		return "invalid_request_error"
+	}
+	return "server_error"
+}
+
+func field(key, value string) egretflow.EventField {
+	return egretflow.EventField{Key: key, Value: value}
+}
--- /dev/null
+++ b/frontend/server.go
@@ -0,0 +1,79 @@
+package frontend
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/egretflow/egretflow"
+	"golang.org/x/net/netutil"
+)
+
+// closeTimeout bounds the wait for handlers after the handover.
+const closeTimeout = 5 * time.Second
+
+// Serve serves callers on ln until ctx ends, and then shuts down in the order of
+// (10.1): new work is rejected, open requests have the drain timeout to finish,
+// the rest is handed over after a complete event.
+func (f *Frontend) Serve(ctx context.Context, ln net.Listener) error {
+	server := f.newServer()
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(newListener(netutil.LimitListener(ln, f.cfg.Limits.MaxConnections))) }()
+	select {
+	case err := <-failed:
+		return fmt.Errorf("serve callers: %w", err)
+	case <-ctx.Done():
+	}
+	f.drain()
+	return closeServer(server)
+}
+
+func (f *Frontend) newServer() *http.Server {
+	return &http.Server{
+		Handler: f, ReadHeaderTimeout: f.cfg.Limits.HeaderTimeout, IdleTimeout: f.cfg.Limits.IdleTimeout,
+		MaxHeaderBytes: f.cfg.Limits.MaxHeaderBytes,
+		// What net/http logs concerns single connections of callers.
+		ErrorLog: log.New(io.Discard, "", 0),
+	}
+}
+
+func closeServer(server *http.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("close listener: %w", errors.Join(err, server.Close()))
+	}
+	return nil
+}
+
+// Ready reports whether the instance takes new work.
+func (f *Frontend) Ready() bool { return !f.draining.Load() && f.cfg.Tables() != nil }
+
+// drain rejects new work and waits for open requests.
+func (f *Frontend) drain() {
+	f.draining.Store(true)
+	f.record(egretflow.EventShutdownStarted, "")
+	done := make(chan struct{})
+	go func() {
+		f.open.Wait()
+		close(done)
+	}()
+	timer := time.NewTimer(f.cfg.Limits.DrainTimeout)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+		f.startHandover()
+		<-done
+	}
+	f.record(egretflow.EventShutdownDone, "")
+}
+
+func (f *Frontend) record(name egretflow.EventName, request egretflow.RequestID, fields ...egretflow.EventField) {
+	f.cfg.Recorder.Record(egretflow.Event{Name: name, At: f.cfg.Clock(), Instance: f.cfg.Instance, Request: request, Fields: fields})
+}
--- /dev/null
+++ b/recorder/recorder.go
@@ -0,0 +1,186 @@
+// Package recorder holds the metrics of an instance (1.2, 11).
+//
+// # Usage
+//
+//	m, err := recorder.New()
+//	m.Finished(recorder.Request{Route: "letters", Importance: egretflow.ImportanceHigh, ...})
+//	http.Handle("/metrics", m.Handler())
+//
+// # Rules
+//
+//  1. Labels are bounded: routes and importances come from the tables, reasons
+//     and invariants are enums. Callers, requests and servers are never labels.
+//  2. Each metric answers one of the four questions of section 1.2: goodput,
+//     wasted prefill, service at the peak, tail latency.
+package recorder
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/egretflow/egretflow"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	exporter "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+)
+
+// Bucket limits in seconds, with the targets of section 1.5 (1.1 s and 31 ms)
+// among them.
+var (
+	firstTokenBuckets = []float64{.025, .05, .1, .2, .4, .6, .8, 1.1, 1.5, 2, 3, 5, 10, 30}
+	tokenGapBuckets   = []float64{.005, .01, .015, .02, .025, .031, .04, .05, .075, .1, .2, .5, 1}
+)
+
+// Metrics records what happens to requests. Its methods are safe for
+// concurrent use.
+type Metrics struct {
+	registry   *prometheus.Registry
+	requests   metric.Int64Counter
+	goodput    metric.Int64Counter
+	tokens     metric.Int64Counter
+	wasted     metric.Int64Counter
+	retries    metric.Int64Counter
+	denied     metric.Int64Counter
+	violations metric.Int64Counter
+	open       metric.Int64UpDownCounter
+	firstToken metric.Float64Histogram
+	tokenGap   metric.Float64Histogram
+}
+
+// New returns metrics with their own registry.
+func New() (*Metrics, error) {
+	m := &Metrics{registry: prometheus.NewRegistry()}
+	reader, err := exporter.New(exporter.WithRegisterer(m.registry), exporter.WithoutScopeInfo(), exporter.WithoutTargetInfo())
+	if err != nil {
+		return nil, fmt.Errorf("create exporter: %w", err)
+	}
+	meter := sdk.NewMeterProvider(sdk.WithReader(reader)).Meter("egretflow")
+	for _, c := range []struct {
+		dst        *metric.Int64Counter
+		name, help string
+	}{
+		{&m.requests, "egretflow_requests", "Requests by outcome; the outcome is Served or the reason of the rejection."},
+		{&m.goodput, "egretflow_goodput", "Requests served within both the first-token and the per-token target."},
+		{&m.tokens, "egretflow_tokens", "Tokens passed on to callers."},
+		{&m.wasted, "egretflow_wasted_prefill_tokens", "Prompt tokens that were computed and not used."},
+		{&m.retries, "egretflow_retries", "Further attempts after failed ones."},
+		{&m.denied, "egretflow_access_denied", "Wrong or missing credentials, by interface."},
+		{&m.violations, "egretflow_invariant_violations", "Violations of the invariants of the design."},
+	} {
+		if *c.dst, err = meter.Int64Counter(c.name, metric.WithDescription(c.help)); err != nil {
+			return nil, fmt.Errorf("create counter %s: %w", c.name, err)
+		}
+	}
+	if m.open, err = meter.Int64UpDownCounter("egretflow_open_requests", metric.WithDescription("Requests in progress.")); err != nil {
+		return nil, fmt.Errorf("create gauge: %w", err)
+	}
+	if m.firstToken, err = histogram(meter, "egretflow_first_token", "Time to the first token or response byte.", firstTokenBuckets); err != nil {
+		return nil, err
+	}
+	if m.tokenGap, err = histogram(meter, "egretflow_token_gap", "Mean time between the tokens of a request.", tokenGapBuckets); err != nil {
+		return nil, err
+	}
+	return m, nil
+}
+
+func histogram(meter metric.Meter, name, help string, buckets []float64) (metric.Float64Histogram, error) {
+	h, err := meter.Float64Histogram(name, metric.WithDescription(help), metric.WithUnit("s"), metric.WithExplicitBucketBoundaries(buckets...))
+	if err != nil {
+		return nil, fmt.Errorf("create histogram %s: %w", name, err)
+	}
+	return h, nil
+}
+
+// Handler serves the metrics in the Prometheus text format.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// Request describes a finished request.
+type Request struct {
+	Route      egretflow.RouteName
+	Importance egretflow.Importance
+	// Outcome is OutcomeServed, OutcomeCancelled or a refusal reason.
+	Outcome      string
+	ArrivedAt    time.Time
+	FirstTokenAt time.Time
+	LastTokenAt  time.Time
+	Tokens       int
+	Retries      int
+	// FirstTokenTarget and TokenTarget decide on goodput; 0 means no target.
+	FirstTokenTarget time.Duration
+	TokenTarget      time.Duration
+}
+
+// Outcomes besides refusal reasons.
+const (
+	OutcomeServed     = "Served"
+	OutcomeCancelled  = "Cancelled"
+	OutcomeHandedOver = "HandedOver"
+)
+
+// Started counts a request in progress.
+func (m *Metrics) Started() { m.open.Add(context.Background(), 1) }
+
+// Ended ends the count of Started.
+func (m *Metrics) Ended() { m.open.Add(context.Background(), -1) }
+
+// Finished records a request of a known route.
+func (m *Metrics) Finished(r Request) {
+	ctx := context.Background()
+	labels := labelsOf(r.Route, r.Importance)
+	m.requests.Add(ctx, 1, labels, metric.WithAttributes(attribute.String("outcome", r.Outcome)))
+	m.tokens.Add(ctx, int64(r.Tokens), labels)
+	m.retries.Add(ctx, int64(r.Retries), labels)
+	if !r.FirstTokenAt.IsZero() {
+		m.firstToken.Record(ctx, r.FirstTokenAt.Sub(r.ArrivedAt).Seconds(), labels)
+	}
+	if gap := r.meanGap(); gap > 0 {
+		m.tokenGap.Record(ctx, gap.Seconds(), labels)
+	}
+	if r.withinTargets() {
+		m.goodput.Add(ctx, 1, labels)
+	}
+}
+
+func (r Request) meanGap() time.Duration {
+	if r.Tokens < 2 || r.FirstTokenAt.IsZero() {
+		return 0
+	}
+	return r.LastTokenAt.Sub(r.FirstTokenAt) / time.Duration(r.Tokens-1)
+}
+
+func (r Request) withinTargets() bool {
+	return r.Outcome == OutcomeServed && !r.FirstTokenAt.IsZero() &&
+		(r.FirstTokenTarget == 0 || r.FirstTokenAt.Sub(r.ArrivedAt) <= r.FirstTokenTarget) &&
+		(r.TokenTarget == 0 || r.meanGap() <= r.TokenTarget)
+}
+
+// Refused counts a request that was rejected before its route was known.
+func (m *Metrics) Refused(reason egretflow.RefusalReason) {
+	m.requests.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", string(reason))))
+}
+
+// WastedPrefill counts prompt tokens whose computation was not used.
+func (m *Metrics) WastedPrefill(w *egretflow.Work, tokens int) {
+	m.wasted.Add(context.Background(), int64(tokens), labelsOf(w.Route, w.Importance))
+}
+
+// AccessDenied counts a wrong or missing credential at an interface.
+func (m *Metrics) AccessDenied(listener string) {
+	m.denied.Add(context.Background(), 1, metric.WithAttributes(attribute.String("interface", listener)))
+}
+
+// InvariantViolated counts a violation.
+func (m *Metrics) InvariantViolated(i egretflow.Invariant) {
+	m.violations.Add(context.Background(), 1, metric.WithAttributes(attribute.String("invariant", string(i))))
+}
+
+func labelsOf(route egretflow.RouteName, importance egretflow.Importance) metric.MeasurementOption {
+	return metric.WithAttributes(attribute.String("route", string(route)), attribute.String("importance", string(importance)))
+}
--- /dev/null
+++ b/relayer/client.go
@@ -0,0 +1,126 @@
+package relayer
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/egretflow/egretflow"
+)
+
+const (
+	dialTimeout       = time.Second
+	idleConnTimeout   = 20 * time.Second
+	idleConnsPerHost  = 32
+	connBufferBytes   = 2 << 10
+	maxResponseHeader = 64 << 10
+)
+
+// client sends requests to backend servers over pooled or new connections.
+type client struct {
+	pooled *http.Transport
+	// fresh opens a connection for each request. It is used for probes of a
+	// stalled connection, and for non-idempotent requests, because net/http
+	// repeats a request that carries an Idempotency-Key when a reused connection
+	// breaks.
+	fresh *http.Transport
+}
+
+func newClient(dial DialFunc, tlsConfig *tls.Config) *client {
+	dialContext := func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		return dial(ctx, network, address)
+	}
+	pooled := &http.Transport{
+		DialContext: dialContext, TLSClientConfig: tlsConfig, DisableCompression: true,
+		MaxIdleConnsPerHost: idleConnsPerHost, IdleConnTimeout: idleConnTimeout,
+		ReadBufferSize: connBufferBytes, WriteBufferSize: connBufferBytes,
+		MaxResponseHeaderBytes: maxResponseHeader,
+	}
+	fresh := pooled.Clone()
+	fresh.DisableKeepAlives = true
+	return &client{pooled: pooled, fresh: fresh}
+}
+
+func (c *client) close() { c.pooled.CloseIdleConnections() }
+
+// do sends req. When it returns an error, used says whether a connection was
+// obtained, so that bytes of the request may have been written.
+func (c *client) do(req *http.Request, fresh bool) (resp *http.Response, used bool, err error) {
+	var got atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { got.Store(true) }}
+	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
+	transport := c.pooled
+	if fresh {
+		transport = c.fresh
+	}
+	resp, err = transport.RoundTrip(req)
+	return resp, got.Load(), err
+}
+
+// serverURL returns the URL of path on a backend server.
+func serverURL(address netip.AddrPort, useTLS bool, path string) string {
+	if useTLS {
+		return "https://" + address.String() + path
+	}
+	return "http://" + address.String() + path
+}
+
+// refusedConnection reports whether the server process is gone: the host
+// answered, but nothing listens on the port.
+func refusedConnection(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+// probe asks a server for its load over a new connection.
+func (r *Relayer) probe(server *egretflow.Server, useTLS bool) error {
+	ctx, cancel := context.WithTimeout(context.Background(), minPatience)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, serverURL(server.Address, useTLS, "/load"), nil)
+	if err != nil {
+		return fmt.Errorf("build probe: %w", err)
+	}
+	resp, _, err := r.client.do(req, true)
+	if err != nil {
+		return fmt.Errorf("probe server %s: %w", server.Name, err)
+	}
+	resp.Body.Close()
+	return nil
+}
+
+const loadHeader = "endpoint-load-metrics"
+
+// observeLoad passes on the load report that a server adds to its answers.
+func (r *Relayer) observeLoad(server *egretflow.Server, resp *http.Response) {
+	text, ok := strings.CutPrefix(resp.Header.Get(loadHeader), "JSON ")
+	if !ok {
+		return
+	}
+	var report struct {
+		Metrics struct {
+			Running    int `json:"running"`
+			Waiting    int `json:"waiting"`
+			FreeBlocks int `json:"free_blocks"`
+		} `json:"named_metrics"`
+	}
+	if json.Unmarshal([]byte(text), &report) != nil {
+		return
+	}
+	now := r.now()
+	r.cfg.Scheduler.Observe(egretflow.Observation{
+		Kind: egretflow.ObservationLoad, Server: server.Name, StartedAt: now, EndedAt: now,
+		Load: &egretflow.LoadReport{
+			Server: server.Name, MeasuredAt: now, Running: report.Metrics.Running, Waiting: report.Metrics.Waiting,
+			FreeBlocks: report.Metrics.FreeBlocks, Role: server.Role,
+		},
+	})
+}
--- /dev/null
+++ b/relayer/failure.go
@@ -0,0 +1,130 @@
+package relayer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/egretflow/egretflow"
+)
+
+// failureKind says why an attempt failed.
+type failureKind string
+
+const (
+	// failureRefused: the server stated that it did not run the work, or no
+	// connection was made.
+	failureRefused failureKind = "Refused"
+	// failureBroken: the connection broke or the answer was malformed.
+	failureBroken failureKind = "Broken"
+	// failureCrashed: the server process is gone.
+	failureCrashed failureKind = "Crashed"
+	// failureStalled: nothing arrived in time.
+	failureStalled failureKind = "Stalled"
+	// failureMismatch: an answer of another attempt, or with a gap.
+	failureMismatch failureKind = "Mismatch"
+	// failureExpired: the prefill result was gone before its import.
+	failureExpired failureKind = "KVExpired"
+	// failureRejected: the server rejects the request itself; no other server
+	// would take it.
+	failureRejected failureKind = "Rejected"
+)
+
+// failure is the error of an attempt.
+type failure struct {
+	kind   failureKind
+	server egretflow.ServerName
+	// status, code and message are the answer of the server; status is 0 when
+	// there was none.
+	status  int
+	code    string
+	message string
+	err     error
+}
+
+func (f *failure) Error() string {
+	return fmt.Sprintf("%s at server %s: %v", f.kind, f.server, f.err)
+}
+
+func (f *failure) Unwrap() error { return f.err }
+
+// ran reports whether the server may have done work.
+func (f *failure) ran() bool { return f.kind != failureRefused && f.kind != failureExpired }
+
+var observationOf = map[failureKind]egretflow.ObservationKind{
+	failureRefused:  egretflow.ObservationRefused,
+	failureBroken:   egretflow.ObservationFailed,
+	failureCrashed:  egretflow.ObservationCrashed,
+	failureStalled:  egretflow.ObservationSilent,
+	failureMismatch: egretflow.ObservationFailed,
+}
+
+// Causes of the end of a connection.
+var (
+	errStalled    = errors.New("no data within the stall timeout")
+	errIncomplete = errors.New("stream ended before finish reason, usage and [DONE]")
+	errLost       = errors.New("another attempt answered first")
+)
+
+// Error codes of engines.
+const (
+	codeExpired        = "kv_expired"
+	codeOverloaded     = "engine_overloaded"
+	codeLoading        = "model_loading"
+	codeAborted        = "request_aborted"
+	codeTransferFailed = "kv_transfer_failed"
+)
+
+// errorAnswer classifies an answer with an error status.
+func errorAnswer(server egretflow.ServerName, resp *http.Response) *failure {
+	var body struct {
+		Error struct {
+			Code    any    `json:"code"`
+			Message string `json:"message"`
+		} `json:"error"`
+	}
+	// A body that is not the usual error object leaves the fields empty.
+	data, _ := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	_ = json.Unmarshal(data, &body)
+	code, _ := body.Error.Code.(string)
+	return &failure{
+		kind: answerKind(resp.StatusCode, code), server: server, status: resp.StatusCode, code: code,
+		message: body.Error.Message, err: fmt.Errorf("status %d: %s %s", resp.StatusCode, code, body.Error.Message),
+	}
+}
+
+func answerKind(status int, code string) failureKind {
+	switch code {
+	case codeExpired:
+		return failureExpired
+	case codeOverloaded, codeLoading:
+		return failureRefused
+	case codeAborted:
+		return failureBroken
+	}
+	switch status {
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
+		return failureRejected
+	}
+	return failureBroken
+}
+
+// brokenConnection classifies the error of a connection that was used.
+func brokenConnection(ctx context.Context, server *egretflow.Server, err error) *failure {
+	kind := failureBroken
+	if errors.Is(context.Cause(ctx), errStalled) {
+		kind = failureStalled
+	}
+	return &failure{kind: kind, server: server.Name, err: err}
+}
+
+// unreachableKind classifies the error of a connection that was not made.
+func unreachableKind(err error) failureKind {
+	if refusedConnection(err) {
+		return failureCrashed
+	}
+	return failureRefused
+}
--- /dev/null
+++ b/relayer/relayer.go
@@ -0,0 +1,113 @@
+package relayer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/internal/openai"
+)
+
+// ErrHandedOver ends an answer after a complete event because the instance
+// shuts down. The caller resumes it at another instance (10.1).
+var ErrHandedOver = errors.New("answer handed over at shutdown")
+
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Config holds what a Relayer needs.
+type Config struct {
+	Instance  egretflow.InstanceName
+	Scheduler egretflow.Scheduler
+	Recorder  egretflow.Recorder
+	Checker   egretflow.Checker
+	// Claimer decides on non-idempotent requests; nil rejects them.
+	Claimer egretflow.Claimer
+	Clock   egretflow.Clock
+	Rand    *rand.Rand
+	Dial    DialFunc
+	// Wasted, if set, is called with prompt tokens whose computation was not
+	// used.
+	Wasted func(w *egretflow.Work, tokens int)
+	// TLS is used towards servers of pools with ServerTLS.
+	TLS *tls.Config
+}
+
+// Relayer carries out requests. Its methods are safe for concurrent use.
+type Relayer struct {
+	cfg    Config
+	client *client
+	// cleanups counts aborts that are not yet acknowledged.
+	cleanups sync.WaitGroup
+	randMu   sync.Mutex
+}
+
+// New returns a Relayer.
+func New(cfg Config) *Relayer {
+	return &Relayer{cfg: cfg, client: newClient(cfg.Dial, cfg.TLS)}
+}
+
+// Close waits until all aborts are acknowledged or have timed out and closes
+// idle connections. No other method may run or be called later.
+func (r *Relayer) Close() {
+	r.cleanups.Wait()
+	r.client.close()
+}
+
+// Sink receives the chunks of an answer in order. An error ends the request.
+type Sink interface {
+	// Chunk takes one chunk. It must not keep c.
+	Chunk(id EventID, c *openai.Chunk) error
+	// Flush is called when no further chunk is at hand.
+	Flush() error
+}
+
+// Job is one model request.
+type Job struct {
+	Work    *egretflow.Work
+	Request *openai.Request
+	Pool    *egretflow.Pool
+	// Header holds the headers that are passed on to engines.
+	Header map[string]string
+	Sink   Sink
+	// Handover ends when the answer must end after the current event; nil means
+	// never.
+	Handover context.Context
+}
+
+// Result describes an answer that was passed on.
+type Result struct {
+	FirstTokenAt time.Time
+	LastTokenAt  time.Time
+	Tokens       int
+	PromptTokens int
+	Retries      int
+	// Started says that the sink has received a chunk.
+	Started bool
+}
+
+func (r *Relayer) now() time.Time { return r.cfg.Clock() }
+
+// jitter returns a duration between half of d and d.
+func (r *Relayer) jitter(d time.Duration) time.Duration {
+	r.randMu.Lock()
+	defer r.randMu.Unlock()
+	return d/2 + time.Duration(r.cfg.Rand.Int64N(int64(d/2)+1))
+}
+
+func (r *Relayer) record(name egretflow.EventName, w *egretflow.Work, a *egretflow.Assignment, fields ...egretflow.EventField) {
+	e := egretflow.Event{Name: name, At: r.now(), Instance: r.cfg.Instance, Request: w.Request, Fields: fields}
+	if a != nil {
+		e.Attempt, e.Decision = a.Attempt, a.Decision
+	}
+	r.cfg.Recorder.Record(e)
+}
+
+func field[T ~string](key string, value T) egretflow.EventField {
+	return egretflow.EventField{Key: key, Value: string(value)}
+}
--- /dev/null
+++ b/relayer/resume.go
@@ -0,0 +1,95 @@
+package relayer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/egretflow/egretflow"
+)
+
+// resume replaces a connection that failed with cause by a new one that
+// continues at the current offset. The error is a *failure or the cause of the
+// context of the request.
+func (s *stream) resume(cause error) error {
+	stalled := s.cancel != nil && s.stalled() || isStalled(cause)
+	for {
+		if err := context.Cause(s.ctx); err != nil {
+			s.disconnect()
+			return err
+		}
+		s.resumes++
+		if s.resumes > maxResumes {
+			return s.giveUp(stalled, cause)
+		}
+		if stalled {
+			s.r.record(egretflow.EventSilentConnection, s.job.Work, s.assignment(), field("server", s.server.Name))
+		}
+		err := s.connect(s.get)
+		if err == nil {
+			s.r.record(egretflow.EventResumed, s.job.Work, s.assignment(),
+				field("server", s.server.Name), field("offset", strconv.Itoa(s.offset)))
+			return nil
+		}
+		if !resumable(err) {
+			return err
+		}
+		cause, stalled = err, isStalled(err)
+	}
+}
+
+// resumable reports whether err is that of a connection, and not an answer of
+// the server or the end of the request.
+func resumable(err error) bool {
+	var f *failure
+	return errors.As(err, &f) && f.status == 0 && (f.kind == failureStalled || f.kind == failureBroken)
+}
+
+func isStalled(err error) bool {
+	var f *failure
+	return errors.As(err, &f) && f.kind == failureStalled
+}
+
+// stalled reports whether the stall timer closed the connection.
+func (s *stream) stalled() bool { return !s.timer.Stop() }
+
+func (s *stream) giveUp(stalled bool, cause error) error {
+	s.disconnect()
+	// A server that breaks every new connection is down.
+	kind := failureCrashed
+	if stalled {
+		kind = failureStalled
+	}
+	return &failure{kind: kind, server: s.server.Name, err: fmt.Errorf("no progress after %d resumes: %w", maxResumes, cause)}
+}
+
+// get asks the decode server to resume the stream over a new connection.
+func (s *stream) get(ctx context.Context) (*http.Response, error) {
+	target := serverURL(s.server.Address, s.job.Pool.ServerTLS, "/v1/streams/"+url.PathEscape(string(s.id)))
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return nil, fmt.Errorf("build resume request: %w", err)
+	}
+	req.Header.Set("Last-Event-ID", strconv.Itoa(s.offset))
+	resp, used, err := s.r.client.do(req, true)
+	if err != nil && !used && refusedConnection(err) {
+		return nil, &failure{kind: failureCrashed, server: s.server.Name, err: err}
+	}
+	if err != nil {
+		return nil, brokenConnection(ctx, s.server, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		defer resp.Body.Close()
+		f := errorAnswer(s.server.Name, resp)
+		// An engine keeps a disconnected stream for seconds. One that does not
+		// know the stream has lost its state.
+		if f.kind = failureBroken; resp.StatusCode == http.StatusNotFound {
+			f.kind = failureCrashed
+		}
+		return nil, f
+	}
+	return resp, nil
+}
