--- a/frontend/server.go
+++ b/frontend/server.go
@@ -69,11 +69,23 @@
 	case <-done:
 	case <-timer.C:
 		f.startHandover()
-		<-done
+		f.awaitHandover(done)
 	}
 	f.record(egretflow.EventShutdownDone, "")
 }
 
+// awaitHandover waits for the end of open requests after the handover. Service
+// calls cannot be handed over; those that take longer are cut.
+func (f *Frontend) awaitHandover(done <-chan struct{}) {
+	timer := time.NewTimer(closeTimeout)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+		f.cfg.Checker.Check(egretflow.InvariantNoCutOnShutdown, false, "", "requests were open after the handover")
+	}
+}
+
 func (f *Frontend) record(name egretflow.EventName, request egretflow.RequestID, fields ...egretflow.EventField) {
 	f.cfg.Recorder.Record(egretflow.Event{Name: name, At: f.cfg.Clock(), Instance: f.cfg.Instance, Request: request, Fields: fields})
 }
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -1,13 +1,74 @@
 package frontend
 
 import (
+	"errors"
 	"net/http"
+	"slices"
+	"strings"
 
 	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/relayer"
 	"github.com/labstack/echo/v4"
 )
 
+// maxKeyBytes bounds an Idempotency-Key.
+const maxKeyBytes = 255
+
 // serveService answers a request of a service route.
 func (f *Frontend) serveService(c echo.Context) error {
-	return refuse(http.StatusNotFound, egretflow.RefusalForbidden, "no route", nil)
+	x, r := requestOf(c), c.Request()
+	route, pool, err := f.serviceRoute(x.caller, r)
+	if err != nil {
+		f.cfg.Metrics.Refused(asRefusal(err).Reason)
+		return err
+	}
+	key := r.Header.Get(headerKey)
+	if !route.Idempotent && (key == "" || len(key) > maxKeyBytes) {
+		f.cfg.Metrics.Refused(egretflow.RefusalBadRequest)
+		return badRequest(&egretflow.FieldError{Field: headerKey, Reason: "is required on this route, with at most 255 bytes"})
+	}
+	body, done, err := f.readBody(c)
+	if err != nil {
+		f.cfg.Metrics.Refused(asRefusal(err).Reason)
+		return err
+	}
+	defer done()
+	work := newWork(x, route)
+	work.Fingerprint = fingerprint(x.caller, r.Method+" "+r.URL.RequestURI(), body)
+	header := r.Header.Clone()
+	header.Set(headerRequestID, x.shownID)
+	f.record(egretflow.EventAdmitted, work.Request, x.callerID(), field("caller", string(x.caller)), field("route", string(route.Name)))
+	result, err := f.cfg.Relayer.Call(r.Context(), &relayer.Call{
+		Work: work, Pool: pool, Key: key, Method: r.Method, URL: r.URL, Host: r.Host, Header: header, Body: body,
+	}, c.Response())
+	f.finished(c, work, route, result, err)
+	if err != nil && result.Started {
+		// The caller must see that the response is cut.
+		panic(http.ErrAbortHandler)
+	}
+	return err
+}
+
+// serviceRoute finds the route, or the rejection of (4.1).
+func (f *Frontend) serviceRoute(caller egretflow.CallerName, r *http.Request) (*egretflow.Route, *egretflow.Pool, error) {
+	// A server may resolve dot segments to a path outside the route.
+	if segments := strings.Split(r.URL.Path, "/"); slices.Contains(segments, "..") || slices.Contains(segments, ".") {
+		return nil, nil, badRequest(&egretflow.FieldError{Field: "path", Reason: "must not contain dot segments"})
+	}
+	tables := f.cfg.Tables()
+	route, err := tables.RouteForPath(caller, r.Method, r.URL.Path)
+	switch {
+	case errors.Is(err, egretflow.ErrForbidden):
+		return nil, nil, refuse(http.StatusForbidden, egretflow.RefusalForbidden, "the caller has no route to this path", err)
+	case err != nil:
+		return nil, nil, refuse(http.StatusNotFound, egretflow.RefusalForbidden, "no route serves this path", err)
+	}
+	pool, ok := tables.Pool(route.Pool)
+	if !ok {
+		return nil, nil, f.refuseLater(http.StatusServiceUnavailable, egretflow.RefusalNoServer, "the pool of the route is missing")
+	}
+	if route.MaxStreams > 0 && f.streams.count(caller) > route.MaxStreams {
+		return nil, nil, f.tooManyStreams()
+	}
+	return route, pool, nil
 }
--- a/relayer/complete.go
+++ b/relayer/complete.go
@@ -130,7 +130,8 @@
 	var refusal *egretflow.Refusal
 	if errors.As(err, &refusal) {
 		known := *refusal
-		if known.RunState != egretflow.RunStateMayHaveRun || state == egretflow.RunStateRan {
+		// The scheduler does not know what became of earlier attempts.
+		if known.RunState != egretflow.RunStateRan {
 			known.RunState = state
 		}
 		return &known
