--- a/internal/openai/request.go
+++ b/internal/openai/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"strings"
 
@@ -82,11 +83,11 @@
 func ParseRequest(endpoint Endpoint, body []byte) (*Request, error) {
 	var f requestFields
 	if err := json.Unmarshal(body, &f); err != nil {
-		return nil, &egretflow.FieldError{Field: "body", Reason: err.Error()}
+		return nil, fieldError(err)
 	}
 	r := &Request{Endpoint: endpoint, Model: f.Model, Stream: f.Stream}
 	if err := json.Unmarshal(body, &r.fields); err != nil {
-		return nil, &egretflow.FieldError{Field: "body", Reason: err.Error()}
+		return nil, fieldError(err)
 	}
 	r.IncludeUsage = f.StreamOptions != nil && f.StreamOptions.IncludeUsage
 	if err := r.setTokens(&f); err != nil {
@@ -95,6 +96,15 @@
 	return r, r.setPrompt(&f)
 }
 
+// fieldError names the member that has a wrong type, or the whole body.
+func fieldError(err error) error {
+	var wrongType *json.UnmarshalTypeError
+	if errors.As(err, &wrongType) && wrongType.Field != "" {
+		return &egretflow.FieldError{Field: wrongType.Field, Reason: "must not be a " + wrongType.Value}
+	}
+	return &egretflow.FieldError{Field: "body", Reason: err.Error()}
+}
+
 func (r *Request) setTokens(f *requestFields) error {
 	r.tokensField = "max_tokens"
 	limit := f.MaxTokens
--- a/relayer/failure.go
+++ b/relayer/failure.go
@@ -64,7 +64,10 @@
 
 // Causes of the end of a connection.
 var (
-	errStalled    = errors.New("no data within the stall timeout")
+	errStalled = errors.New("no data within the stall timeout")
+	// errComplete ends a complete answer. It is not io.EOF, because that is what
+	// broken connections return.
+	errComplete   = errors.New("answer is complete")
 	errIncomplete = errors.New("stream ended before finish reason, usage and [DONE]")
 	errLost       = errors.New("another attempt answered first")
 )
--- a/relayer/progress.go
+++ b/relayer/progress.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"sync/atomic"
 	"time"
 
@@ -47,7 +46,7 @@
 func (p *progress) relay(s *stream) error {
 	s.idle = p.job.Sink.Flush
 	err := p.copy(s)
-	if errors.Is(err, io.EOF) {
+	if errors.Is(err, errComplete) {
 		err = p.job.Sink.Flush()
 	}
 	s.close(err)
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -157,7 +157,7 @@
 	return w.body.Read(p)
 }
 
-// next returns the next chunk, or io.EOF after a complete answer. The chunk is
+// next returns the next chunk, or errComplete after a complete answer. The chunk is
 // valid until the following call.
 func (s *stream) next() (*openai.Chunk, error) {
 	if len(s.pending) > 0 {
@@ -191,7 +191,7 @@
 	if !s.finished || !s.usage {
 		return s.mismatch("stream ended without finish reason or usage")
 	}
-	return io.EOF
+	return errComplete
 }
 
 // check returns the chunk of an event if it is the next one, nil if it was
@@ -213,7 +213,7 @@
 	switch {
 	case offset > s.offset+1:
 		return nil, s.mismatch(fmt.Sprintf("offset %d follows %d", offset, s.offset))
-	case offset < s.offset, offset == s.offset && c.HasText():
+	case offset < s.offset, offset == s.offset && s.repeats(&c):
 		return nil, nil
 	}
 	if offset > s.offset {
@@ -225,6 +225,13 @@
 	return &c, nil
 }
 
+// repeats reports whether a chunk at the current offset was read before. A
+// resumed stream sends finish reason and usage again.
+func (s *stream) repeats(c *openai.Chunk) bool {
+	finish, usage := c.Finish() != "", c.HasUsage()
+	return c.HasText() || (finish || usage) && (!finish || s.finished) && (!usage || s.usage)
+}
+
 func (s *stream) mismatch(reason string) error {
 	s.r.record(egretflow.EventMismatch, s.job.Work, s.assignment(), field("server", s.server.Name), field("reason", reason))
 	return &failure{kind: failureMismatch, server: s.server.Name, err: errors.New(reason)}
