Add the editor of the tables with audit trail

Change: editor with set, delete and apply as steps of one compare-and-swap, strict decoding that names the field, diff by route, pool and server, conflict error with both edits, audit entries in the same transaction in 1,000 slots that continue in further keys when larger than one value. After a lost answer the identical transaction is repeated. internal/fakestore is a store in memory with faults that a test switches.

--- /dev/null
+++ b/editor/editor.go
@@ -0,0 +1,241 @@
+package editor
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/egretflow/egretflow"
+)
+
+// Bounds of the texts that an operator gives.
+const (
+	MaxWhoBytes    = 256
+	MaxReasonBytes = 1024
+)
+
+// Bounds of the repetition after a lost answer. Outages of the store last
+// longer; the operator then resolves the edit by its id.
+const (
+	firstRetryAfter = 50 * time.Millisecond
+	maxRetryAfter   = 2 * time.Second
+	maxCommitTries  = 12
+)
+
+// Operation says what a step does.
+type Operation string
+
+// The operations.
+const (
+	OperationSet    Operation = "Set"
+	OperationDelete Operation = "Delete"
+)
+
+// Step is one change of the document.
+type Step struct {
+	Operation Operation
+	Path      string
+	// Value is the new JSON value; unused by OperationDelete.
+	Value json.RawMessage
+}
+
+// Request is an edit that takes effect as a whole or not at all.
+type Request struct {
+	// EditID is set to resume an edit whose outcome was unknown. Empty means a
+	// new edit.
+	EditID string
+	Who    string
+	Reason string
+	// Base is the revision that the operator looked at; 0 means the one read at
+	// the start of the edit.
+	Base   egretflow.Revision
+	DryRun bool
+	Steps  []Step
+}
+
+// Result is the outcome of an edit.
+type Result struct {
+	// Revision is the new revision, or the present one when nothing was written.
+	Revision egretflow.Revision
+	EditID   string
+	Changes  []Change
+	// Written is false for a dry run and for an edit that changes nothing.
+	Written bool
+}
+
+// Editor edits the tables. It is safe for concurrent use.
+type Editor struct {
+	store egretflow.Store
+	clock egretflow.Clock
+	newID func() string
+}
+
+// New returns an Editor; newID must return a different id at every call.
+func New(store egretflow.Store, clock egretflow.Clock, newID func() string) *Editor {
+	return &Editor{store: store, clock: clock, newID: newID}
+}
+
+// snapshot is the document as read.
+type snapshot struct {
+	tables      *egretflow.Tables
+	modRevision int64
+}
+
+// Tables returns the tables in the store. Before the first edit they are empty
+// and at revision 0.
+func (e *Editor) Tables(ctx context.Context) (*egretflow.Tables, error) {
+	s, err := e.read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return s.tables, nil
+}
+
+func (e *Editor) read(ctx context.Context) (snapshot, error) {
+	entry, err := e.store.Get(ctx, egretflow.TablesDocumentKey)
+	if errors.Is(err, egretflow.ErrNotFound) {
+		return snapshot{tables: &egretflow.Tables{}}, nil
+	}
+	if err != nil {
+		return snapshot{}, fmt.Errorf("read tables: %w", err)
+	}
+	var t egretflow.Tables
+	if err := json.Unmarshal(entry.Value, &t); err != nil {
+		return snapshot{}, fmt.Errorf("read tables: %w", err)
+	}
+	return snapshot{tables: &t, modRevision: entry.ModRevision}, nil
+}
+
+// Edit applies a request. Errors: *egretflow.FieldError for a change that is
+// refused, *ConflictError, ErrUnavailable (nothing was written), ErrUncertain
+// (repeat the request with the EditID of the result).
+func (e *Editor) Edit(ctx context.Context, r Request) (*Result, error) {
+	if err := r.check(); err != nil {
+		return nil, err
+	}
+	result := &Result{EditID: r.EditID}
+	if r.EditID == "" {
+		result.EditID = e.newID()
+	} else if done, err := e.findEdit(ctx, r.EditID); err != nil || done != nil {
+		return done, err
+	}
+	base, err := e.read(ctx)
+	if err != nil {
+		return result, err
+	}
+	if r.Base != 0 && r.Base != base.tables.Revision {
+		return result, e.staleBase(ctx, r, base.tables)
+	}
+	next, err := applySteps(base.tables, r.Steps)
+	if err != nil {
+		return result, err
+	}
+	if result.Changes, err = Diff(base.tables, next); err != nil {
+		return result, err
+	}
+	result.Revision = base.tables.Revision
+	if r.DryRun || len(result.Changes) == 0 {
+		return result, nil
+	}
+	next.Revision = base.tables.Revision + 1
+	next.EditID = result.EditID
+	entry := &Entry{
+		Revision: next.Revision, EditID: next.EditID, Who: r.Who, At: e.clock(), Reason: r.Reason, Changes: result.Changes,
+	}
+	txn, err := encodeEdit(base.modRevision, next, entry)
+	if err != nil {
+		return result, err
+	}
+	if err := e.commit(ctx, txn, entry); err != nil {
+		return result, err
+	}
+	result.Revision, result.Written = next.Revision, true
+	return result, nil
+}
+
+func (r *Request) check() error {
+	switch {
+	case r.Who == "" || len(r.Who) > MaxWhoBytes:
+		return &egretflow.FieldError{Field: "Who", Reason: fmt.Sprintf("must have 1 to %d bytes", MaxWhoBytes)}
+	case r.Reason == "" || len(r.Reason) > MaxReasonBytes:
+		return &egretflow.FieldError{Field: "Reason", Reason: fmt.Sprintf("must have 1 to %d bytes", MaxReasonBytes)}
+	case len(r.Steps) == 0:
+		return &egretflow.FieldError{Field: "Steps", Reason: "must not be empty"}
+	}
+	return nil
+}
+
+// encodeEdit builds the transaction of an edit.
+func encodeEdit(modRevision int64, next *egretflow.Tables, entry *Entry) (egretflow.StoreTxn, error) {
+	document, err := json.Marshal(next)
+	if err != nil {
+		return egretflow.StoreTxn{}, fmt.Errorf("encode tables: %w", err)
+	}
+	if len(document) > egretflow.MaxStoreValueBytes {
+		return egretflow.StoreTxn{}, &egretflow.FieldError{
+			Field:  "Tables",
+			Reason: fmt.Sprintf("encoded size of %d bytes exceeds %d", len(document), egretflow.MaxStoreValueBytes),
+		}
+	}
+	head, err := json.Marshal(egretflow.TablesHead{Revision: next.Revision, EditID: next.EditID})
+	if err != nil {
+		return egretflow.StoreTxn{}, fmt.Errorf("encode head: %w", err)
+	}
+	audit, err := entry.writes()
+	if err != nil {
+		return egretflow.StoreTxn{}, err
+	}
+	return egretflow.StoreTxn{
+		Conditions: []egretflow.StoreCondition{{Key: egretflow.TablesDocumentKey, ModRevision: modRevision}},
+		Writes: append([]egretflow.StoreWrite{
+			{Key: egretflow.TablesDocumentKey, Value: document},
+			{Key: egretflow.TablesHeadKey, Value: head},
+		}, audit...),
+	}, nil
+}
+
+// commit writes the transaction and repeats it while an earlier try may have
+// taken effect.
+func (e *Editor) commit(ctx context.Context, txn egretflow.StoreTxn, entry *Entry) error {
+	wait := &backoff.ExponentialBackOff{
+		InitialInterval: firstRetryAfter, Multiplier: 2, MaxInterval: maxRetryAfter,
+	}
+	wait.Reset()
+	uncertain := false
+	for try := 1; ; try++ {
+		_, err := e.store.Commit(ctx, txn)
+		if err == nil {
+			return nil
+		}
+		if errors.Is(err, egretflow.ErrConflict) {
+			return e.resolveConflict(ctx, entry, uncertain)
+		}
+		uncertain = uncertain || errors.Is(err, egretflow.ErrUncertain)
+		if !uncertain {
+			return fmt.Errorf("write edit %s: %w", entry.EditID, err)
+		}
+		if try == maxCommitTries || sleep(ctx, wait.NextBackOff()) != nil {
+			return uncertainEdit(entry, err)
+		}
+	}
+}
+
+// uncertainEdit does not wrap the cause, which may be an ErrUnavailable of the
+// last try and would claim that nothing was written.
+func uncertainEdit(entry *Entry, cause error) error {
+	return fmt.Errorf("write edit %s: %w (last failure: %s)", entry.EditID, egretflow.ErrUncertain, cause.Error())
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/editor/editor_test.go
@@ -0,0 +1,240 @@
+package editor
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/internal/fakestore"
+)
+
+func newTestEditor(store egretflow.Store) *Editor {
+	var n atomic.Int64
+	return New(store, time.Now, func() string { return fmt.Sprintf("edit-%d", n.Add(1)) })
+}
+
+func request(who, path, value string) Request {
+	return Request{Who: who, Reason: "test", Steps: []Step{{OperationSet, path, json.RawMessage(value)}}}
+}
+
+const (
+	drainPath = "Pools/assistant/Servers/d1/Drain"
+	slotsPath = "Pools/assistant/Servers/d1/Slots"
+)
+
+// withTables runs f in virtual time with a store that holds tables.json at
+// revision 1.
+func withTables(t *testing.T, f func(t *testing.T, store *fakestore.Store, ed *Editor)) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakestore.Store{}
+		ed := newTestEditor(store)
+		data, err := json.Marshal(readTables(t))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := ed.Edit(t.Context(), request("setup", "", string(data))); err != nil {
+			t.Fatal(err)
+		}
+		f(t, store, ed)
+	})
+}
+
+func revisionOf(t *testing.T, ed *Editor) egretflow.Revision {
+	t.Helper()
+	tables, err := ed.Tables(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return tables.Revision
+}
+
+// Guards against an edit that is reported as failed although it took effect,
+// and against one that takes effect twice.
+func TestLostAnswers(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults fakestore.Faults
+	}{
+		{"answer lost", fakestore.Faults{LoseAnswers: 1}},
+		{"write delayed beyond the first repetition", fakestore.Faults{DelayWrites: 1, DelayedBy: 10 * time.Second}},
+		{"write delayed and arriving between repetitions", fakestore.Faults{DelayWrites: 2, DelayedBy: 100 * time.Millisecond}},
+		{"write delayed, then answer lost", fakestore.Faults{DelayWrites: 1, DelayedBy: 10 * time.Second, LoseAnswers: 1}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			withTables(t, func(t *testing.T, store *fakestore.Store, ed *Editor) {
+				store.SetFaults(tt.faults)
+				result, err := ed.Edit(t.Context(), request("amina", drainPath, "true"))
+				if err != nil || result.Revision != 2 || !result.Written {
+					t.Fatalf("result %+v, error %v", result, err)
+				}
+				time.Sleep(time.Minute)
+				if r := revisionOf(t, ed); r != 2 {
+					t.Errorf("revision %d, want 2", r)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a repeated command that applies an edit of unknown outcome a
+// second time.
+func TestResumeUnknownEdit(t *testing.T) {
+	withTables(t, func(t *testing.T, store *fakestore.Store, ed *Editor) {
+		store.SetFaults(fakestore.Faults{LoseAnswers: 100})
+		r := request("amina", drainPath, "true")
+		ctx, cancel := contextWithTimeout(t, 40*time.Millisecond)
+		result, err := ed.Edit(ctx, r)
+		cancel()
+		if !errors.Is(err, egretflow.ErrUncertain) || errors.Is(err, egretflow.ErrUnavailable) {
+			t.Fatalf("error %v", err)
+		}
+		store.SetFaults(fakestore.Faults{})
+		if _, err := ed.Edit(t.Context(), request("farid", drainPath, "false")); err != nil {
+			t.Fatal(err)
+		}
+		r.EditID = result.EditID
+		resumed, err := ed.Edit(t.Context(), r)
+		if err != nil || resumed.Revision != 2 || revisionOf(t, ed) != 3 {
+			t.Errorf("result %+v, error %v, revision %d", resumed, err, revisionOf(t, ed))
+		}
+	})
+}
+
+func TestOutageWritesNothing(t *testing.T) {
+	withTables(t, func(t *testing.T, store *fakestore.Store, ed *Editor) {
+		store.SetFaults(fakestore.Faults{Outage: true})
+		if _, err := ed.Edit(t.Context(), request("amina", drainPath, "true")); !errors.Is(err, egretflow.ErrUnavailable) {
+			t.Errorf("error %v", err)
+		}
+		store.SetFaults(fakestore.Faults{})
+		if r := revisionOf(t, ed); r != 1 {
+			t.Errorf("revision %d, want 1", r)
+		}
+	})
+}
+
+// Guards against a lost update when two operators edit at once.
+func TestConcurrentEditsConflict(t *testing.T) {
+	withTables(t, func(t *testing.T, store *fakestore.Store, ed *Editor) {
+		store.SetFaults(fakestore.Faults{Latency: time.Millisecond})
+		errs := make(chan error, 2)
+		for _, r := range []Request{request("amina", drainPath, "true"), request("farid", slotsPath, "7")} {
+			go func() {
+				_, err := ed.Edit(t.Context(), r)
+				errs <- err
+			}()
+		}
+		first, second := <-errs, <-errs
+		if first != nil {
+			first, second = second, first
+		}
+		var conflict *ConflictError
+		if first != nil || !errors.As(second, &conflict) || !errors.Is(second, egretflow.ErrConflict) {
+			t.Fatalf("errors %v and %v", first, second)
+		}
+		if len(conflict.Yours) != 1 || len(conflict.Theirs) != 1 || len(conflict.Theirs[0].Changes) != 1 {
+			t.Errorf("conflict does not show both edits: %v", conflict)
+		}
+	})
+}
+
+// Guards against a file made from an old revision that undoes edits since.
+func TestStaleBaseShowsBothEdits(t *testing.T) {
+	withTables(t, func(t *testing.T, _ *fakestore.Store, ed *Editor) {
+		for _, r := range []Request{
+			request("farid", slotsPath, "7"),
+			request("farid", "Pools/assistant/TokenGap", `"31ms"`),
+		} {
+			if _, err := ed.Edit(t.Context(), r); err != nil {
+				t.Fatal(err)
+			}
+		}
+		wanted := readTables(t)
+		wanted.Pools[0].Servers[1].Drain = true
+		data, err := json.Marshal(wanted)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := request("amina", "", string(data))
+		r.Base = 1
+		var conflict *ConflictError
+		if _, err := ed.Edit(t.Context(), r); !errors.As(err, &conflict) {
+			t.Fatalf("error %v", err)
+		}
+		if len(conflict.Theirs) != 2 || len(conflict.Yours) != 1 || !strings.Contains(string(conflict.Yours[0].After), "Drain") {
+			t.Errorf("conflict %v", conflict)
+		}
+	})
+}
+
+func TestDryRunWritesNothing(t *testing.T) {
+	withTables(t, func(t *testing.T, store *fakestore.Store, ed *Editor) {
+		r := request("amina", drainPath, "true")
+		r.DryRun = true
+		result, err := ed.Edit(t.Context(), r)
+		if err != nil || result.Written || len(result.Changes) != 1 || store.Calls()["Commit"] != 1 {
+			t.Errorf("result %+v, error %v, calls %v", result, err, store.Calls())
+		}
+	})
+}
+
+// Guards against a trail that grows without bound or loses recent entries.
+func TestAuditTrailIsBounded(t *testing.T) {
+	withTables(t, func(t *testing.T, store *fakestore.Store, ed *Editor) {
+		const edits = AuditEntries + 25
+		for n := 2; n <= edits; n++ {
+			if _, err := ed.Edit(t.Context(), request("amina", slotsPath, fmt.Sprint(n))); err != nil {
+				t.Fatal(err)
+			}
+		}
+		entries, err := ed.Audit(t.Context(), 2*AuditEntries)
+		if err != nil || len(entries) != AuditEntries {
+			t.Fatalf("%d entries, error %v", len(entries), err)
+		}
+		for n, entry := range entries {
+			if entry.Revision != egretflow.Revision(edits-n) || len(entry.Changes) != 1 || entry.Who != "amina" {
+				t.Fatalf("entry %d: %+v", n, entry)
+			}
+		}
+		if keys, err := store.List(t.Context(), "Audit/"); err != nil || len(keys) != AuditEntries {
+			t.Errorf("%d keys, error %v", len(keys), err)
+		}
+	})
+}
+
+// Guards against an edit that fits the document but not one value of the trail.
+func TestLargeAuditEntryIsSplit(t *testing.T) {
+	withTables(t, func(t *testing.T, store *fakestore.Store, ed *Editor) {
+		callers := func(prefix string) string {
+			names := make([]string, 40_000)
+			for n := range names {
+				names[n] = fmt.Sprintf("%s-caller-%06d", prefix, n)
+			}
+			data, _ := json.Marshal(names)
+			return string(data)
+		}
+		for _, prefix := range []string{"a", "b"} {
+			if _, err := ed.Edit(t.Context(), request("amina", "Routes/chat/Callers", callers(prefix))); err != nil {
+				t.Fatal(err)
+			}
+		}
+		keys, err := store.List(t.Context(), "Audit/003/")
+		if err != nil || len(keys) < 2 {
+			t.Fatalf("%d keys, error %v", len(keys), err)
+		}
+		entries, err := ed.Audit(t.Context(), 1)
+		if err != nil || len(entries) != 1 || len(entries[0].Changes[0].Before) < 500_000 {
+			t.Errorf("%d entries, error %v", len(entries), err)
+		}
+		if _, err := ed.Edit(t.Context(), request("amina", "Routes/chat/Callers", callers(strings.Repeat("c", 20)))); !strings.Contains(fmt.Sprint(err), "Tables: encoded size") {
+			t.Errorf("error %v, want the size refused", err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/fakestore/fakestore.go
@@ -0,0 +1,243 @@
+// Package fakestore is an egretflow.Store in memory for unit tests in virtual
+// time. Faults are switched in the process, so that a test decides which call
+// fails. The protocol itself is tested against internal/stub/store.
+package fakestore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/egretflow/egretflow"
+)
+
+// Faults are the faults in force.
+type Faults struct {
+	// Outage fails every call, and ends watches, without effect.
+	Outage bool
+	// LoseAnswers is the number of commits whose answer is lost after they took
+	// effect.
+	LoseAnswers int
+	// DelayWrites is the number of commits whose answer is lost and that take
+	// effect only DelayedBy later, if their conditions still hold.
+	DelayWrites int
+	DelayedBy   time.Duration
+	// SilentWatches keeps watches open without delivering events.
+	SilentWatches bool
+	// Latency is how long each call takes.
+	Latency time.Duration
+}
+
+// Store is the fake. The zero value is an empty store without faults.
+type Store struct {
+	mu       sync.Mutex
+	faults   Faults
+	revision int64
+	kept     int64
+	entries  map[string]egretflow.StoreEntry
+	history  []egretflow.StoreEntry
+	changed  chan struct{}
+	calls    map[string]int
+}
+
+var _ egretflow.Store = (*Store)(nil)
+
+// ErrCompacted ends a watch from a revision that is no longer kept.
+var ErrCompacted = errors.New("compacted")
+
+// SetFaults replaces the faults in force.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	s.wake()
+}
+
+// Compact drops the history and ends all watches, as a store does with slow
+// watchers.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.kept = s.revision + 1
+	s.history = nil
+	s.wake()
+}
+
+// Calls returns the number of calls so far by method.
+func (s *Store) Calls() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.calls)
+}
+
+func (s *Store) wake() {
+	if s.changed != nil {
+		close(s.changed)
+	}
+	s.changed = make(chan struct{})
+}
+
+// begin counts the call and waits its latency.
+func (s *Store) begin(ctx context.Context, method string) error {
+	s.mu.Lock()
+	if s.calls == nil {
+		s.calls = map[string]int{}
+	}
+	s.calls[method]++
+	f := s.faults
+	s.mu.Unlock()
+	select {
+	case <-time.After(f.Latency):
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %w", egretflow.ErrUnavailable, ctx.Err())
+	}
+	if f.Outage {
+		return egretflow.ErrUnavailable
+	}
+	return nil
+}
+
+// Get implements egretflow.Store.
+func (s *Store) Get(ctx context.Context, key string) (egretflow.StoreEntry, error) {
+	if err := s.begin(ctx, "Get"); err != nil {
+		return egretflow.StoreEntry{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.entries[key]
+	if !ok {
+		return e, egretflow.ErrNotFound
+	}
+	return e, nil
+}
+
+// List implements egretflow.Store.
+func (s *Store) List(ctx context.Context, prefix string) ([]egretflow.StoreEntry, error) {
+	if err := s.begin(ctx, "List"); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []egretflow.StoreEntry
+	for _, key := range slices.Sorted(maps.Keys(s.entries)) {
+		if strings.HasPrefix(key, prefix) {
+			list = append(list, s.entries[key])
+		}
+	}
+	return list, nil
+}
+
+// Commit implements egretflow.Store.
+func (s *Store) Commit(ctx context.Context, txn egretflow.StoreTxn) (int64, error) {
+	if err := s.begin(ctx, "Commit"); err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.DelayWrites > 0 {
+		s.faults.DelayWrites--
+		time.AfterFunc(s.faults.DelayedBy, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			_, _ = s.apply(txn)
+		})
+		return 0, egretflow.ErrUncertain
+	}
+	revision, err := s.apply(txn)
+	if err == nil && s.faults.LoseAnswers > 0 {
+		s.faults.LoseAnswers--
+		return 0, egretflow.ErrUncertain
+	}
+	return revision, err
+}
+
+func (s *Store) apply(txn egretflow.StoreTxn) (int64, error) {
+	for _, c := range txn.Conditions {
+		if s.entries[c.Key].ModRevision != c.ModRevision {
+			return 0, egretflow.ErrConflict
+		}
+	}
+	if s.entries == nil {
+		s.entries = map[string]egretflow.StoreEntry{}
+	}
+	s.revision++
+	for _, w := range txn.Writes {
+		old, exists := s.entries[w.Key]
+		e := egretflow.StoreEntry{Key: w.Key, ModRevision: s.revision, CreateRevision: s.revision}
+		if exists {
+			e.CreateRevision = old.CreateRevision
+		}
+		if w.Delete {
+			if !exists {
+				continue
+			}
+			delete(s.entries, w.Key)
+		} else {
+			e.Value = slices.Clone(w.Value)
+			s.entries[w.Key] = e
+		}
+		s.history = append(s.history, e)
+	}
+	s.wake()
+	return s.revision, nil
+}
+
+// Watch implements egretflow.Store.
+func (s *Store) Watch(ctx context.Context, prefix string, after int64, events chan<- egretflow.StoreEntry) error {
+	if err := s.begin(ctx, "Watch"); err != nil {
+		return err
+	}
+	for {
+		s.mu.Lock()
+		if s.changed == nil {
+			s.changed = make(chan struct{})
+		}
+		changed, f, kept := s.changed, s.faults, s.kept
+		history := s.history
+		s.mu.Unlock()
+		if f.Outage {
+			return egretflow.ErrUnavailable
+		}
+		if after+1 < kept {
+			return ErrCompacted
+		}
+		sent := after
+		for _, e := range history {
+			if f.SilentWatches || e.ModRevision <= after || !strings.HasPrefix(e.Key, prefix) {
+				continue
+			}
+			select {
+			case events <- e:
+				sent = e.ModRevision
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}
+		after = sent
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// GrantLease is not supported.
+func (s *Store) GrantLease(context.Context, time.Duration) (egretflow.Lease, error) {
+	return egretflow.Lease{}, egretflow.ErrUnavailable
+}
+
+// KeepLease is not supported.
+func (s *Store) KeepLease(context.Context, egretflow.LeaseID) (egretflow.Lease, error) {
+	return egretflow.Lease{}, egretflow.ErrUnavailable
+}
+
+// RevokeLease is not supported.
+func (s *Store) RevokeLease(context.Context, egretflow.LeaseID) error {
+	return egretflow.ErrUnavailable
+}
