Add the distributor of revisions

Change: distributor with two watchers per failure domain, hints to four random peers, periodic comparison with a watcher or any peer, start from the highest revision found, confirmation only by the store or a peer that read it itself, re-read after broken or silent watches, status handler.

--- /dev/null
+++ b/distributor/distributor_test.go
@@ -0,0 +1,286 @@
+package distributor
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/internal/fakestore"
+)
+
+// withFleet runs f in virtual time with a started fleet at revision 1.
+func withFleet(t *testing.T, size, domains int, f func(t *testing.T, fl *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, size, domains, Timing{})
+		fl.edit(1)
+		fl.startAll(1)
+		fl.awaitRevision(1, time.Second)
+		time.Sleep(5 * time.Second)
+		f(t, fl)
+		fl.stopAll()
+	})
+}
+
+func normalFaults() fakestore.Faults { return fakestore.Faults{Latency: 2 * time.Millisecond} }
+
+func outage() fakestore.Faults { return fakestore.Faults{Outage: true} }
+
+func TestOnlyPickedInstancesWatch(t *testing.T) {
+	withFleet(t, 24, 4, func(t *testing.T, f *fleet) {
+		watching := map[egretflow.FailureDomain]int{}
+		for _, m := range f.members {
+			status, err := f.instance(m).Status(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			if status.WatchesStore {
+				watching[m.FailureDomain]++
+			}
+			if !status.RevisionConfirmed || !status.Ready || status.Revision != 1 {
+				t.Errorf("status %+v", status)
+			}
+		}
+		for domain, n := range watching {
+			if n != WatchersPerDomain {
+				t.Errorf("%s: %d watchers", domain, n)
+			}
+		}
+		if watches := f.store.Calls()["Watch"]; watches != 4*WatchersPerDomain {
+			t.Errorf("%d watches", watches)
+		}
+	})
+}
+
+// Each fault is in force from before the edit, and the revision must be active
+// everywhere within the 7 s of section 14 all the same.
+func TestRevisionSpreadsDespiteFaults(t *testing.T) {
+	watchersOf := func(f *fleet, domain int) []egretflow.Member {
+		return pickWatchers(f.members)[domainOf(f.members[domain])]
+	}
+	tests := []struct {
+		name   string
+		inject func(f *fleet)
+	}{
+		{"silent watches", func(f *fleet) { f.store.SetFaults(fakestore.Faults{SilentWatches: true}) }},
+		{"slow store", func(f *fleet) { f.store.SetFaults(fakestore.Faults{Latency: time.Second}) }},
+		{"compaction", func(f *fleet) { f.store.Compact() }},
+		{"outage until just before the edit", func(f *fleet) {
+			f.store.SetFaults(outage())
+			time.Sleep(time.Minute)
+			f.store.SetFaults(normalFaults())
+		}},
+		{"a fifth of the peers silent until the edit", func(f *fleet) {
+			for n := 0; n < len(f.members); n += 5 {
+				f.setLink(f.members[n], linkSilent)
+				time.AfterFunc(time.Second, func() { f.setLink(f.members[n], linkUp) })
+			}
+		}},
+		{"watchers of one domain unreachable by peers", func(f *fleet) {
+			for _, m := range watchersOf(f, 0) {
+				f.setLink(m, linkRefused)
+			}
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			withFleet(t, 24, 4, func(t *testing.T, f *fleet) {
+				tt.inject(f)
+				f.awaitRevision(f.edit(2), 7*time.Second)
+			})
+		})
+	}
+}
+
+// Guards against a restarted instance that serves an old revision, or claims
+// to be current, while the store is down.
+func TestRestartDuringOutage(t *testing.T) {
+	withFleet(t, 12, 3, func(t *testing.T, f *fleet) {
+		f.awaitRevision(f.edit(2), 7*time.Second)
+		f.store.SetFaults(outage())
+		restarted := f.restart(f.members[4], 2)
+		<-restarted.Ready()
+		if current := restarted.Current(); current.Tables.Revision != 2 {
+			t.Errorf("revision %d, want 2", current.Tables.Revision)
+		}
+		time.Sleep(time.Minute)
+		for _, m := range f.members {
+			if current := f.instance(m).Current(); current.Confirmed || current.Tables.Revision != 2 {
+				t.Errorf("%s during the outage: %+v", m.Name, current)
+			}
+		}
+		restarted = f.restart(f.members[4], 3)
+		<-restarted.Ready()
+		if current := restarted.Current(); current.Confirmed || current.Tables.Revision != 2 {
+			t.Errorf("restarted late in the outage: %+v", current)
+		}
+		f.store.SetFaults(normalFaults())
+		time.Sleep(10 * time.Second)
+		for _, m := range f.members {
+			if !f.instance(m).Current().Confirmed {
+				t.Errorf("%s is not confirmed after the outage", m.Name)
+			}
+		}
+	})
+}
+
+// Guards against a start that takes the first answer, which may come from a
+// peer that was cut off and is behind.
+func TestStartTakesHighestOfStalePeers(t *testing.T) {
+	withFleet(t, 9, 3, func(t *testing.T, f *fleet) {
+		for _, m := range f.members[:7] {
+			f.setLink(m, linkRefused)
+		}
+		f.store.SetFaults(outage())
+		time.Sleep(time.Second)
+		// Only instances 7 and 8 learn of revision 2 before the start of 0.
+		doc, err := decodeDocument([]byte(`{"Revision": 2, "EditID": "late", "Routes": [], "Pools": []}`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.instance(f.members[8]).active.activate(doc, time.Now())
+		for _, m := range f.members[:7] {
+			f.setLink(m, linkUp)
+		}
+		restarted := f.restart(f.members[0], 2)
+		<-restarted.Ready()
+		if r := restarted.Current().Tables.Revision; r != 2 {
+			t.Errorf("revision %d, want 2", r)
+		}
+	})
+}
+
+// Guards against a store that was restored from an old copy: instances keep
+// the higher revision and no longer call it confirmed.
+func TestStoreBehindIsNotAccepted(t *testing.T) {
+	withFleet(t, 9, 3, func(t *testing.T, f *fleet) {
+		f.awaitRevision(f.edit(2), 7*time.Second)
+		old, err := json.Marshal(egretflow.TablesHead{Revision: 1, EditID: "edit-1"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := f.store.Commit(t.Context(), egretflow.StoreTxn{Writes: []egretflow.StoreWrite{
+			{Key: egretflow.TablesDocumentKey, Value: []byte(`{"Revision":1,"EditID":"edit-1","Routes":[],"Pools":[]}`)},
+			{Key: egretflow.TablesHeadKey, Value: old},
+		}}); err != nil {
+			t.Fatal(err)
+		}
+		// A watcher knows after one read of the head, the others at the latest
+		// when their last confirmation has lapsed.
+		time.Sleep(3 * time.Second)
+		for _, m := range f.members {
+			if i := f.instance(m); contains(pickWatchers(f.members)[domainOf(m)], m.Name) && i.Current().Confirmed {
+				t.Errorf("watcher %s is confirmed", m.Name)
+			}
+		}
+		time.Sleep(27 * time.Second)
+		for _, m := range f.members {
+			if current := f.instance(m).Current(); current.Tables.Revision != 2 || current.Confirmed {
+				t.Errorf("%s: %+v", m.Name, current)
+			}
+		}
+	})
+}
+
+// Guards against a pull that waits for a silent peer while others could answer.
+func TestSilentPeerIsHedged(t *testing.T) {
+	withFleet(t, 3, 1, func(t *testing.T, f *fleet) {
+		f.store.SetFaults(outage())
+		doc, err := decodeDocument([]byte(`{"Revision": 2, "EditID": "late", "Routes": [], "Pools": []}`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.instance(f.members[1]).active.activate(doc, time.Now())
+		f.instance(f.members[2]).active.activate(doc, time.Now())
+		f.setLink(f.members[1], linkSilent)
+		start := time.Now()
+		reader := f.instance(f.members[0])
+		reader.Hint(f.members[1], 2)
+		reader.Hint(f.members[2], 2)
+		for reader.Current().Tables.Revision < 2 {
+			time.Sleep(time.Millisecond)
+		}
+		if took := time.Since(start); took > 2*DefaultHedgeAfter+10*oneWay {
+			t.Errorf("took %v", took)
+		}
+	})
+}
+
+type checkRecord struct{ violated bool }
+
+func (c *checkRecord) Check(_ egretflow.Invariant, holds bool, _ egretflow.RequestID, _ string) {
+	c.violated = c.violated || !holds
+}
+
+// The last guard of I8 works even if the task had asked for a step back.
+func TestActivateRefusesStepBack(t *testing.T) {
+	c := &checkRecord{}
+	a := newActive(c)
+	for _, r := range []egretflow.Revision{5, 4} {
+		a.activate(document{tables: &egretflow.Tables{Revision: r}}, time.Time{})
+	}
+	if !c.violated || a.load().revision() != 5 {
+		t.Errorf("violated %v, revision %d", c.violated, a.load().revision())
+	}
+}
+
+// Random outages, broken links, restarts, compactions and edits: no instance
+// ever goes back, and after the faults all have the last revision within 7 s.
+func TestRandomFaultsNeverRevert(t *testing.T) {
+	for seed := range uint64(10) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			withFleet(t, 10, 3, func(t *testing.T, f *fleet) {
+				r := rand.New(rand.NewPCG(seed, 0))
+				accepted := egretflow.Revision(1)
+				for step := range 60 {
+					m := f.members[r.IntN(len(f.members))]
+					switch r.IntN(7) {
+					case 0:
+						f.store.SetFaults(outage())
+					case 1:
+						f.store.Compact()
+					case 2:
+						f.store.SetFaults(fakestore.Faults{SilentWatches: r.IntN(2) == 0, Latency: time.Duration(r.IntN(300)) * time.Millisecond})
+					case 3:
+						f.setLink(m, []linkState{linkUp, linkSilent, linkRefused}[r.IntN(3)])
+					case 4:
+						f.restart(m, seed)
+					default:
+						f.store.SetFaults(normalFaults())
+						accepted = f.edit(step + 2)
+					}
+					time.Sleep(time.Duration(r.IntN(2000)) * time.Millisecond)
+				}
+				f.store.SetFaults(normalFaults())
+				for _, m := range f.members {
+					f.setLink(m, linkUp)
+				}
+				f.awaitRevision(accepted, 7*time.Second)
+			})
+		})
+	}
+}
+
+func TestStatusHandler(t *testing.T) {
+	withFleet(t, 3, 1, func(t *testing.T, f *fleet) {
+		for method, want := range map[string]int{http.MethodGet: http.StatusOK, http.MethodPost: http.StatusMethodNotAllowed} {
+			w := httptest.NewRecorder()
+			f.instance(f.members[0]).StatusHandler().ServeHTTP(w, httptest.NewRequest(method, egretflow.StatusPath, nil))
+			if w.Code != want {
+				t.Errorf("%s: status %d", method, w.Code)
+			}
+			if want != http.StatusOK {
+				continue
+			}
+			var status egretflow.InstanceStatus
+			if err := json.Unmarshal(w.Body.Bytes(), &status); err != nil || status.Revision != 1 || len(status.Members) != 3 {
+				t.Errorf("status %+v, error %v", status, err)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/distributor/pull.go
@@ -0,0 +1,171 @@
+package distributor
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/egretflow/egretflow"
+)
+
+// pullPurpose says why a peer is asked.
+type pullPurpose string
+
+const (
+	// purposeTables pulls tables from a peer that announced them.
+	purposeTables pullPurpose = "Tables"
+	// purposePush announces the own revision.
+	purposePush pullPurpose = "Push"
+	// purposeCompare is the periodic comparison of rule 3.
+	purposeCompare pullPurpose = "Compare"
+	// purposeStartup asks for the revision only.
+	purposeStartup pullPurpose = "Startup"
+)
+
+// pullResult is the end of one call to a peer.
+type pullResult struct {
+	peer     egretflow.Member
+	purpose  pullPurpose
+	sentAt   time.Time
+	response *egretflow.PullResponse
+	document document
+	err      error
+}
+
+// pullBook holds the hints not yet followed and the pulls under way.
+type pullBook struct {
+	hints    map[egretflow.InstanceName]hint
+	inFlight map[egretflow.InstanceName]time.Time
+}
+
+func newPullBook() pullBook {
+	return pullBook{
+		hints:    map[egretflow.InstanceName]hint{},
+		inFlight: map[egretflow.InstanceName]time.Time{},
+	}
+}
+
+func (b *pullBook) idle() bool { return len(b.hints) == 0 && len(b.inFlight) == 0 }
+
+// best returns the hint with the highest revision of a peer that is not being
+// asked, and drops those that are not higher than the active revision.
+func (b *pullBook) best(active egretflow.Revision) (hint, bool) {
+	var found hint
+	for name, h := range b.hints {
+		if h.revision <= active {
+			delete(b.hints, name)
+			continue
+		}
+		if _, asked := b.inFlight[name]; asked {
+			continue
+		}
+		if order := cmp.Compare(h.revision, found.revision); order > 0 || order == 0 && name < found.from.Name {
+			found = h
+		}
+	}
+	return found, found.revision > 0
+}
+
+// mayStart reports whether another pull may start: the first at once, the
+// second when the first has been silent for a while.
+func (b *pullBook) mayStart(now time.Time, hedgeAfter time.Duration) bool {
+	for _, since := range b.inFlight {
+		if len(b.inFlight) > 1 || now.Before(since.Add(hedgeAfter)) {
+			return false
+		}
+	}
+	return true
+}
+
+func (t *task) addHint(ctx context.Context, h hint) {
+	if !h.from.Address.IsValid() {
+		for _, m := range t.all {
+			if m.Name == h.from.Name {
+				h.from = m
+			}
+		}
+	}
+	if h.from.Name == "" || h.from.Name == t.cfg.Self.Name || !h.from.Address.IsValid() {
+		return
+	}
+	t.pulls.hints[h.from.Name] = h
+	t.pullFromHints(ctx)
+}
+
+// pullFromHints starts a pull if there is something higher to get.
+func (t *task) pullFromHints(ctx context.Context) {
+	h, ok := t.pulls.best(t.active.load().revision())
+	if !ok || !t.pulls.mayStart(t.cfg.Clock(), t.cfg.Timing.HedgeAfter) {
+		return
+	}
+	t.pulls.inFlight[h.from.Name] = t.cfg.Clock()
+	t.ask(ctx, h.from, purposeTables)
+}
+
+// ask calls a peer in a goroutine of its own.
+func (t *task) ask(ctx context.Context, peer egretflow.Member, purpose pullPurpose) {
+	request := &egretflow.PullRequest{
+		Above:    t.active.load().revision(),
+		From:     t.cfg.Self.Name,
+		Revision: t.active.load().revision(),
+	}
+	if purpose == purposeStartup {
+		request.Above = math.MaxUint64
+	}
+	t.spawn(func() {
+		r := pullResult{peer: peer, purpose: purpose, sentAt: t.cfg.Clock()}
+		callCtx, cancel := context.WithTimeout(ctx, t.cfg.Timing.PullTimeout)
+		defer cancel()
+		r.response, r.err = t.cfg.Peers.Pull(callCtx, peer, request)
+		if r.err == nil && len(r.response.Tables) > 0 {
+			r.document, r.err = decodeDocument(r.response.Tables)
+		}
+		select {
+		case t.results <- r:
+		case <-ctx.Done():
+		}
+	})
+}
+
+func decodeDocument(data []byte) (document, error) {
+	var t egretflow.Tables
+	if err := json.Unmarshal(data, &t); err != nil {
+		return document{}, fmt.Errorf("decode tables: %w", err)
+	}
+	return document{&t, data}, nil
+}
+
+func (t *task) takeResult(ctx context.Context, r pullResult) {
+	switch r.purpose {
+	case purposeTables:
+		delete(t.pulls.inFlight, r.peer.Name)
+		delete(t.pulls.hints, r.peer.Name)
+	case purposeStartup:
+		t.startupOpen--
+	case purposeCompare:
+		if contains(t.watchers[domainOf(r.peer)], r.peer.Name) {
+			t.askOtherDomain = r.err != nil || !r.response.Confirmed
+		}
+	}
+	if r.err == nil {
+		t.takeResponse(ctx, r)
+	}
+	t.pullFromHints(ctx)
+}
+
+func (t *task) takeResponse(ctx context.Context, r pullResult) {
+	if r.document.tables != nil {
+		t.accept(ctx, r.document, string(r.peer.Name))
+	} else if r.response.Revision > t.active.load().revision() {
+		t.pulls.hints[r.peer.Name] = hint{r.peer, r.response.Revision}
+	}
+	s := t.active.load()
+	same := r.response.Revision == s.revision() && r.response.EditID == s.editID()
+	older := r.response.Revision < s.revision()
+	if r.response.Confirmed && s.tables != nil && (same || older) {
+		t.active.confirm(r.sentAt, false)
+	}
+}
--- /dev/null
+++ b/distributor/rank.go
@@ -0,0 +1,40 @@
+package distributor
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/egretflow/egretflow"
+)
+
+// domainKey identifies a failure domain.
+type domainKey struct {
+	region egretflow.Region
+	domain egretflow.FailureDomain
+}
+
+func domainOf(m egretflow.Member) domainKey { return domainKey{m.Region, m.FailureDomain} }
+
+// rank is the rendezvous rank of a member in its failure domain. It depends on
+// nothing else, so the loss of a member moves no other watcher.
+func rank(m egretflow.Member) uint64 {
+	return xxhash.Sum64String(string(m.Region) + "/" + string(m.FailureDomain) + "/" + string(m.Name))
+}
+
+// pickWatchers returns the members that watch the store, by failure domain.
+func pickWatchers(members []egretflow.Member) map[domainKey][]egretflow.Member {
+	watchers := map[domainKey][]egretflow.Member{}
+	for _, m := range members {
+		if m.State == egretflow.MemberStateLive {
+			watchers[domainOf(m)] = append(watchers[domainOf(m)], m)
+		}
+	}
+	for key, list := range watchers {
+		slices.SortFunc(list, func(a, b egretflow.Member) int {
+			return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.Name, b.Name))
+		})
+		watchers[key] = list[:min(len(list), WatchersPerDomain)]
+	}
+	return watchers
+}
--- /dev/null
+++ b/distributor/store.go
@@ -0,0 +1,190 @@
+package distributor
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/egretflow/egretflow"
+)
+
+// errSilentWatch means that the head was ahead of the watch.
+var errSilentWatch = errors.New("watch fell behind the head")
+
+// storeRead is what a call to the store showed. head is zero when the store
+// holds no tables; document is empty when only the head was read.
+type storeRead struct {
+	document document
+	head     egretflow.TablesHead
+	// readAt is before the call, so a confirmation is never too new. For an
+	// event it is the receipt; a watch that lags is contradicted by the head.
+	readAt time.Time
+	// startup marks the read of rule 6.
+	startup bool
+	// fromWatch marks an event, which may be older than the active revision
+	// without contradicting it.
+	fromWatch bool
+	err       error
+}
+
+// storeFollower is the goroutine of a watcher that reads and watches the store.
+type storeFollower struct {
+	*Distributor
+	rand *rand.Rand
+	// seen is the highest revision that the present watch has delivered.
+	seen egretflow.Revision
+}
+
+func (d *Distributor) sendRead(ctx context.Context, r storeRead) {
+	select {
+	case d.reads <- r:
+	case <-ctx.Done():
+	}
+}
+
+func (d *Distributor) readStoreOnce(ctx context.Context) {
+	r, _ := d.readDocument(ctx)
+	r.startup = true
+	d.sendRead(ctx, r)
+}
+
+// readDocument returns the document and its store revision.
+func (d *Distributor) readDocument(ctx context.Context) (storeRead, int64) {
+	r := storeRead{readAt: d.cfg.Clock()}
+	entry, err := d.cfg.Store.Get(ctx, egretflow.TablesDocumentKey)
+	if errors.Is(err, egretflow.ErrNotFound) {
+		return r, 0
+	}
+	if err != nil {
+		r.err = fmt.Errorf("read tables: %w", err)
+		return r, 0
+	}
+	r.decode(entry.Value)
+	return r, entry.ModRevision
+}
+
+func (r *storeRead) decode(data []byte) {
+	var t egretflow.Tables
+	if err := json.Unmarshal(data, &t); err != nil {
+		r.err = fmt.Errorf("decode tables: %w", err)
+		return
+	}
+	r.document = document{&t, data}
+	r.head = egretflow.TablesHead{Revision: t.Revision, EditID: t.EditID}
+}
+
+// run follows the store until ctx ends and waits longer after each failure in
+// a row.
+func (f *storeFollower) run(ctx context.Context) {
+	failures := 0
+	for ctx.Err() == nil {
+		followed, err := f.follow(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if followed {
+			failures = 0
+		}
+		if errors.Is(err, errSilentWatch) {
+			continue
+		}
+		failures++
+		f.sendRead(ctx, storeRead{err: err})
+		_ = sleep(ctx, f.backoff(failures))
+	}
+}
+
+// follow reads the document and then watches it until the watch breaks or
+// falls behind. followed says that the document could be read.
+func (f *storeFollower) follow(ctx context.Context) (followed bool, err error) {
+	first, modRevision := f.readDocument(ctx)
+	if first.err != nil {
+		return false, first.err
+	}
+	f.seen = first.head.Revision
+	f.sendRead(ctx, first)
+
+	ctx, cancel := context.WithCancel(ctx)
+	events := make(chan egretflow.StoreEntry)
+	broken := make(chan error, 1)
+	var watch sync.WaitGroup
+	watch.Go(func() { broken <- f.cfg.Store.Watch(ctx, egretflow.TablesDocumentKey, modRevision, events) })
+	defer watch.Wait()
+	defer cancel()
+
+	for {
+		head := time.NewTimer(jitter(f.rand, f.cfg.Timing.HeadInterval))
+		select {
+		case e := <-events:
+			f.takeEvent(ctx, e)
+		case <-head.C:
+			err = f.readHead(ctx)
+		case err = <-broken:
+		}
+		head.Stop()
+		if err != nil {
+			return true, err
+		}
+	}
+}
+
+func (f *storeFollower) takeEvent(ctx context.Context, e egretflow.StoreEntry) {
+	if e.Value == nil {
+		return
+	}
+	r := storeRead{readAt: f.cfg.Clock(), fromWatch: true}
+	r.decode(e.Value)
+	f.seen = max(f.seen, r.head.Revision)
+	f.sendRead(ctx, r)
+}
+
+// readHead confirms the active revision. Its only error is errSilentWatch: a
+// failed read leaves the watch alone, which breaks by itself if the store is
+// down.
+func (f *storeFollower) readHead(ctx context.Context) error {
+	r := storeRead{readAt: f.cfg.Clock()}
+	entry, err := f.cfg.Store.Get(ctx, egretflow.TablesHeadKey)
+	switch {
+	case errors.Is(err, egretflow.ErrNotFound):
+	case err != nil:
+		r.err = fmt.Errorf("read head: %w", err)
+	default:
+		if err := json.Unmarshal(entry.Value, &r.head); err != nil {
+			r.err = fmt.Errorf("decode head: %w", err)
+		}
+	}
+	f.sendRead(ctx, r)
+	if r.head.Revision > f.seen {
+		return errSilentWatch
+	}
+	return nil
+}
+
+func (f *storeFollower) backoff(failures int) time.Duration {
+	wait := maxStoreBackoff
+	if shift := failures - 1; shift < 8 {
+		wait = min(wait, minStoreBackoff<<shift)
+	}
+	return jitter(f.rand, wait)
+}
+
+// jitter returns a duration from 3/4 to 5/4 of d, so that instances do not
+// call in step.
+func jitter(r *rand.Rand, d time.Duration) time.Duration {
+	return d*3/4 + time.Duration(r.Int64N(int64(d/2)+1))
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/status.go
+++ b/status.go
@@ -39,7 +39,5 @@
 	Address       netip.AddrPort
 	FailureDomain FailureDomain
 	State         MemberState
-	// Revision is the highest revision known to be active at the member.
-	Revision Revision  `json:",omitempty"`
-	HeardAt  time.Time `json:",omitzero"`
+	HeardAt       time.Time `json:",omitzero"`
 }
