--- a/editor/audit.go
+++ b/editor/audit.go
@@ -1,9 +1,13 @@
 package editor
 
 import (
+	"bytes"
+	"cmp"
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"slices"
 	"time"
 
@@ -13,14 +17,16 @@
 // AuditEntries is the number of entries that the audit trail keeps (6.4).
 const AuditEntries = 1000
 
-// maxAuditParts bounds the keys of one entry. An entry holds at most the
-// changed parts of two documents of one value each, and their JSON overhead.
-const maxAuditParts = 4
-
 // auditBlock is the number of slots read by one call: slots 120 to 129 share
 // the prefix Audit/12.
 const auditBlock = 10
 
+// compressAbove is the size in bytes from which an entry is stored in gzip
+// format. Smaller ones stay readable with any client of the store.
+const compressAbove = 64 << 10
+
+var gzipMagic = []byte{0x1f, 0x8b}
+
 // Entry is one accepted edit in the audit trail.
 type Entry struct {
 	Revision egretflow.Revision
@@ -34,62 +40,83 @@
 
 func auditSlot(r egretflow.Revision) int { return int(r % AuditEntries) }
 
-func auditKey(slot, part int) string { return fmt.Sprintf("Audit/%03d/%d", slot, part) }
+func auditKey(r egretflow.Revision) string { return fmt.Sprintf("Audit/%03d", auditSlot(r)) }
 
-// writes puts the entry into its slot and removes what is left of the entry
-// that it replaces.
-func (n *Entry) writes() ([]egretflow.StoreWrite, error) {
+func auditPrefix(r egretflow.Revision) string {
+	return fmt.Sprintf("Audit/%02d", auditSlot(r)/auditBlock)
+}
+
+// encode returns the entry as stored.
+func (n *Entry) encode() ([]byte, error) {
 	data, err := json.Marshal(n)
 	if err != nil {
 		return nil, fmt.Errorf("encode audit entry: %w", err)
 	}
-	if len(data) > maxAuditParts*egretflow.MaxStoreValueBytes {
-		return nil, &egretflow.FieldError{Field: "Changes", Reason: "edit is too large for the audit trail; split it"}
+	if len(data) <= compressAbove {
+		return data, nil
 	}
-	slot := auditSlot(n.Revision)
-	var writes []egretflow.StoreWrite
-	for chunk := range slices.Chunk(data, egretflow.MaxStoreValueBytes) {
-		writes = append(writes, egretflow.StoreWrite{Key: auditKey(slot, len(writes)), Value: chunk})
+	var b bytes.Buffer
+	w := gzip.NewWriter(&b)
+	if _, err := w.Write(data); err != nil {
+		return nil, fmt.Errorf("compress audit entry: %w", err)
 	}
-	for part := len(writes); part < maxAuditParts; part++ {
-		writes = append(writes, egretflow.StoreWrite{Key: auditKey(slot, part), Delete: true})
+	if err := w.Close(); err != nil {
+		return nil, fmt.Errorf("compress audit entry: %w", err)
 	}
-	return writes, nil
+	return b.Bytes(), nil
 }
 
-// listAudit returns the entries of all slots whose key starts with prefix.
-func (e *Editor) listAudit(ctx context.Context, prefix string) ([]Entry, error) {
-	parts, err := e.store.List(ctx, prefix)
-	if err != nil {
-		return nil, fmt.Errorf("read audit trail: %w", err)
-	}
-	slots := map[string][]byte{}
-	for _, p := range parts {
-		slot := p.Key[:len("Audit/000")]
-		slots[slot] = append(slots[slot], p.Value...)
-	}
-	entries := make([]Entry, 0, len(slots))
-	for slot, data := range slots {
-		var n Entry
-		if err := json.Unmarshal(data, &n); err != nil {
-			return nil, fmt.Errorf("decode %s: %w", slot, err)
+func decodeEntry(stored egretflow.StoreEntry) (*Entry, error) {
+	data := stored.Value
+	if bytes.HasPrefix(data, gzipMagic) {
+		r, err := gzip.NewReader(bytes.NewReader(data))
+		if err != nil {
+			return nil, fmt.Errorf("decompress %s: %w", stored.Key, err)
+		}
+		if data, err = io.ReadAll(r); err != nil {
+			return nil, fmt.Errorf("decompress %s: %w", stored.Key, err)
 		}
-		entries = append(entries, n)
 	}
-	slices.SortFunc(entries, func(a, b Entry) int { return int(b.Revision) - int(a.Revision) })
-	return entries, nil
+	var n Entry
+	if err := json.Unmarshal(data, &n); err != nil {
+		return nil, fmt.Errorf("decode %s: %w", stored.Key, err)
+	}
+	return &n, nil
 }
 
 // entryAt returns the entry of one revision or ErrNotFound.
 func (e *Editor) entryAt(ctx context.Context, r egretflow.Revision) (*Entry, error) {
-	entries, err := e.listAudit(ctx, fmt.Sprintf("Audit/%03d/", auditSlot(r)))
+	stored, err := e.store.Get(ctx, auditKey(r))
+	if err != nil {
+		return nil, fmt.Errorf("read audit trail: %w", err)
+	}
+	n, err := decodeEntry(stored)
 	if err != nil {
 		return nil, err
 	}
-	if len(entries) == 0 || entries[0].Revision != r {
+	if n.Revision != r {
 		return nil, fmt.Errorf("audit entry of revision %d: %w", r, egretflow.ErrNotFound)
 	}
-	return &entries[0], nil
+	return n, nil
+}
+
+// listBlock returns the entries that share a call with revision r, newest
+// first.
+func (e *Editor) listBlock(ctx context.Context, r egretflow.Revision) ([]Entry, error) {
+	stored, err := e.store.List(ctx, auditPrefix(r))
+	if err != nil {
+		return nil, fmt.Errorf("read audit trail: %w", err)
+	}
+	entries := make([]Entry, 0, len(stored))
+	for _, s := range stored {
+		n, err := decodeEntry(s)
+		if err != nil {
+			return nil, err
+		}
+		entries = append(entries, *n)
+	}
+	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(b.Revision, a.Revision) })
+	return entries, nil
 }
 
 // Audit returns up to limit entries, newest first.
@@ -108,28 +135,23 @@
 	if err != nil {
 		return err
 	}
+	newest := current.Revision
 	oldest := egretflow.Revision(1)
-	if current.Revision > AuditEntries {
-		oldest = current.Revision - AuditEntries + 1
+	if newest > AuditEntries {
+		oldest = newest - AuditEntries + 1
 	}
-	for r := current.Revision; r >= oldest && r > 0; {
-		first := r - r%auditBlock
-		entries, err := e.listAudit(ctx, fmt.Sprintf("Audit/%02d", auditSlot(r)/auditBlock))
+	for newest >= oldest {
+		entries, err := e.listBlock(ctx, newest)
 		if err != nil {
 			return err
 		}
+		first := max(oldest, newest-newest%auditBlock)
 		for _, n := range entries {
-			if n.Revision > r || n.Revision < max(first, oldest) {
-				continue
-			}
-			if !visit(n) {
+			if n.Revision >= first && n.Revision <= newest && !visit(n) {
 				return nil
 			}
 		}
-		r = first - 1
-		if first == 0 {
-			break
-		}
+		newest = first - 1
 	}
 	return nil
 }
--- a/editor/doc.go
+++ b/editor/doc.go
@@ -31,7 +31,8 @@
 //     also when a delayed first copy arrives later. The edit id in the audit
 //     entry of the next revision tells whose edit won (6.3).
 //  4. An edit that changes nothing writes nothing.
-//  5. The audit trail has a slot for each of the newest AuditEntries revisions.
-//     An entry larger than one value of the store continues in further keys of
-//     its slot.
+//  5. The audit trail is spread over AuditEntries numbered keys, one entry
+//     each. Revision r overwrites the entry of revision r-AuditEntries. Large
+//     entries are compressed, and an edit that exceeds MaxEditBytes with its
+//     entry is refused.
 package editor
--- a/editor/editor.go
+++ b/editor/editor.go
@@ -17,6 +17,10 @@
 	MaxReasonBytes = 1024
 )
 
+// MaxEditBytes bounds what an edit writes. The store takes values of up to 1 MB
+// and, as etcd does, bounds the size of the whole request a little above that.
+const MaxEditBytes = egretflow.MaxStoreValueBytes - 4096
+
 // Bounds of the repetition after a lost answer. Outages of the store last
 // longer; the operator then resolves the edit by its id.
 const (
@@ -174,26 +178,28 @@
 	if err != nil {
 		return egretflow.StoreTxn{}, fmt.Errorf("encode tables: %w", err)
 	}
-	if len(document) > egretflow.MaxStoreValueBytes {
-		return egretflow.StoreTxn{}, &egretflow.FieldError{
-			Field:  "Tables",
-			Reason: fmt.Sprintf("encoded size of %d bytes exceeds %d", len(document), egretflow.MaxStoreValueBytes),
-		}
-	}
 	head, err := json.Marshal(egretflow.TablesHead{Revision: next.Revision, EditID: next.EditID})
 	if err != nil {
 		return egretflow.StoreTxn{}, fmt.Errorf("encode head: %w", err)
 	}
-	audit, err := entry.writes()
+	audit, err := entry.encode()
 	if err != nil {
 		return egretflow.StoreTxn{}, err
 	}
+	if size := len(document) + len(head) + len(audit); size > MaxEditBytes {
+		return egretflow.StoreTxn{}, &egretflow.FieldError{
+			Field: "Tables",
+			Reason: fmt.Sprintf("document of %d bytes and audit entry of %d bytes exceed %d bytes together",
+				len(document), len(audit), MaxEditBytes),
+		}
+	}
 	return egretflow.StoreTxn{
 		Conditions: []egretflow.StoreCondition{{Key: egretflow.TablesDocumentKey, ModRevision: modRevision}},
-		Writes: append([]egretflow.StoreWrite{
+		Writes: []egretflow.StoreWrite{
 			{Key: egretflow.TablesDocumentKey, Value: document},
 			{Key: egretflow.TablesHeadKey, Value: head},
-		}, audit...),
+			{Key: auditKey(next.Revision), Value: audit},
+		},
 	}, nil
 }
 
--- a/editor/editor_test.go
+++ b/editor/editor_test.go
@@ -209,8 +209,9 @@
 	})
 }
 
-// Guards against an edit that fits the document but not one value of the trail.
-func TestLargeAuditEntryIsSplit(t *testing.T) {
+// Guards against a large edit whose audit entry alone would exceed what the
+// store takes, and against an error without field when the document does.
+func TestLargeEdits(t *testing.T) {
 	withTables(t, func(t *testing.T, store *fakestore.Store, ed *Editor) {
 		callers := func(prefix string) string {
 			names := make([]string, 40_000)
@@ -225,15 +226,13 @@
 				t.Fatal(err)
 			}
 		}
-		keys, err := store.List(t.Context(), "Audit/003/")
-		if err != nil || len(keys) < 2 {
-			t.Fatalf("%d keys, error %v", len(keys), err)
-		}
 		entries, err := ed.Audit(t.Context(), 1)
 		if err != nil || len(entries) != 1 || len(entries[0].Changes[0].Before) < 500_000 {
 			t.Errorf("%d entries, error %v", len(entries), err)
 		}
-		if _, err := ed.Edit(t.Context(), request("amina", "Routes/chat/Callers", callers(strings.Repeat("c", 20)))); !strings.Contains(fmt.Sprint(err), "Tables: encoded size") {
+		_, err = ed.Edit(t.Context(), request("amina", "Routes/chat/Callers", callers(strings.Repeat("c", 20))))
+		var field *egretflow.FieldError
+		if !errors.As(err, &field) || field.Field != "Tables" {
 			t.Errorf("error %v, want the size refused", err)
 		}
 	})
