Add membership, exchange with peers and load polling

Change: tracker combines the platform's list with direct answers; exchanger owns the owner side of the allocator and the schedule of messages; poller asks owned engines for their load. Dials to a peer end with the exchange that they were made for: the transport runs them without its context, and the test of parted instances showed that they hung until the partition healed. Conclusion: model test of the allocator, tests of messenger, tracker and poller and the decision notes are still missing.

--- /dev/null
+++ b/exchanger/exchanger_test.go
@@ -0,0 +1,194 @@
+package exchanger_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/allocator"
+	"github.com/egretflow/egretflow/messenger"
+)
+
+// modelTables returns pools with prefill servers of 4 slots and decode servers
+// of 20, one to two.
+func modelTables(pools, serversPerPool int) *egretflow.Tables {
+	t := &egretflow.Tables{Revision: 7}
+	for p := range pools {
+		pool := egretflow.Pool{Name: egretflow.PoolName(fmt.Sprintf("pool-%d", p)), Kind: egretflow.PoolKindModel, Model: "m"}
+		for n := range serversPerPool {
+			s := egretflow.Server{
+				Name:          egretflow.ServerName(fmt.Sprintf("letter-writers-%d-%d", p, n)),
+				Address:       netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(p), byte(1 + n)}), 8000),
+				FailureDomain: egretflow.FailureDomain(fmt.Sprintf("domain-%d", n%4)),
+				Role:          egretflow.RoleDecode, Slots: 20, Blocks: 4000,
+			}
+			if n%3 == 0 {
+				s.Role, s.Slots = egretflow.RolePrefill, 4
+			}
+			pool.Servers = append(pool.Servers, s)
+		}
+		t.Pools = append(t.Pools, pool)
+	}
+	return t
+}
+
+// Guards against a separate code path for an instance without peers.
+func TestSingleMember(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, modelTables(1, 6))
+		defer c.stop()
+		c.nodes[0].setQueued(1000)
+		c.advance(6 * time.Second)
+		if c.excess > 0 {
+			t.Errorf("over-commit of %d slots", c.excess)
+		}
+		if got := c.nodes[0].held(); got != c.slots() {
+			t.Errorf("single member holds %d slots, want %d", got, c.slots())
+		}
+	})
+}
+
+// Guards against capacity that stays with idle, left or dead instances, and
+// against over-commit while instances join, leave, die, pause or are parted.
+func TestRedistribution(t *testing.T) {
+	const instances = 8
+	tests := []struct {
+		name string
+		// fault is run after all slots are in use.
+		fault func(c *cluster)
+		// within is the time in which the slots must be in use again.
+		within time.Duration
+		// withheld is the number of members whose share may stay unused.
+		withheld int
+	}{
+		{"steady", func(*cluster) {}, time.Second, 0},
+		{"demand moves", func(c *cluster) {
+			for _, n := range c.nodes[1:] {
+				n.setQueued(0)
+			}
+		}, 5 * time.Second, 0},
+		{"join", func(c *cluster) { c.add(8, 1).setQueued(1000) }, 6 * time.Second, 0},
+		{"leave", func(c *cluster) {
+			leaver := c.nodes[2]
+			leaver.setQueued(0)
+			if err := leaver.exchanger.Leave(c.t.Context()); err != nil {
+				c.t.Errorf("leave: %v", err)
+			}
+			c.unlist(leaver)
+			time.Sleep(2 * serviceTime)
+			leaver.kill()
+		}, 6 * time.Second, 0},
+		{"death", func(c *cluster) { c.nodes[2].kill() }, 7 * time.Second, 1},
+		{"death and unlisted", func(c *cluster) { c.nodes[2].kill(); c.unlist(c.nodes[2]) }, 9 * time.Second, 0},
+		{"pause", func(c *cluster) {
+			c.nodes[2].pause()
+			c.advance(5 * time.Second)
+			c.nodes[2].resume()
+		}, 8 * time.Second, 0},
+		{"connections stop delivering", func(c *cluster) { c.network.Silence(c.nodes[2].member.Address.Addr()) }, 5 * time.Second, 0},
+		{"restart", func(c *cluster) {
+			c.nodes[2].kill()
+			c.network.Restore(c.nodes[2].member.Address.Addr())
+			c.add(2, 2).setQueued(1000)
+		}, 9 * time.Second, 0},
+		{"two parted", func(c *cluster) {
+			c.network.Partition(c.nodes[2].member.Address.Addr(), c.nodes[5].member.Address.Addr())
+		}, 9 * time.Second, 2},
+		{"four parted from four", func(c *cluster) {
+			for _, a := range c.nodes[:4] {
+				for _, b := range c.nodes[4:] {
+					c.network.Partition(a.member.Address.Addr(), b.member.Address.Addr())
+				}
+			}
+		}, 9 * time.Second, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, instances, modelTables(1, 18))
+				defer c.stop()
+				for _, n := range c.nodes {
+					n.setQueued(1000)
+				}
+				c.advance(8 * time.Second)
+				if c.excess > 0 {
+					t.Errorf("over-commit of %d slots at the start", c.excess)
+				}
+				test.fault(c)
+				c.advance(test.within)
+				held := 0
+				for _, n := range c.nodes {
+					held += n.held()
+				}
+				t.Logf("after %v %d of %d slots are held; over-commit %d slots for %v", test.within, held, c.slots(), c.excess, c.lasted)
+				if want := c.slots() * (instances - test.withheld) / instances; held < want {
+					t.Errorf("after %v %d of %d slots are held, want at least %d", test.within, held, c.slots(), want)
+				}
+				if c.lasted > allocator.TTL {
+					t.Errorf("over-commit lasted %v, want at most one lifetime of a grant", c.lasted)
+				}
+				c.excess = 0
+				if c.advance(5 * time.Second); c.excess > 0 {
+					t.Errorf("over-commit of %d slots continues", c.excess)
+				}
+			})
+		})
+	}
+}
+
+// Guards against messages that grow with the fleet or exceed the budget of
+// 6 KB/s per instance (1.5), idle and under a demand that changes all the time.
+func TestByteBudget(t *testing.T) {
+	tests := []struct {
+		name                 string
+		instances            int
+		pools, serversInPool int
+	}{
+		{"Vonwiller", 8, 1, 15},
+		{"Kilimanjaro", 8, 1, 22},
+		{"8 of the target size", 8, 8, 15},
+		{"64 of the target size", 64, 18, 52},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, test.instances, modelTables(test.pools, test.serversInPool))
+				defer c.stop()
+				c.advance(6 * time.Second)
+				idle := c.bytesPerSecond(10 * time.Second)
+				for _, nd := range c.nodes {
+					nd.mu.Lock()
+					nd.varies = 2 * c.slots() / test.instances
+					nd.mu.Unlock()
+				}
+				c.advance(2 * time.Second)
+				busy := c.bytesPerSecond(10 * time.Second)
+				t.Logf("%d instances, %d servers: at most %d B/s written per instance when idle, %d B/s when busy; over-commit %d",
+					test.instances, test.pools*test.serversInPool, idle, busy, c.excess)
+				if max(idle, busy) > messenger.BudgetBytesPerSecond {
+					t.Errorf("an instance wrote %d B/s, the budget is %d", max(idle, busy), messenger.BudgetBytesPerSecond)
+				}
+				if c.excess > 0 {
+					t.Errorf("over-commit of %d slots", c.excess)
+				}
+			})
+		})
+	}
+}
+
+// bytesPerSecond returns the rate of the instance that wrote most.
+func (c *cluster) bytesPerSecond(d time.Duration) int {
+	before := make([]int64, len(c.nodes))
+	for n, nd := range c.nodes {
+		before[n] = nd.meter.Written()
+	}
+	time.Sleep(d)
+	highest := 0
+	for n, nd := range c.nodes {
+		highest = max(highest, int(nd.meter.Written()-before[n])/int(d/time.Second))
+	}
+	return highest
+}
--- a/messenger/link.go
+++ b/messenger/link.go
@@ -26,10 +26,18 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
+	// closeDials ends the dials since the last reset. The transport runs them
+	// without the context of the request, so they would outlive it.
+	closeDials context.CancelFunc
+	dials      context.Context
 }
 
+// dialTimeout bounds a dial to a host that does not answer at all.
+const dialTimeout = time.Second
+
 func newLink(cfg ClientConfig, c *codec, address netip.AddrPort) *link {
 	l := &link{conns: map[net.Conn]bool{}}
+	l.dials, l.closeDials = context.WithCancel(context.Background())
 	protocols := &http.Protocols{}
 	protocols.SetHTTP2(cfg.TLS != nil)
 	protocols.SetUnencryptedHTTP2(cfg.TLS == nil)
@@ -39,6 +47,10 @@
 		IdleConnTimeout:    linkLifetime,
 		DisableCompression: true,
 		DialContext: func(ctx context.Context, network, to string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+			defer cancel()
+			stop := context.AfterFunc(l.currentDials(), cancel)
+			defer stop()
 			conn, err := cfg.Dial(ctx, network, to)
 			if err != nil {
 				return nil, fmt.Errorf("dial peer: %w", err)
@@ -74,9 +86,17 @@
 	return t
 }
 
-// reset closes all connections; the next call dials again.
+func (l *link) currentDials() context.Context {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.dials
+}
+
+// reset closes all connections and ends all dials; the next call dials again.
 func (l *link) reset() {
 	l.mu.Lock()
+	l.closeDials()
+	l.dials, l.closeDials = context.WithCancel(context.Background())
 	conns := make([]net.Conn, 0, len(l.conns))
 	for c := range l.conns {
 		conns = append(conns, c)
--- a/messenger/meter.go
+++ b/messenger/meter.go
@@ -13,8 +13,10 @@
 // BudgetBytesPerSecond is what one instance may write to its peers (1.5).
 const BudgetBytesPerSecond = 6000
 
-// burstSeconds is how many seconds of unused budget can be saved up.
-const burstSeconds = 2
+// plannedShare is the part of the budget, in percent, that early messages may
+// use up. The rest covers what follows from them, such as responses to peers
+// and frames of HTTP/2, and saved-up tokens.
+const plannedShare = 90
 
 // Meter counts the bytes on the sockets between instances and charges the
 // written ones to a budget. It is safe for concurrent use.
@@ -25,12 +27,11 @@
 	read    atomic.Int64
 }
 
-// NewMeter returns a meter with a budget in bytes per second.
+// NewMeter returns a meter with a budget in bytes per second. At most one second
+// of it is saved up.
 func NewMeter(bytesPerSecond int, clock egretflow.Clock) *Meter {
-	return &Meter{
-		clock:   clock,
-		limiter: rate.NewLimiter(rate.Limit(bytesPerSecond), bytesPerSecond*burstSeconds),
-	}
+	planned := bytesPerSecond * plannedShare / 100
+	return &Meter{clock: clock, limiter: rate.NewLimiter(rate.Limit(planned), planned)}
 }
 
 // Written returns the bytes written to sockets so far.
--- a/peer.go
+++ b/peer.go
@@ -84,7 +84,7 @@
 
 // PullResponse carries the tables in force, or none when not higher.
 type PullResponse struct {
-	_      struct{} `cbor:",toarray"`
+	_ struct{} `cbor:",toarray"`
 	// Tables is the JSON encoding of the tables.
 	Tables []byte
 	// Confirmed says that the sender has confirmed Revision with the store
--- /dev/null
+++ b/tracker/doc.go
@@ -0,0 +1,31 @@
+// Package tracker knows the members of the fleet and the backend servers that
+// must get no new work (9). It reads the platform's list, which lags, and
+// combines it with the answers that peers give directly.
+//
+// # Usage
+//
+//	t := tracker.New(tracker.Config{Self: self, URL: url, Client: client, State: scheduler, ...})
+//	go t.Run(ctx)
+//	view := t.View()                    // immutable, cheap
+//	t.Answered(tracker.Answer{...})     // for each response of a peer
+//	t.ObserveLoad(report)               // for each load report
+//
+// # Rules
+//
+//  1. A member is listed from its first appearance in the list until it is
+//     neither in the list nor reachable. A list that cannot be read, or an entry
+//     that cannot be decoded, changes nothing.
+//  2. A member is reachable while its last answer is less than [AnswerLifetime]
+//     old. The own instance is always listed and reachable.
+//  3. An answer with a higher incarnation means that the member restarted:
+//     MemberLost and MemberJoined are recorded. Answers of an older incarnation
+//     are ignored.
+//  4. A member is leaving when the list or its own answer says so. What it said
+//     itself holds until it restarts.
+//  5. A backend server gets no new work while the list marks it Leaving, while
+//     its newest load report says that it drains, or once it has been missing in
+//     two successive lists without a load report since. Servers that never were
+//     in the list are not judged by it.
+//  6. The list is read with conditional requests, and less often when it is
+//     large, so that it takes at most [ListBytesPerSecond].
+package tracker
--- /dev/null
+++ b/tracker/state.go
@@ -0,0 +1,198 @@
+package tracker
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/egretflow/egretflow"
+)
+
+// missesUntilGone is the number of lists in which a server must be missing.
+const missesUntilGone = 2
+
+// member is what the tracker knows of one instance.
+type member struct {
+	egretflow.Member
+	inList      bool
+	incarnation uint64
+	// saidLeaving is the Leaving of the newest answer.
+	saidLeaving bool
+	reachable   bool
+}
+
+// server is what the tracker knows of one backend server.
+type server struct {
+	leaving  bool
+	draining bool
+	misses   int
+	inList   bool
+	// loadAt is the time of receipt of the newest load report.
+	loadAt time.Time
+}
+
+// state is owned by the goroutine of Run.
+type state struct {
+	cfg     Config
+	members map[egretflow.InstanceName]*member
+	servers map[egretflow.ServerName]*server
+	// unavailable is the set last passed on.
+	unavailable []egretflow.ServerName
+	changed     bool
+	heard       bool
+}
+
+func newState(cfg Config) *state {
+	self := &member{Member: cfg.Self, inList: true, reachable: true}
+	self.State = egretflow.MemberStateLive
+	return &state{
+		cfg:     cfg,
+		members: map[egretflow.InstanceName]*member{cfg.Self.Name: self},
+		servers: map[egretflow.ServerName]*server{},
+	}
+}
+
+func (s *state) handle(m message, now time.Time) {
+	switch m := m.(type) {
+	case answerMessage:
+		s.answered(m.answer, now)
+	case loadMessage:
+		srv := s.server(m.report.Server)
+		srv.draining, srv.loadAt = m.report.Draining, now
+		s.passUnavailable()
+	case listMessage:
+		s.applyList(m.result, now)
+	}
+}
+
+func (s *state) server(name egretflow.ServerName) *server {
+	srv := s.servers[name]
+	if srv == nil {
+		srv = &server{}
+		s.servers[name] = srv
+	}
+	return srv
+}
+
+func (s *state) answered(a Answer, now time.Time) {
+	m := s.members[a.From]
+	if m == nil || a.From == s.cfg.Self.Name || a.Incarnation < m.incarnation {
+		return
+	}
+	if a.Incarnation > m.incarnation && m.reachable {
+		m.reachable = false
+		s.record(egretflow.EventMemberLost, m, now, "restarted")
+	}
+	m.incarnation = a.Incarnation
+	if m.HeardAt.Before(a.At) {
+		m.HeardAt = a.At
+	}
+	if m.saidLeaving != a.Leaving {
+		m.saidLeaving = a.Leaving
+		s.changed = true
+	}
+	if !m.reachable && now.Sub(m.HeardAt) < AnswerLifetime {
+		m.reachable = true
+		s.changed = true
+		s.record(egretflow.EventMemberJoined, m, now, "answered")
+	}
+}
+
+// check ends the reachability of silent members.
+func (s *state) check(now time.Time) {
+	for name, m := range s.members {
+		if name == s.cfg.Self.Name {
+			continue
+		}
+		if m.reachable && now.Sub(m.HeardAt) >= AnswerLifetime {
+			m.reachable = false
+			s.changed = true
+			s.record(egretflow.EventMemberLost, m, now, "silent")
+		}
+		if !m.inList && !m.reachable {
+			delete(s.members, name)
+			s.changed = true
+		}
+	}
+}
+
+func (s *state) applyList(l listResult, now time.Time) {
+	for _, m := range s.members {
+		m.inList = m.Name == s.cfg.Self.Name
+	}
+	for _, listed := range l.members {
+		if listed.Name == s.cfg.Self.Name {
+			continue
+		}
+		m := s.members[listed.Name]
+		if m == nil {
+			m = &member{}
+			s.members[listed.Name] = m
+		}
+		listed.HeardAt = m.HeardAt
+		if m.Member != listed {
+			m.Member = listed
+			s.changed = true
+		}
+		m.inList = true
+	}
+	s.applyServers(l.servers, now)
+	s.check(now)
+}
+
+func (s *state) applyServers(states map[egretflow.ServerName]egretflow.MemberState, now time.Time) {
+	for name, state := range states {
+		srv := s.server(name)
+		srv.inList, srv.misses = true, 0
+		srv.leaving = state == egretflow.MemberStateLeaving
+	}
+	for name, srv := range s.servers {
+		if _, listed := states[name]; !listed && srv.inList && now.Sub(srv.loadAt) >= s.cfg.Interval {
+			srv.misses++
+		}
+	}
+	s.passUnavailable()
+}
+
+func (s *state) passUnavailable() {
+	unavailable := []egretflow.ServerName{}
+	for _, name := range slices.Sorted(maps.Keys(s.servers)) {
+		if srv := s.servers[name]; srv.leaving || srv.draining || srv.misses >= missesUntilGone {
+			unavailable = append(unavailable, name)
+		}
+	}
+	if s.unavailable == nil || !slices.Equal(unavailable, s.unavailable) {
+		s.unavailable = unavailable
+		s.cfg.State.SetUnavailable(unavailable)
+	}
+}
+
+func (s *state) record(name egretflow.EventName, m *member, now time.Time, cause string) {
+	s.cfg.Recorder.Record(egretflow.Event{
+		Name:     name,
+		At:       now,
+		Instance: s.cfg.Self.Name,
+		Fields: []egretflow.EventField{
+			{Key: "member", Value: string(m.Name)},
+			{Key: "incarnation", Value: strconv.FormatUint(m.incarnation, 10)},
+			{Key: "cause", Value: cause},
+		},
+	})
+}
+
+func (s *state) view(version uint64) *View {
+	v := &View{Version: version, Reachable: map[egretflow.InstanceName]bool{}}
+	for _, name := range slices.Sorted(maps.Keys(s.members)) {
+		m := s.members[name]
+		listed := m.Member
+		if m.saidLeaving {
+			listed.State = egretflow.MemberStateLeaving
+		}
+		v.Members = append(v.Members, listed)
+		if m.reachable {
+			v.Reachable[name] = true
+		}
+	}
+	return v
+}
