--- a/peer.go
+++ b/peer.go
@@ -53,8 +53,10 @@
 	SentAt      time.Time
 	Revision    Revision
 	Leaving     bool
-	Demands     []Demand
-	Crashes     []CrashReport
+	// Slices is the number of slices in the sender's region (5.3).
+	Slices  int
+	Demands []Demand
+	Crashes []CrashReport
 }
 
 // ExchangeResponse answers an ExchangeRequest.
@@ -64,22 +66,34 @@
 	Incarnation uint64
 	Revision    Revision
 	Leaving     bool
-	Grants      []Grant
-	Crashes     []CrashReport
+	// Slices is the number of slices in the sender's region (5.3).
+	Slices  int
+	Grants  []Grant
+	Crashes []CrashReport
 }
 
-// PullRequest asks for tables above a revision.
+// PullRequest asks for tables above a revision and tells the receiver which
+// revision the sender holds, so that a receiver with a lower one pulls in turn.
 type PullRequest struct {
 	_     struct{} `cbor:",toarray"`
 	Above Revision
+	// From and Revision are the sender and its active revision.
+	From     InstanceName
+	Revision Revision
 }
 
 // PullResponse carries the tables in force, or none when not higher.
 type PullResponse struct {
-	_      struct{} `cbor:",toarray"`
+	_ struct{} `cbor:",toarray"`
+	// Tables is the JSON encoding of the tables.
 	Tables []byte
-	// Confirmed says that the sender knows its revision to be current.
+	// Confirmed says that the sender has confirmed Revision with the store
+	// itself, not only through a peer.
 	Confirmed bool
+	// Revision and EditID are the sender's active revision, also when Tables is
+	// empty.
+	Revision Revision
+	EditID   string
 }
 
 // Peers sends messages to other instances.
