Measure links apart from the first token and refuse hedges of baselines

Cause: the request path reports a transfer from the end of the prefill to the first token. Compared with the transfer alone, short transfers made every link look slow. Replace returned the work without the servers to avoid, and a baseline policy accepted hedges without a budget. Change: the nominal transfer time includes one token; the replaced assignment carries the work of the call; baselines refuse hedges. The simulator reports transfers as the request path does.

--- a/internal/simulator/engine.go
+++ b/internal/simulator/engine.go
@@ -107,7 +107,10 @@
 		e.running += a.Slots
 		end := s.occupy(&e.linkUntil, perSecond(o.Work.PromptTokens*KVBytes, LinkRate))
 		s.after(end.Sub(s.now), func() {
-			s.stepper.Observe(egretflow.Observation{Kind: egretflow.ObservationTransferDone, Server: e.name, Attempt: a.Attempt})
+			s.stepper.Observe(egretflow.Observation{
+				Kind: egretflow.ObservationTransferDone, Server: a.Prefill.Name, Attempt: a.Attempt,
+				StartedAt: begin, EndedAt: s.now.Add(s.scaled(e, Gap)),
+			})
 			s.decode(e, a, o, o.Work.MaxTokens)
 		})
 	}
--- a/picker/reserve.go
+++ b/picker/reserve.go
@@ -174,8 +174,10 @@
 	return pl.PrefillRatio(now.Sub(pl.startedAt), int(pl.tokens))
 }
 
-// TransferRatio compares an observed transfer time with the nominal one.
-func (pl *Placement) TransferRatio(took time.Duration) (ratio float64, ok bool) {
+// TransferRatio compares the observed time from the end of the prefill to the
+// first token with the nominal one. The token is part of the nominal time, or a
+// short transfer would make its link look slow.
+func (p *Pool) TransferRatio(pl *Placement, took time.Duration) (ratio float64, ok bool) {
 	rate := pl.Decode.Spec.LinkBytesPerSecond
 	if own := pl.Prefill.Spec.LinkBytesPerSecond; rate == 0 || (own > 0 && own < rate) {
 		rate = own
@@ -183,7 +185,7 @@
 	if rate <= 0 || pl.bytes <= 0 || took <= 0 {
 		return 0, false
 	}
-	return took.Seconds() / (float64(pl.bytes) / float64(rate)), true
+	return took.Seconds() / (float64(pl.bytes)/float64(rate) + p.gap.Seconds()*pl.Decode.Speed.Factor()), true
 }
 
 // ServiceRatio compares the time of a service call with the mean of the pool.
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -46,6 +46,8 @@
 	w.counted = true
 	p.lastRank = w.work.Importance.Rank()
 	switch {
+	case !t.joint() && w.work.Hedge:
+		t.refuse(w, http.StatusServiceUnavailable, egretflow.RefusalOverload, "a baseline policy does not hedge", admitter.Verdict{})
 	case !t.joint():
 		t.enqueueBaseline(w)
 	case w.work.Hedge:
--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -158,6 +158,7 @@
 	}
 	a.pool.picker.ReplacePrefill(&a.placement, pl, w.work, t.now)
 	next := *a.assignment
+	next.Work = w.work
 	next.Decision = egretflow.DecisionID(t.newID())
 	fill(&next, &a.placement)
 	// The decode place was taken under an earlier grant and is kept.
--- a/scheduler/observe.go
+++ b/scheduler/observe.go
@@ -77,7 +77,7 @@
 	if a == nil || a.placement.Prefill == nil {
 		return
 	}
-	if ratio, ok := a.placement.TransferRatio(o.EndedAt.Sub(o.StartedAt)); ok {
+	if ratio, ok := p.picker.TransferRatio(&a.placement, o.EndedAt.Sub(o.StartedAt)); ok {
 		a.placement.Prefill.Link.Observe(ratio, t.now)
 		a.placement.Decode.Link.Observe(ratio, t.now)
 	}
