Correct the straggler handling after tracing a simulated run

Cause: with hedges and stalls modelled as the request path runs them, the estimator made the tail longer than no estimator at all. A trace showed three faults: a lagging report of a stalled server inflated its nominal time, so the slow probe looked 20 times too fast and the server recovered; a probe's expected time was that of the slow server, so it was never hedged; and a hedge was refused when all servers had a short backlog. Change: load of other instances counts only with peers and is bounded; a ratio below 0.25 is not believed; a probe is expected at the speed at which its server recovers; hedges accept a backlog; the first probe comes after 1 s.

--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -36,7 +36,7 @@
 	// does not alternate.
 	RecoverRatio = 1.5
 	// FirstProbe is the time from the suspicion to the first probe.
-	FirstProbe = 500 * time.Millisecond
+	FirstProbe = time.Second
 	// LastProbe bounds the interval between probes.
 	LastProbe = 8 * time.Second
 
@@ -49,7 +49,8 @@
 	// maxRatio bounds one observation: a single stall then ages out of the
 	// fast average within about five observations.
 	maxRatio = 20.0
-	minRatio = 0.05
+	// minRatio keeps an observation that is too good from drawing all work.
+	minRatio = 0.25
 	// recentRatios is the number of observations that the median is taken of.
 	recentRatios = 64
 	// minMedian is the number of observations before the median counts; until
@@ -119,6 +120,9 @@
 // and falls with the slow one.
 func (s *Server) Factor() float64 { return max(s.fast, s.slow) }
 
+// RecoverFactor is the factor below which a suspect server recovers.
+func (s *Server) RecoverFactor() float64 { return RecoverRatio * s.group.median }
+
 // Suspect reports whether new work should avoid the server.
 func (s *Server) Suspect() bool { return s.suspect }
 
--- a/internal/simulator/simulator.go
+++ b/internal/simulator/simulator.go
@@ -17,8 +17,9 @@
 //     KeepResult.
 //  3. A link transfers one KV cache after the other at LinkRate.
 //  4. Load reports lag by ReportLag. Output is reported every ReportTokens.
-//  5. A prefill that takes twice its expected time is replaced, as the request
-//     path does; the baseline policies do not replace.
+//  5. As in the request path, a first token that takes HedgeFactor times as long
+//     as expected is hedged, and a prefill that takes PatienceFactor times as
+//     long is replaced. The baseline policies do neither.
 package simulator
 
 import (
@@ -49,6 +50,9 @@
 	// LinkRate in bytes/s and KVBytes per prompt token.
 	LinkRate = 4 << 30
 	KVBytes  = 100 << 10
+	// HedgeFactor and PatienceFactor are those of the request path.
+	HedgeFactor    = 2
+	PatienceFactor = 4
 	// Target is the first-token target of all requests.
 	Target = 2 * time.Second
 	// DecodeSlots is the number of slots of a decode server.
@@ -56,6 +60,7 @@
 	// PrefillSlots is the number of slots of a prefill server.
 	PrefillSlots = 4
 
+	minPatience  = 400 * time.Millisecond
 	pollInterval = 5 * time.Millisecond
 )
 
@@ -74,6 +79,7 @@
 	Work *egretflow.Work
 	// FirstToken is zero when the request was refused or lost.
 	FirstToken time.Time
+	runs       []*run
 }
 
 // InTime reports whether the first token met its target.
@@ -187,19 +193,17 @@
 		ArrivedAt: s.now, FirstTokenBy: s.now.Add(Target),
 	}}
 	s.Outcomes = append(s.Outcomes, o)
-	s.poll(s.stepper.Acquire(o.Work), o, "")
+	s.poll(s.stepper.Acquire(o.Work), o)
 }
 
-// poll waits for the result of w, as a caller of Acquire or Replace does.
-func (s *Simulation) poll(w *scheduler.Wait, o *Outcome, replaces egretflow.AttemptID) {
+// poll waits for the result of w, as a caller of Acquire does.
+func (s *Simulation) poll(w *scheduler.Wait, o *Outcome) {
 	a, done, err := w.Result()
 	switch {
 	case !done:
-		s.after(pollInterval, func() { s.poll(w, o, replaces) })
+		s.after(pollInterval, func() { s.poll(w, o) })
 	case err == nil:
-		s.prefill(a, o)
-	case replaces != "":
-		s.stepper.Release(egretflow.Release{Attempt: replaces})
+		s.startRun(a, o)
 	}
 }
 
--- a/picker/pick.go
+++ b/picker/pick.go
@@ -17,8 +17,11 @@
 	fallbackSize = 64
 	// suspectPenalty in seconds ranks suspect servers behind all others.
 	suspectPenalty = 1e6
-	// probeShare is the share of the time left that a probe may take.
-	probeShare = 0.25
+	// probeCost is the time of a probe that fails, in nominal times: three until
+	// it is hedged and one for the hedge. It may take probeShare of the time
+	// left.
+	probeCost  = 4
+	probeShare = 0.5
 	// occupancyWeight spreads decode work: a full engine takes this much longer
 	// per token than an idle one.
 	occupancyWeight = 0.5
@@ -30,7 +33,7 @@
 type Options struct {
 	// Isolate keeps the request off servers with another isolated one (5.6).
 	Isolate bool
-	// Healthy excludes suspect servers, for hedges.
+	// Healthy excludes suspect servers and accepts a backlog, for hedges.
 	Healthy bool
 	// Decode is set when only the prefill server is chosen again, instead of
 	// Exclude.
@@ -104,7 +107,7 @@
 		return Placement{}, false
 	}
 	pl := p.bestPair(w, o, prefills, decodes, now)
-	return pl, !pl.Prefill.deep(now)
+	return pl, o.Healthy || !pl.Prefill.deep(now)
 }
 
 func (p *Pool) bestPair(w *egretflow.Work, o Options, prefills, decodes []candidate, now time.Time) Placement {
@@ -217,16 +220,16 @@
 	} else if s.load.Waiting > 0 && s.loadAge(now) < loadLifetime {
 		step += float64(s.load.Waiting) * p.gap.Seconds()
 	}
-	c.seconds = step * (1 + occupancyWeight*occupancy) * s.Speed.Factor()
 	c.suspect = s.Speed.Suspect()
 	c.probe = c.suspect && mayProbe(s, w, step, now)
+	c.seconds = step * (1 + occupancyWeight*occupancy) * c.factor()
 	return c
 }
 
-// mayProbe reports whether w may test the suspect server s: on a server that is
-// still as slow as before, the request must leave most of its target to spare.
-// When no such request comes for long, one that meets its target at the limit
-// of suspicion is taken.
+// mayProbe reports whether w may test the suspect server s. A hedge saves a
+// probe that fails, so it must leave time for one. When no request that is
+// short enough comes for long, one is taken that meets its target at the limit
+// of suspicion.
 func mayProbe(s *Server, w *egretflow.Work, nominal float64, now time.Time) bool {
 	if !w.Idempotent || w.Hedge || w.Retry || !s.Speed.ProbeDue(now) {
 		return false
@@ -238,7 +241,16 @@
 	if s.Speed.ProbeOverdue(now) {
 		return nominal*estimator.SuspectRatio < left
 	}
-	return nominal*s.Speed.Factor() < probeShare*left
+	return nominal*probeCost < probeShare*left
+}
+
+// factor scales the nominal time on c. For a probe it is the one at which the
+// server recovers, so that a probe that fails is hedged early.
+func (c *candidate) factor() float64 {
+	if c.probe {
+		return c.server.Speed.RecoverFactor()
+	}
+	return c.server.Speed.Factor()
 }
 
 func (p *Pool) linkTerms(s *Server) candidate {
@@ -283,9 +295,9 @@
 	c.matched = min(chunks*chunkTokens, max(0, w.PromptTokens-1))
 	c.cached = int(float64(c.matched) * s.cache.trust)
 	nominal := float64(w.PromptTokens-c.cached) / s.prefillRate()
-	c.seconds = s.backlog(now) + nominal*s.Speed.Factor()
 	c.suspect = s.Speed.Suspect()
 	c.probe = c.suspect && mayProbe(s, w, nominal, now)
+	c.seconds = s.backlog(now) + nominal*c.factor()
 	return c
 }
 
--- a/picker/pool.go
+++ b/picker/pool.go
@@ -158,7 +158,11 @@
 // Report takes a lagging load report. The role that the engine reports is the
 // one it can serve, whatever the tables say (8.3).
 func (p *Pool) Report(s *Server, load *egretflow.LoadReport, now time.Time) {
-	s.report(load, p.perPrefill, now)
+	tokens := 0.0
+	if p.peers {
+		tokens = p.perPrefill
+	}
+	s.report(load, tokens, now)
 	if load.Role != "" && load.Role != s.role && p.kind == egretflow.PoolKindModel {
 		s.role, s.Speed, s.Link = load.Role, nil, nil
 		p.regroup(now)
--- a/picker/server.go
+++ b/picker/server.go
@@ -17,6 +17,8 @@
 	// name none.
 	defaultPrefillRate = 8000
 	defaultGap         = 25 * time.Millisecond
+	// maxForeign bounds the backlog that a lagging report can add.
+	maxForeign = 500 * time.Millisecond
 	// maxBacklog is the own prefill work on a server above which requests wait
 	// in the queue instead, where a more important one can still pass them. It
 	// keeps an engine busy over a dispatch and a tick of the scheduler.
@@ -156,7 +158,7 @@
 			own = now.Sub(s.busyUntil).Seconds()
 		}
 	}
-	return own + s.foreign(now)/s.prefillRate()*s.Speed.Factor()
+	return own + min(s.foreign(now)/s.prefillRate()*s.Speed.Factor(), maxForeign.Seconds())
 }
 
 // deep reports whether new prefills should wait in the queue.
