Keep a decode server for a prompt that needs several slots

Change: the first waiting request that needs several slots and finds none keeps the server with the most free slots to itself; the others use the rest. The bound on how often an item is passed by is gone, and its test is replaced by one that a long prompt starts when its slots are free.

--- a/admitter/doc.go
+++ b/admitter/doc.go
@@ -30,9 +30,6 @@
 //     that it makes late, and no others.
 //  4. An item without FirstTokenBy (a continued stream) is refused only when
 //     the queue is full.
-//  5. An item that does not fit on any server is passed by others at most
-//     MaxBypassed times; then it blocks the items behind it, so that a request
-//     with a long prompt is not starved by short ones.
-//  6. At most MaxItems wait. A full queue gives up its last item for a more
+//  5. At most MaxItems wait. A full queue gives up its last item for a more
 //     important one.
 package admitter
--- a/admitter/flow.go
+++ b/admitter/flow.go
@@ -24,8 +24,7 @@
 	// Owner is the caller's own record of the request.
 	Owner any
 
-	flow     *flow
-	bypassed int
+	flow *flow
 }
 
 func (i *Item) cost() float64 {
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -7,13 +7,9 @@
 	"github.com/egretflow/egretflow"
 )
 
-const (
-	// MaxItems bounds the memory of one queue. At 68 requests/s and a target of
-	// 1.1 s about 75 requests can wait and still be useful.
-	MaxItems = 1024
-	// MaxBypassed bounds how often an item that does not fit is passed by.
-	MaxBypassed = 16
-)
+// MaxItems bounds the memory of one queue. At 68 requests/s and a target of
+// 1.1 s about 75 requests can wait and still be useful.
+const MaxItems = 1024
 
 // Verdict is the result of an offer.
 type Verdict struct {
@@ -149,21 +145,17 @@
 	return q.batch
 }
 
-// Heads returns the next items in service order, at most n, and fewer when an
-// item that was passed by too often blocks the rest. The result is valid until
-// the next call of a method of q other than Take and Remove.
+// Heads returns the next items in service order, at most n. The result is valid
+// until the next call of a method of q other than Take and Remove.
 func (q *Queue) Heads(n int) []*Item {
 	q.batch = q.batch[:0]
 	q.walk(func(item *Item) bool {
 		q.batch = append(q.batch, item)
-		return len(q.batch) < n && item.bypassed < MaxBypassed
+		return len(q.batch) < n
 	})
 	return q.batch
 }
 
-// Bypassed notes that an item behind item was placed.
-func (q *Queue) Bypassed(item *Item) { item.bypassed++ }
-
 // cursor is the position of a walk in one flow.
 type cursor struct {
 	flow *flow
--- a/picker/pick.go
+++ b/picker/pick.go
@@ -35,6 +35,8 @@
 	Isolate bool
 	// Healthy excludes suspect servers and accepts a backlog, for hedges.
 	Healthy bool
+	// Keep is a decode server that is kept for another request.
+	Keep *Server
 	// Decode is set when only the prefill server is chosen again, instead of
 	// Exclude.
 	Decode  *Server
@@ -194,7 +196,7 @@
 			g.leave(s)
 			continue
 		}
-		if free >= s.SlotsFor(w) && usable(s, w, o, now) {
+		if s != o.Keep && free >= s.SlotsFor(w) && usable(s, w, o, now) {
 			list = append(list, p.decodeCandidate(s, w, now))
 		}
 		n++
@@ -203,6 +205,18 @@
 	return list
 }
 
+// Widest returns the decode server with the most free slots, among at most
+// fallbackSize; nil when none is free.
+func (p *Pool) Widest(now time.Time) *Server {
+	var widest *Server
+	for _, s := range p.decode.open[:min(len(p.decode.open), fallbackSize)] {
+		if free := s.free(now); free > 0 && (widest == nil || free > widest.free(now)) {
+			widest = s
+		}
+	}
+	return widest
+}
+
 // draw moves a random server that was not drawn yet to position n.
 func (p *Pool) draw(g *group, n int) *Server {
 	g.swap(n, n+p.rand.IntN(len(g.open)-n))
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -182,35 +182,34 @@
 }
 
 // placeOne tries the next requests in order and reports whether one left the
-// queue.
+// queue. The first that needs several slots of one server and finds none keeps
+// the server with the most free slots to itself, or requests that need one slot
+// would take each slot that becomes free.
 func (t *task) placeOne(p *pool) bool {
-	heads := p.queue.Heads(headsPerRound)
-	for n, item := range heads {
+	var o picker.Options
+	for _, item := range p.queue.Heads(headsPerRound) {
 		w := item.Owner.(*waiter)
-		if !t.place(w) {
-			if p.blocked == nil {
-				p.blocked = w
-			}
-			continue
+		if t.place(w, o) {
+			return true
 		}
-		for _, passed := range heads[:n] {
-			if passed.Slots > 1 {
-				p.queue.Bypassed(passed)
-			}
+		if p.blocked == nil {
+			p.blocked = w
+		}
+		if o.Keep == nil && item.Slots > 1 {
+			o.Keep = p.picker.Widest(t.now)
 		}
-		return true
 	}
 	return false
 }
 
 // place starts or refuses the waiting request w and reports false when it must
 // wait longer.
-func (t *task) place(w *waiter) bool {
+func (t *task) place(w *waiter, o picker.Options) bool {
 	if t.verdict(w.work) != crashdetector.Allow {
 		t.moveSuspect(w)
 		return true
 	}
-	pl, ok := w.pool.picker.Pick(w.work, picker.Options{}, t.now)
+	pl, ok := w.pool.picker.Pick(w.work, o, t.now)
 	if !ok {
 		return false
 	}
--- a/scheduler/attempt_test.go
+++ b/scheduler/attempt_test.go
@@ -184,3 +184,25 @@
 		t.Errorf("wanted %v, want four slots of prefill and of decode servers", total)
 	}
 }
+
+// Short requests that take each slot that becomes free would starve a prompt
+// that needs several.
+func TestLongPromptIsNotStarved(t *testing.T) {
+	d := newDriver(t, 30, 1)
+	var running []*egretflow.Assignment
+	short := func(w *egretflow.Work) { w.PromptTokens, w.FirstTokenBy = 100, time.Time{} }
+	for range 20 {
+		running = append(running, d.acquire(short).assignment)
+	}
+	long := d.acquire(func(w *egretflow.Work) { w.PromptTokens, w.FirstTokenBy = 10_000, time.Time{} })
+	waiting := d.acquire(func(w *egretflow.Work) { short(w); w.Importance = egretflow.ImportanceLow })
+	for n, a := range running[:4] {
+		if long.done || waiting.done {
+			t.Fatalf("after %d of 4 slots: long prompt started %v, short one behind it %v", n, long.done, waiting.done)
+		}
+		d.release(a)
+	}
+	if long.assignment == nil {
+		t.Errorf("the long prompt did not start with 4 free slots: %v", long.err)
+	}
+}
