Start a request at once when nothing waits before it

Cause: most requests of a pool that is not full paid for an estimate of the wait that they do not have. Change: with an empty queue the scheduler tries the choice first and queues the request only when there is no place.

--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -106,6 +106,9 @@
 // offer queues w or refuses it early (5.1).
 func (t *task) offer(w *waiter) {
 	p := w.pool
+	if t.startAtOnce(w) {
+		return
+	}
 	w.item = admitter.Item{Work: w.work, Slots: 1, Service: p.picker.Idle(w.work), Owner: w}
 	if p.picker.Kind() == egretflow.PoolKindModel {
 		w.item.Tokens = p.picker.Uncached(w.work)
@@ -123,6 +126,21 @@
 	t.dispatch(p)
 }
 
+// startAtOnce starts w when nothing waits before it and there is a place. It
+// saves the estimate of the wait for most requests of a pool that is not full.
+func (t *task) startAtOnce(w *waiter) bool {
+	p := w.pool
+	if p.queue.Len() > 0 || p.picker.Full() {
+		return false
+	}
+	pl, ok := p.picker.Pick(w.work, picker.Options{}, t.now)
+	if !ok || (!pl.Probe && t.late(w.work, pl.FirstTokenAt)) {
+		return false
+	}
+	t.start(w, pl)
+	return true
+}
+
 // isolate queues a crash suspect apart from other requests, which it must not
 // hold up while it waits for a server without suspects (5.6).
 func (t *task) isolate(w *waiter) {
