--- a/scheduler/attempt_test.go
+++ b/scheduler/attempt_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/crashdetector"
 )
 
 // driver sends messages to a task in virtual time.
@@ -206,3 +207,35 @@
 		t.Errorf("the long prompt did not start with 4 free slots: %v", long.err)
 	}
 }
+
+// The requests that shared a lost server with a crashing one must not share its
+// next server as well, or they are rejected with it (5.6).
+func TestInnocentRequestsAreNotRejected(t *testing.T) {
+	const requests = 10
+	d := newDriver(t, 12, 4)
+	for f := range uint64(requests) {
+		d.task.crashes.Charge(f+1, "lost", d.now)
+	}
+	var running []*egretflow.Assignment
+	for f := range uint64(requests) {
+		if w := d.acquire(withFingerprint(f + 1)); w.assignment != nil {
+			running = append(running, w.assignment)
+		}
+	}
+	// The first request crashes its next server, too.
+	lost := running[0].Decode.Name
+	for _, a := range running {
+		if a.Decode.Name == lost {
+			d.observe(egretflow.ObservationCrashed, lost, a)
+		}
+	}
+	rejected := 0
+	for f := range uint64(requests) {
+		if d.task.crashes.Verdict(f+1, d.now) == crashdetector.Reject {
+			rejected++
+		}
+	}
+	if rejected != 1 {
+		t.Errorf("%d of %d requests rejected, want only the one that crashes servers", rejected, requests)
+	}
+}
