--- /dev/null
+++ b/internal/loadgen/report.go
@@ -0,0 +1,56 @@
+package loadgen
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"text/tabwriter"
+
+	"github.com/egretflow/egretflow"
+)
+
+// WriteTable prints one line per result.
+func WriteTable(w io.Writer, results []*Result) error {
+	tw := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(tw, "Scenario\tPolicy\tSeed\tArrived\tWhole\tRefused\tFailed\tGoodput/s\tCritical%\tHigh%\tNormal%\tLow%\tWasted%\tTTFT p50 ms\tp99 ms\tGap p95 ms")
+	for _, r := range results {
+		fmt.Fprintf(tw, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%.2f", r.Scenario, r.Policy, r.Seed, r.Arrived, r.Whole, r.Refused, r.Failed, r.GoodputPerSecond)
+		for _, i := range egretflow.Importances {
+			fmt.Fprintf(tw, "\t%.1f", r.GoodByImportance[i])
+		}
+		fmt.Fprintf(tw, "\t%.2f\t%.0f\t%.0f\t%.1f\n", r.WastedPrefillPercent, r.FirstTokenP50, r.FirstTokenP99, r.TokenGapP95)
+	}
+	if err := tw.Flush(); err != nil {
+		return fmt.Errorf("write table: %w", err)
+	}
+	return nil
+}
+
+// WriteJSON prints one JSON object per result, a line each.
+func WriteJSON(w io.Writer, results []*Result) error {
+	enc := json.NewEncoder(w)
+	for _, r := range results {
+		if err := enc.Encode(r); err != nil {
+			return fmt.Errorf("encode result: %w", err)
+		}
+	}
+	return nil
+}
+
+// Spread is the mean of a measure over runs with its lowest and highest value.
+type Spread struct {
+	Mean, Lowest, Highest float64
+}
+
+// SpreadOf returns the spread of one measure over results.
+func SpreadOf(results []*Result, measure func(*Result) float64) Spread {
+	s := Spread{Lowest: math.Inf(1), Highest: math.Inf(-1)}
+	for _, r := range results {
+		v := measure(r)
+		s.Mean += v / float64(len(results))
+		s.Lowest = min(s.Lowest, v)
+		s.Highest = max(s.Highest, v)
+	}
+	return s
+}
