--- a/peer.go
+++ b/peer.go
@@ -53,8 +53,10 @@
 	SentAt      time.Time
 	Revision    Revision
 	Leaving     bool
-	Demands     []Demand
-	Crashes     []CrashReport
+	// Slices is the number of slices in the sender's region (5.3).
+	Slices  int
+	Demands []Demand
+	Crashes []CrashReport
 }
 
 // ExchangeResponse answers an ExchangeRequest.
@@ -64,8 +66,10 @@
 	Incarnation uint64
 	Revision    Revision
 	Leaving     bool
-	Grants      []Grant
-	Crashes     []CrashReport
+	// Slices is the number of slices in the sender's region (5.3).
+	Slices  int
+	Grants  []Grant
+	Crashes []CrashReport
 }
 
 // PullRequest asks for tables above a revision and tells the receiver which
@@ -80,7 +84,7 @@
 
 // PullResponse carries the tables in force, or none when not higher.
 type PullResponse struct {
-	_      struct{} `cbor:",toarray"`
+	_ struct{} `cbor:",toarray"`
 	// Tables is the JSON encoding of the tables.
 	Tables []byte
 	// Confirmed says that the sender has confirmed Revision with the store
