Add the assembler of a whole instance

Change: package assembler builds the request path and the fleet part from listeners, a dialer and a store; claims are wired when their package lands.

--- /dev/null
+++ b/assembler/fleet.go
@@ -0,0 +1,203 @@
+package assembler
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/distributor"
+	"github.com/egretflow/egretflow/exchanger"
+	"github.com/egretflow/egretflow/messenger"
+	"github.com/egretflow/egretflow/poller"
+	"github.com/egretflow/egretflow/supervisor"
+	"github.com/egretflow/egretflow/tracker"
+)
+
+// claimCommitter is a claimer that also commits the claims of peers.
+type claimCommitter interface {
+	egretflow.Claimer
+	HandleCommitClaims(ctx context.Context, r *egretflow.CommitRequest) (*egretflow.CommitResponse, error)
+	Run(ctx context.Context) error
+}
+
+// fleet is the part of an instance that works with other instances.
+type fleet struct {
+	cfg         *Config
+	meter       *messenger.Meter
+	names       *messenger.Names
+	client      *messenger.Client
+	server      *http.Server
+	tracker     *tracker.Tracker
+	distributor *distributor.Distributor
+	exchanger   *exchanger.Exchanger
+	poller      *poller.Poller
+	claimer     claimCommitter
+}
+
+func newFleet(i *Instance) (*fleet, error) {
+	cfg := &i.cfg
+	f := &fleet{cfg: cfg, meter: messenger.NewMeter(messenger.BudgetBytesPerSecond, cfg.Clock), names: messenger.NewNames()}
+	if err := f.addMessenger(i); err != nil {
+		return nil, err
+	}
+	f.tracker = tracker.New(tracker.Config{
+		Self: cfg.Self, URL: cfg.ListURL, Client: cfg.httpClient(), Clock: cfg.Clock, Rand: cfg.newRand(),
+		Recorder: i.Explainer, State: i.Scheduler,
+	})
+	f.distributor = distributor.New(distributor.Config{
+		Self: cfg.Self, Store: cfg.Store, Peers: f.client, Clock: cfg.Clock, Rand: cfg.newRand(),
+		Recorder: i.Explainer, Checker: i.Checker,
+	})
+	f.exchanger = exchanger.New(exchanger.Config{
+		Self: cfg.Self, Incarnation: cfg.Incarnation, Clock: cfg.Clock, Rand: cfg.newRand(), Recorder: i.Explainer,
+		Peers: f.client, State: i.Scheduler, Tables: f.distributor, Members: f.tracker, Hints: f.distributor, Budget: f.meter,
+	})
+	f.poller = poller.New(f.pollerConfig(i))
+	return f, nil
+}
+
+func (f *fleet) addMessenger(i *Instance) error {
+	peers := f.cfg.Peers
+	var err error
+	f.client, err = messenger.NewClient(messenger.ClientConfig{
+		Meter: f.meter, Names: f.names, Clock: f.cfg.Clock, Key: peers.Key, TLS: peers.ClientTLS, Dial: f.cfg.Dial,
+	})
+	if err != nil {
+		return wrapPart("peer client", err)
+	}
+	handler, err := messenger.NewHandler(messenger.HandlerConfig{
+		Handler: f, Names: f.names, Verifier: peers.Verifier, Recorder: i.Explainer, Clock: f.cfg.Clock, Self: f.cfg.Self.Name,
+	})
+	if err != nil {
+		return wrapPart("peer handler", err)
+	}
+	f.server = messenger.NewServer(handler, peers.ServerTLS)
+	return nil
+}
+
+// HandleExchange implements egretflow.PeerHandler.
+func (f *fleet) HandleExchange(ctx context.Context, r *egretflow.ExchangeRequest) (*egretflow.ExchangeResponse, error) {
+	return f.exchanger.HandleExchange(ctx, r)
+}
+
+// HandlePull implements egretflow.PeerHandler.
+func (f *fleet) HandlePull(ctx context.Context, r *egretflow.PullRequest) (*egretflow.PullResponse, error) {
+	return f.distributor.HandlePull(ctx, r)
+}
+
+// HandleCommitClaims implements egretflow.PeerHandler.
+func (f *fleet) HandleCommitClaims(ctx context.Context, r *egretflow.CommitRequest) (*egretflow.CommitResponse, error) {
+	if f.claimer == nil {
+		return nil, fmt.Errorf("commit claims: %w", egretflow.ErrUnavailable)
+	}
+	return f.claimer.HandleCommitClaims(ctx, r)
+}
+
+func (f *fleet) reachableMembers() []egretflow.Member {
+	view := f.tracker.View()
+	members := make([]egretflow.Member, 0, len(view.Members))
+	for _, m := range view.Members {
+		if view.Reachable[m.Name] && m.State == egretflow.MemberStateLive {
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
+func (f *fleet) poolUsesTLS(name egretflow.PoolName) bool {
+	tables := f.distributor.Current().Tables
+	if tables == nil {
+		return false
+	}
+	pool, ok := tables.Pool(name)
+	return ok && pool.ServerTLS
+}
+
+func (f *fleet) tasks() []supervisor.Task {
+	return []supervisor.Task{
+		{Name: "tracker", Run: f.tracker.Run},
+		{Name: "members", Run: f.followMembers},
+		{Name: "distributor", Run: f.distributor.Run},
+		{Name: "peers", Run: f.servePeers},
+		{Name: "exchanger", Run: f.exchange},
+		{Name: "poller", Run: f.poller.Run},
+	}
+}
+
+// membersInterval is how often a change of the membership is passed on to the
+// distributor. Watchers change within it plus the lag of the list.
+const membersInterval = 200 * time.Millisecond
+
+// followMembers passes the membership and the names of servers on.
+func (f *fleet) followMembers(ctx context.Context) error {
+	f.distributor.Subscribe(func(t *egretflow.Tables) { f.names.Set(serverNames(t)) })
+	ticker := time.NewTicker(membersInterval)
+	defer ticker.Stop()
+	for version := uint64(0); ; {
+		if view := f.tracker.View(); view.Version != version {
+			version = view.Version
+			f.distributor.SetMembers(f.knownMembers(view.Members))
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// knownMembers leaves out members that are leaving. Unreachable members stay,
+// so that an instance that was cut off can be asked again.
+func (f *fleet) knownMembers(members []egretflow.Member) []egretflow.Member {
+	known := make([]egretflow.Member, 0, len(members))
+	for _, m := range members {
+		if m.State == egretflow.MemberStateLive {
+			known = append(known, m)
+		}
+	}
+	return known
+}
+
+func serverNames(t *egretflow.Tables) []egretflow.ServerName {
+	var names []egretflow.ServerName
+	for p := range t.Pools {
+		for s := range t.Pools[p].Servers {
+			names = append(names, t.Pools[p].Servers[s].Name)
+		}
+	}
+	return names
+}
+
+func (f *fleet) servePeers(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { f.server.Close() })
+	defer stop()
+	defer f.client.Close()
+	err := messenger.Serve(f.server, f.meter.Listener(f.cfg.Peers.Listener))
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve peers: %w", err)
+	}
+	return nil
+}
+
+// exchange runs the exchanger until ctx ends and then tells the peers that the
+// instance leaves, while the exchanger still works.
+func (f *fleet) exchange(ctx context.Context) error {
+	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	ended := make(chan error, 1)
+	go func() { ended <- f.exchanger.Run(runCtx) }()
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+	}
+	leaveCtx, cancel := context.WithTimeout(runCtx, leaveTimeout)
+	defer cancel()
+	// A peer that was not told sees the grants expire instead.
+	_ = f.exchanger.Leave(leaveCtx)
+	stop()
+	return <-ended
+}
