--- a/internal/loadgen/run.go
+++ b/internal/loadgen/run.go
@@ -7,20 +7,21 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/egretflow/egretflow"
-	"github.com/egretflow/egretflow/scheduler"
+	"github.com/egretflow/egretflow/picker"
 )
 
 // Config describes one run.
 type Config struct {
 	Scenario  *Scenario
-	Policy    scheduler.Policy
+	Policy    picker.Policy
 	Instances int
 	Seed      uint64
 	Clock     egretflow.Clock
-	// Direct sends arrivals straight to one engine per role, without egretflow;
-	// it measures the baseline of the added latency.
-	Recorder egretflow.Recorder
+	// Logger gets one line per event of the instances; nil writes none.
+	Logger *logrus.Logger
 }
 
 const (
