--- /dev/null
+++ b/cmd/egretctl/egretctl_test.go
@@ -0,0 +1,166 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/distributor"
+	"github.com/egretflow/egretflow/internal/stub/fault"
+	"github.com/egretflow/egretflow/internal/stub/store"
+	"github.com/egretflow/egretflow/storeclient"
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+const operatorKey = "operator-key"
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"egretctl": main})
+}
+
+// Each script has a store stand-in and two instances of its own on loopback.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/script",
+		Setup: func(env *testscript.Env) error {
+			stub := store.New(store.Config{Clock: time.Now})
+			srv := httptest.NewServer(stub)
+			env.Defer(srv.Close)
+			env.Values["faults"] = stub.Faults
+			env.Setenv("EGRETFLOW_STORE", srv.URL)
+			env.Setenv("EGRETFLOW_OPERATOR_KEY", operatorKey)
+			env.Setenv("EGRETFLOW_WHO", "amina")
+			env.Setenv("EGRETFLOW_REASON", "test")
+			urls := startInstances(env, srv.URL)
+			env.Setenv("EGRETFLOW_INSTANCES", strings.Join(urls, ","))
+			env.Setenv("FIRST_INSTANCE", urls[0])
+			return nil
+		},
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){"fault": setFault},
+	})
+}
+
+// setFault implements "fault KIND COUNT" and "fault none".
+func setFault(ts *testscript.TestScript, _ bool, args []string) {
+	faults := ts.Value("faults").(*fault.Set)
+	if args[0] == "none" {
+		faults.Clear()
+		return
+	}
+	count, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	faults.Add(fault.Fault{Kind: fault.Kind(args[0]), Count: count})
+}
+
+// startInstances serves the status of real distributors. The first instance
+// also explains request-7.
+func startInstances(env *testscript.Env, storeURL string) []string {
+	var members []egretflow.Member
+	for n := range 2 {
+		members = append(members, egretflow.Member{
+			Name: egretflow.InstanceName(fmt.Sprintf("entry-%d", n+1)), FailureDomain: "moshi-lab", Region: "tz-north",
+			Address: netip.MustParseAddrPort("127.0.0.1:1"), State: egretflow.MemberStateLive,
+		})
+	}
+	peers := directPeers{}
+	for n, self := range members {
+		client := &http.Client{Transport: &http.Transport{}}
+		env.Defer(client.CloseIdleConnections)
+		st, err := storeclient.New(storeclient.Config{BaseURL: storeURL, Client: client, Clock: time.Now})
+		if err != nil {
+			env.T().Fatal(err)
+		}
+		peers[self.Name] = distributor.New(distributor.Config{
+			Self: self, Store: st, Peers: peers, Clock: time.Now, Rand: rand.New(rand.NewPCG(1, uint64(n))),
+			Recorder: discard{}, Checker: discard{},
+		})
+	}
+	var urls []string
+	for n, self := range members {
+		d := peers[self.Name]
+		d.SetMembers(members)
+		run(env, d)
+		srv := httptest.NewServer(operatorHandler(d, n == 0))
+		env.Defer(srv.Close)
+		urls = append(urls, srv.URL)
+	}
+	return urls
+}
+
+// run runs d until the end of the script.
+func run(env *testscript.Env, d *distributor.Distributor) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = d.Run(ctx)
+	}()
+	env.Defer(func() {
+		cancel()
+		<-done
+	})
+}
+
+func operatorHandler(d *distributor.Distributor, knowsRequest bool) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET "+egretflow.StatusPath, d.StatusHandler())
+	mux.HandleFunc("GET "+egretflow.ExplainPath+"{id}", func(w http.ResponseWriter, r *http.Request) {
+		if !knowsRequest || r.PathValue("id") != "request-7" {
+			http.NotFound(w, r)
+			return
+		}
+		_, _ = fmt.Fprintln(w, `{"Name":"Refused"}`)
+	})
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Authorization") != "Bearer "+operatorKey {
+			w.WriteHeader(http.StatusUnauthorized)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+type discard struct{}
+
+func (discard) Record(egretflow.Event) {}
+
+func (discard) Check(egretflow.Invariant, bool, egretflow.RequestID, string) {}
+
+// directPeers calls the distributors of the same process.
+type directPeers map[egretflow.InstanceName]*distributor.Distributor
+
+func (p directPeers) Pull(ctx context.Context, to egretflow.Member, r *egretflow.PullRequest) (*egretflow.PullResponse, error) {
+	return p[to.Name].HandlePull(ctx, r)
+}
+
+func (directPeers) Exchange(context.Context, egretflow.Member, *egretflow.ExchangeRequest) (*egretflow.ExchangeResponse, error) {
+	return nil, egretflow.ErrUnavailable
+}
+
+func (directPeers) CommitClaims(context.Context, egretflow.Member, *egretflow.CommitRequest) (*egretflow.CommitResponse, error) {
+	return nil, egretflow.ErrUnavailable
+}
+
+// Scripts that call egretctl rely on these statuses.
+func TestExitStatus(t *testing.T) {
+	for err, want := range map[error]int{
+		nil:                     0,
+		errors.New("other"):     exitFailed,
+		egretflow.ErrUncertain:  exitUncertain,
+		egretflow.ErrConflict:   exitConflict,
+		&egretflow.FieldError{}: exitRefused,
+	} {
+		if got := exitStatus(err); got != want {
+			t.Errorf("%v: status %d, want %d", err, got, want)
+		}
+	}
+}
