Distribute changes instead of whole documents

Cause: each change sent the whole document to every instance. Change: an audit entry carries the checksum of its document, watchers watch the audit trail, pulls answer with the entries of the missing revisions, and the tables are made from them (editor.Entry.Next). Whole documents are read at the start, after a broken watch and when entries do not fit.

--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -107,7 +107,13 @@
 		Revision:  s.revision(),
 		EditID:    s.editID(),
 	}
-	if response.Revision > r.Above {
+	if response.Revision <= r.Above {
+		return response, nil
+	}
+	if !r.Full {
+		response.Deltas = s.deltasAbove(r.Above)
+	}
+	if response.Deltas == nil {
 		response.Tables = s.data
 	}
 	return response, nil
--- a/distributor/distributor_test.go
+++ b/distributor/distributor_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -143,7 +144,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		f.instance(f.members[8]).active.activate(doc, time.Now())
+		f.instance(f.members[8]).active.activate(doc, nil, time.Now())
 		for _, m := range f.members[:7] {
 			f.setLink(m, linkUp)
 		}
@@ -195,8 +196,8 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		f.instance(f.members[1]).active.activate(doc, time.Now())
-		f.instance(f.members[2]).active.activate(doc, time.Now())
+		f.instance(f.members[1]).active.activate(doc, nil, time.Now())
+		f.instance(f.members[2]).active.activate(doc, nil, time.Now())
 		f.setLink(f.members[1], linkSilent)
 		start := time.Now()
 		reader := f.instance(f.members[0])
@@ -222,7 +223,7 @@
 	c := &checkRecord{}
 	a := newActive(c)
 	for _, r := range []egretflow.Revision{5, 4} {
-		a.activate(document{tables: &egretflow.Tables{Revision: r}}, time.Time{})
+		a.activate(document{tables: &egretflow.Tables{Revision: r}}, nil, time.Time{})
 	}
 	if !c.violated || a.load().revision() != 5 {
 		t.Errorf("violated %v, revision %d", c.violated, a.load().revision())
@@ -284,3 +285,42 @@
 		}
 	})
 }
+
+// Guards against a fork: the instance holds another document under the same
+// revision, so deltas of peers do not fit and it must pull the whole document.
+func TestDeltaOnAnotherBasePullsDocument(t *testing.T) {
+	withFleet(t, 9, 1, func(t *testing.T, f *fleet) {
+		watchers := pickWatchers(f.members)[domainOf(f.members[0])]
+		odd := f.members[slices.IndexFunc(f.members, func(m egretflow.Member) bool { return !contains(watchers, m.Name) })]
+		fork, err := decodeDocument([]byte(`{"Revision": 2, "EditID": "fork", "Routes": [], "Pools": []}`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.setLink(odd, linkRefused)
+		f.awaitOthers(odd, f.edit(2))
+		f.instance(odd).active.activate(fork, nil, time.Now())
+		f.awaitOthers(odd, f.edit(3))
+		f.setLink(odd, linkUp)
+		f.awaitRevision(3, 7*time.Second)
+		if current := f.instance(odd).Current().Tables; len(current.Pools) != 1 || current.Pools[0].Servers[0].Slots != 3 {
+			t.Errorf("tables %+v", current)
+		}
+	})
+}
+
+// Guards against a chain of deltas with a gap, and against one that costs more
+// than the document.
+func TestDeltasAbove(t *testing.T) {
+	s := &snapshot{document: document{&egretflow.Tables{Revision: 9}, make([]byte, 100)}}
+	for r := egretflow.Revision(7); r <= 9; r++ {
+		s.deltas = extend(s.deltas, &delta{r, make([]byte, 40)})
+	}
+	for above, want := range map[egretflow.Revision]int{9: 0, 8: 1, 7: 2, 6: 0, 5: 0, 0: 0, 20: 0} {
+		if got := len(s.deltasAbove(above)); got != want {
+			t.Errorf("above %d: %d deltas, want %d", above, got, want)
+		}
+	}
+	if s.deltas = extend(s.deltas, nil); len(s.deltas) != 0 {
+		t.Error("the chain went on over a whole document")
+	}
+}
--- a/distributor/doc.go
+++ b/distributor/doc.go
@@ -23,6 +23,10 @@
 //  2. An instance that activates a revision tells PushFanout random peers. A
 //     pull carries the revision of its sender, so the same message asks for
 //     tables and announces them: the side with the lower revision pulls.
+//     Store and peers send the audit entries of the missing revisions, from
+//     which the tables are made and checked by a checksum. The whole document
+//     is read at the start, after a break of the watch, and when entries are
+//     missing or do not fit.
 //  3. Every AntiEntropyInterval an instance pulls from one peer, in turn a
 //     watcher of its failure domain and any member. This repairs lost hints.
 //  4. Only a revision higher than the active one is accepted, from any source.
--- a/distributor/fleet_test.go
+++ b/distributor/fleet_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -42,8 +43,8 @@
 	instances map[egretflow.InstanceName]*instance
 	links     map[egretflow.InstanceName]linkState
 	pulls     int
-	// transfers counts the answers with tables.
-	transfers int
+	// bytes counts the tables and deltas in answers.
+	bytes int
 	// activated holds when each instance activated each revision.
 	activated map[egretflow.Revision]map[egretflow.InstanceName]time.Time
 	events    map[egretflow.EventName]int
@@ -175,6 +176,15 @@
 		"FailureDomain": "domain-0", "Role": "Service", "Slots": %d}]}]}`, slots))
 }
 
+// awaitOthers waits until all instances but one have a revision.
+func (f *fleet) awaitOthers(except egretflow.Member, r egretflow.Revision) {
+	f.t.Helper()
+	all := f.members
+	f.members = slices.DeleteFunc(slices.Clone(all), func(m egretflow.Member) bool { return m.Name == except.Name })
+	f.awaitRevision(r, 7*time.Second)
+	f.members = all
+}
+
 // awaitRevision waits until all instances have a revision and returns how long
 // that took.
 func (f *fleet) awaitRevision(r egretflow.Revision, limit time.Duration) time.Duration {
@@ -235,9 +245,12 @@
 	}
 	response, err := target.HandlePull(ctx, r)
 	time.Sleep(oneWay)
-	if response != nil && len(response.Tables) > 0 {
+	if response != nil {
 		l.fleet.mu.Lock()
-		l.fleet.transfers++
+		l.fleet.bytes += len(response.Tables)
+		for _, data := range response.Deltas {
+			l.fleet.bytes += len(data)
+		}
 		l.fleet.mu.Unlock()
 	}
 	return response, err
--- a/distributor/propagation_test.go
+++ b/distributor/propagation_test.go
@@ -21,7 +21,7 @@
 	idleStore, editStore float64
 	idlePulls, editPulls float64
 	p50, p99, last       time.Duration
-	transfers            float64
+	bytes                float64
 }
 
 // Prints the figures of docs/decisions/distribution.md and asserts the targets
@@ -36,12 +36,12 @@
 		fanouts = []int{-1, 2, DefaultPushFanout, 8}
 	}
 	t.Log("instances fan-out | store calls/s idle, with edits | pulls/s per instance idle, with edits | " +
-		"active after p50, p99, last | transfers per instance and edit")
+		"active after p50, p99, last | bytes per instance and edit")
 	for _, size := range sizes {
 		for _, fanout := range fanouts {
 			m := measure(t, size.instances, size.domains, fanout)
-			t.Logf("%d %d | %.1f, %.1f | %.2f, %.2f | %v, %v, %v | %.2f", size.instances, max(0, fanout),
-				m.idleStore, m.editStore, m.idlePulls, m.editPulls, m.p50, m.p99, m.last, m.transfers)
+			t.Logf("%d %d | %.1f, %.1f | %.2f, %.2f | %v, %v, %v | %.0f", size.instances, max(0, fanout),
+				m.idleStore, m.editStore, m.idlePulls, m.editPulls, m.p50, m.p99, m.last, m.bytes)
 			limit, got := 7*time.Second, m.last
 			if size.instances <= 8 {
 				limit, got = time.Second, m.p99
@@ -69,7 +69,7 @@
 		m.idlePulls = perSecond(f.countPulls()-pulls, idle) / float64(instances)
 
 		calls, pulls = sumCalls(f), f.countPulls()
-		transfers := f.countTransfers()
+		bytes := f.countBytes()
 		var delays []time.Duration
 		for n := range edits {
 			start := time.Now()
@@ -85,7 +85,7 @@
 		}
 		m.editStore = perSecond(sumCalls(f)-calls, edits*editInterval)
 		m.editPulls = perSecond(f.countPulls()-pulls, edits*editInterval) / float64(instances)
-		m.transfers = float64(f.countTransfers()-transfers) / float64(edits*instances)
+		m.bytes = float64(f.countBytes()-bytes) / float64(edits*instances)
 		slices.Sort(delays)
 		m.p50, m.p99, m.last = delays[len(delays)/2], delays[len(delays)*99/100], delays[len(delays)-1]
 		f.stopAll()
@@ -113,8 +113,8 @@
 	return f.pulls
 }
 
-func (f *fleet) countTransfers() int {
+func (f *fleet) countBytes() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.transfers
+	return f.bytes
 }
--- a/distributor/pull.go
+++ b/distributor/pull.go
@@ -32,6 +32,7 @@
 	sentAt   time.Time
 	response *egretflow.PullResponse
 	document document
+	entries  []*entry
 	err      error
 }
 
@@ -111,6 +112,7 @@
 		Above:    t.active.load().revision(),
 		From:     t.cfg.Self.Name,
 		Revision: t.active.load().revision(),
+		Full:     t.needFull,
 	}
 	if purpose == purposeStartup {
 		request.Above = math.MaxUint64
@@ -120,8 +122,8 @@
 		callCtx, cancel := context.WithTimeout(ctx, t.cfg.Timing.PullTimeout)
 		defer cancel()
 		r.response, r.err = t.cfg.Peers.Pull(callCtx, peer, request)
-		if r.err == nil && len(r.response.Tables) > 0 {
-			r.document, r.err = decodeDocument(r.response.Tables)
+		if r.err == nil {
+			r.err = r.decode()
 		}
 		select {
 		case t.results <- r:
@@ -130,6 +132,21 @@
 	})
 }
 
+// decode decodes the tables or deltas of the response.
+func (r *pullResult) decode() (err error) {
+	if len(r.response.Tables) > 0 {
+		r.document, err = decodeDocument(r.response.Tables)
+		return err
+	}
+	r.entries = make([]*entry, len(r.response.Deltas))
+	for n, data := range r.response.Deltas {
+		if r.entries[n], err = decodeEntry(data); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func decodeDocument(data []byte) (document, error) {
 	var t egretflow.Tables
 	if err := json.Unmarshal(data, &t); err != nil {
@@ -158,8 +175,15 @@
 
 func (t *task) takeResponse(ctx context.Context, r pullResult) {
 	if r.document.tables != nil {
-		t.accept(ctx, r.document, string(r.peer.Name))
-	} else if r.response.Revision > t.active.load().revision() {
+		t.accept(ctx, r.document, nil, string(r.peer.Name))
+	}
+	for _, e := range r.entries {
+		if !t.acceptDelta(ctx, e, string(r.peer.Name)) {
+			t.needFull = true
+			break
+		}
+	}
+	if r.document.tables == nil && r.response.Revision > t.active.load().revision() {
 		t.pulls.hints[r.peer.Name] = hint{r.peer, r.response.Revision}
 	}
 	s := t.active.load()
--- a/distributor/store.go
+++ b/distributor/store.go
@@ -10,15 +10,31 @@
 	"time"
 
 	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/editor"
 )
 
 // errSilentWatch means that the head was ahead of the watch.
 var errSilentWatch = errors.New("watch fell behind the head")
 
-// storeRead is what a call to the store showed. head is zero when the store
-// holds no tables; document is empty when only the head was read.
+// entry is an audit entry with its stored form.
+type entry struct {
+	*editor.Entry
+	data []byte
+}
+
+func decodeEntry(data []byte) (*entry, error) {
+	e, err := editor.DecodeEntry(data)
+	if err != nil {
+		return nil, fmt.Errorf("decode delta: %w", err)
+	}
+	return &entry{e, data}, nil
+}
+
+// storeRead is what a call to the store showed: the document, the entry of an
+// edit, or only the head. head is zero when the store holds no tables.
 type storeRead struct {
 	document document
+	entry    *entry
 	head     egretflow.TablesHead
 	// readAt is before the call, so a confirmation is never too new. For an
 	// event it is the receipt; a watch that lags is contradicted by the head.
@@ -98,8 +114,8 @@
 	}
 }
 
-// follow reads the document and then watches it until the watch breaks or
-// falls behind. followed says that the document could be read.
+// follow reads the document and then watches the audit trail, whose entries are
+// much smaller, until the watch breaks or falls behind. followed says that the document could be read.
 func (f *storeFollower) follow(ctx context.Context) (followed bool, err error) {
 	first, modRevision := f.readDocument(ctx)
 	if first.err != nil {
@@ -112,7 +128,7 @@
 	events := make(chan egretflow.StoreEntry)
 	broken := make(chan error, 1)
 	var watch sync.WaitGroup
-	watch.Go(func() { broken <- f.cfg.Store.Watch(ctx, egretflow.TablesDocumentKey, modRevision, events) })
+	watch.Go(func() { broken <- f.cfg.Store.Watch(ctx, editor.AuditPrefix, modRevision, events) })
 	defer watch.Wait()
 	defer cancel()
 
@@ -137,7 +153,9 @@
 		return
 	}
 	r := storeRead{readAt: f.cfg.Clock(), fromWatch: true}
-	r.decode(e.Value)
+	if r.entry, r.err = decodeEntry(e.Value); r.err == nil {
+		r.head = egretflow.TablesHead{Revision: r.entry.Revision, EditID: r.entry.EditID}
+	}
 	f.seen = max(f.seen, r.head.Revision)
 	f.sendRead(ctx, r)
 }
--- a/distributor/task.go
+++ b/distributor/task.go
@@ -26,6 +26,8 @@
 	confirmed bool
 
 	pulls pullBook
+	// needFull is set when deltas of a peer did not fit the active revision.
+	needFull bool
 	// askOtherDomain is set when the last watcher asked could not confirm.
 	askOtherDomain bool
 	rounds         int
@@ -116,11 +118,13 @@
 	}
 }
 
-// accept activates a document if it is higher and tells some peers.
-func (t *task) accept(ctx context.Context, doc document, source string) {
-	if doc.tables.Revision <= t.active.load().revision() || !t.active.activate(doc, t.cfg.Clock()) {
+// accept activates a document if it is higher and tells some peers. from is the
+// delta that made it, if any.
+func (t *task) accept(ctx context.Context, doc document, from *delta, source string) {
+	if doc.tables.Revision <= t.active.load().revision() || !t.active.activate(doc, from, t.cfg.Clock()) {
 		return
 	}
+	t.needFull = false
 	t.record(egretflow.EventRevisionInForce,
 		egretflow.EventField{Key: "revision", Value: fmt.Sprint(doc.tables.Revision)},
 		egretflow.EventField{Key: "edit", Value: doc.tables.EditID},
@@ -128,6 +132,24 @@
 	t.pushHints(ctx)
 }
 
+// acceptDelta activates the revision of an entry if it follows the active one.
+// It reports false when the whole document is needed.
+func (t *task) acceptDelta(ctx context.Context, e *entry, source string) bool {
+	s := t.active.load()
+	if e.Revision <= s.revision() {
+		return true
+	}
+	if s.tables == nil {
+		return false
+	}
+	tables, data, err := e.Next(s.tables)
+	if err != nil {
+		return false
+	}
+	t.accept(ctx, document{tables, data}, &delta{e.Revision, e.data}, source)
+	return true
+}
+
 // takeRead handles what a read or watch of the store showed.
 func (t *task) takeRead(ctx context.Context, r storeRead) {
 	if r.startup {
@@ -141,7 +163,13 @@
 		return
 	}
 	if r.document.tables != nil {
-		t.accept(ctx, r.document, "Store")
+		t.accept(ctx, r.document, nil, "Store")
+	}
+	if r.entry != nil && !t.acceptDelta(ctx, r.entry, "Store") {
+		t.spawn(func() {
+			whole, _ := t.readDocument(ctx)
+			t.sendRead(ctx, whole)
+		})
 	}
 	s := t.active.load()
 	switch {
--- a/editor/audit.go
+++ b/editor/audit.go
@@ -25,6 +25,9 @@
 // format. Smaller ones stay readable with any client of the store.
 const compressAbove = 64 << 10
 
+// maxEntryBytes bounds a decompressed entry: two documents and their overhead.
+const maxEntryBytes = 4 * egretflow.MaxStoreValueBytes
+
 var gzipMagic = []byte{0x1f, 0x8b}
 
 // Entry is one accepted edit in the audit trail.
@@ -36,14 +39,19 @@
 	Reason   string
 	// Changes hold the state before and after.
 	Changes []Change
+	// Checksum is the xxhash64 of the document that the edit wrote.
+	Checksum uint64
 }
 
+// AuditPrefix starts the keys of all entries.
+const AuditPrefix = "Audit/"
+
 func auditSlot(r egretflow.Revision) int { return int(r % AuditEntries) }
 
-func auditKey(r egretflow.Revision) string { return fmt.Sprintf("Audit/%03d", auditSlot(r)) }
+func auditKey(r egretflow.Revision) string { return fmt.Sprintf("%s%03d", AuditPrefix, auditSlot(r)) }
 
 func auditPrefix(r egretflow.Revision) string {
-	return fmt.Sprintf("Audit/%02d", auditSlot(r)/auditBlock)
+	return fmt.Sprintf("%s%02d", AuditPrefix, auditSlot(r)/auditBlock)
 }
 
 // encode returns the entry as stored.
@@ -66,20 +74,20 @@
 	return b.Bytes(), nil
 }
 
-func decodeEntry(stored egretflow.StoreEntry) (*Entry, error) {
-	data := stored.Value
+// DecodeEntry decodes an entry as stored.
+func DecodeEntry(data []byte) (*Entry, error) {
 	if bytes.HasPrefix(data, gzipMagic) {
 		r, err := gzip.NewReader(bytes.NewReader(data))
 		if err != nil {
-			return nil, fmt.Errorf("decompress %s: %w", stored.Key, err)
+			return nil, fmt.Errorf("decompress audit entry: %w", err)
 		}
-		if data, err = io.ReadAll(r); err != nil {
-			return nil, fmt.Errorf("decompress %s: %w", stored.Key, err)
+		if data, err = io.ReadAll(io.LimitReader(r, maxEntryBytes)); err != nil {
+			return nil, fmt.Errorf("decompress audit entry: %w", err)
 		}
 	}
 	var n Entry
 	if err := json.Unmarshal(data, &n); err != nil {
-		return nil, fmt.Errorf("decode %s: %w", stored.Key, err)
+		return nil, fmt.Errorf("decode audit entry: %w", err)
 	}
 	return &n, nil
 }
@@ -90,7 +98,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("read audit trail: %w", err)
 	}
-	n, err := decodeEntry(stored)
+	n, err := DecodeEntry(stored.Value)
 	if err != nil {
 		return nil, err
 	}
@@ -109,7 +117,7 @@
 	}
 	entries := make([]Entry, 0, len(stored))
 	for _, s := range stored {
-		n, err := decodeEntry(s)
+		n, err := DecodeEntry(s.Value)
 		if err != nil {
 			return nil, err
 		}
--- a/editor/bench_test.go
+++ b/editor/bench_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"testing"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/egretflow/egretflow"
 	"github.com/egretflow/egretflow/internal/fakestore"
 )
@@ -49,6 +50,39 @@
 	}
 }
 
+// Compares what a change costs an instance: the new tables made from the entry,
+// as the distributor does, and decoded from the document.
+func BenchmarkActivate(b *testing.B) {
+	for _, servers := range []int{150, 1500, 4000} {
+		base, after := largeTables(servers), largeTables(servers)
+		after.Revision, after.Pools[0].Servers[1].Drain = 1, true
+		changes, err := Diff(base, after)
+		if err != nil {
+			b.Fatal(err)
+		}
+		document, err := json.Marshal(after)
+		if err != nil {
+			b.Fatal(err)
+		}
+		entry := &Entry{Revision: 1, Changes: changes, Checksum: xxhash.Sum64(document)}
+		b.Run(fmt.Sprintf("servers=%d/entry", servers), func(b *testing.B) {
+			for b.Loop() {
+				if _, _, err := entry.Next(base); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+		b.Run(fmt.Sprintf("servers=%d/document", servers), func(b *testing.B) {
+			for b.Loop() {
+				var t egretflow.Tables
+				if err := json.Unmarshal(document, &t); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
 func largeTables(servers int) *egretflow.Tables {
 	pool := egretflow.Pool{Name: "assistant", Kind: egretflow.PoolKindModel, Model: "assistant-llm"}
 	for n := range servers {
--- a/editor/diff.go
+++ b/editor/diff.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"slices"
 
 	"github.com/egretflow/egretflow"
 )
@@ -35,8 +36,9 @@
 
 // Diff lists the changes from one version of the tables to another: removed
 // and changed items in the order of before, then added ones in the order of
-// after. The path of a list stands for a change of its order, which matters
-// because the first route that fits is used. Revision and EditID are ignored.
+// after. Apply reproduces after from before by them. The path of a list stands
+// for its order, which matters because the first route that fits is used.
+// Revision and EditID are ignored.
 func Diff(before, after *egretflow.Tables) ([]Change, error) {
 	var changes []Change
 	add := func(more []Change, err error) error {
@@ -121,13 +123,37 @@
 			changes = append(changes, Change{Path: i.path, After: current[i.path]})
 		}
 	}
-	oldOrder, newOrder := shared(before, current), shared(after, old)
-	if !bytes.Equal(oldOrder, newOrder) {
-		changes = append(changes, Change{Path: list, Before: oldOrder, After: newOrder})
+	if order := orderChange(list, before, after, old, current); order != nil {
+		changes = append(changes, *order)
 	}
 	return changes, nil
 }
 
+// orderChange returns the change of order that is left after the removal of
+// items and the addition of others at the end.
+func orderChange(list string, before, after []item, old, current map[string]json.RawMessage) *Change {
+	var kept []string
+	for _, i := range before {
+		if current[i.path] != nil {
+			kept = append(kept, i.path)
+		}
+	}
+	var wanted []string
+	for _, i := range after {
+		wanted = append(wanted, i.path)
+		if old[i.path] == nil {
+			kept = append(kept, i.path)
+		}
+	}
+	if slices.Equal(kept, wanted) {
+		return nil
+	}
+	// Strings always encode.
+	keptJSON, _ := json.Marshal(kept)
+	wantedJSON, _ := json.Marshal(wanted)
+	return &Change{Path: list, Before: keptJSON, After: wantedJSON}
+}
+
 func encodeItems(items []item) (map[string]json.RawMessage, error) {
 	encoded := make(map[string]json.RawMessage, len(items))
 	for _, i := range items {
@@ -139,15 +165,3 @@
 	}
 	return encoded, nil
 }
-
-// shared lists, as JSON, the paths of items that other has too.
-func shared(items []item, other map[string]json.RawMessage) json.RawMessage {
-	paths := []string{}
-	for _, i := range items {
-		if other[i.path] != nil {
-			paths = append(paths, i.path)
-		}
-	}
-	data, _ := json.Marshal(paths)
-	return data
-}
--- a/editor/editor.go
+++ b/editor/editor.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"github.com/cespare/xxhash/v2"
 	"github.com/egretflow/egretflow"
 )
 
@@ -182,6 +183,7 @@
 	if err != nil {
 		return egretflow.StoreTxn{}, fmt.Errorf("encode head: %w", err)
 	}
+	entry.Checksum = xxhash.Sum64(document)
 	audit, err := entry.encode()
 	if err != nil {
 		return egretflow.StoreTxn{}, err
--- a/peer.go
+++ b/peer.go
@@ -80,9 +80,12 @@
 	// From and Revision are the sender and its active revision.
 	From     InstanceName
 	Revision Revision
+	// Full asks for the whole tables because changes did not fit.
+	Full bool
 }
 
-// PullResponse carries the tables in force, or none when not higher.
+// PullResponse carries the tables in force or the changes that lead to them, or
+// neither when not higher.
 type PullResponse struct {
 	_ struct{} `cbor:",toarray"`
 	// Tables is the JSON encoding of the tables.
@@ -94,6 +97,9 @@
 	// empty.
 	Revision Revision
 	EditID   string
+	// Deltas are sent instead of Tables when they are smaller: the audit entries
+	// of all revisions above the requested one, in order, as stored.
+	Deltas [][]byte
 }
 
 // Peers sends messages to other instances.
