Keep a prefill slot for important requests and explain shared delays

Change: a delay that prompts of other instances explain is no evidence; the backlog of other instances counts by importance, as the engine orders by it; the last prefill slot is kept from Normal and Low; Critical does not wait for a shorter backlog.

--- a/picker/pick.go
+++ b/picker/pick.go
@@ -15,6 +15,10 @@
 	SampleSize = 12
 	// fallbackSize bounds the search for a server with several free slots.
 	fallbackSize = 64
+	// minSlotsToKeep is the number of prefill slots from which on one is kept
+	// from requests of rank firstRankToWait and less important ones.
+	minSlotsToKeep  = 4
+	firstRankToWait = 2
 	// suspectPenalty in seconds ranks suspect servers behind all others.
 	suspectPenalty = 1e6
 	// probeCost is the time of a probe that fails, in nominal times: three until
@@ -66,7 +70,10 @@
 	tokens    float64
 	// backlog is the time in seconds until the prefill was expected to start.
 	backlog float64
-	bytes   int64
+	// slack is the further time in seconds by which other instances may delay
+	// the prefill.
+	slack float64
+	bytes int64
 	// What is still reserved: the prefill slot, the prompt tokens, the decode
 	// link and the prefill link.
 	heldPrefill  bool
@@ -79,6 +86,8 @@
 type candidate struct {
 	server  *Server
 	seconds float64
+	// wait is the part of seconds until a prefill starts.
+	wait    float64
 	cached  int
 	matched int
 	// drain is the time until pending transfers on the link are done, perByte
@@ -91,7 +100,8 @@
 
 // Pick chooses the servers with the earliest expected first token. It finds
 // none when the best prefill server still has work to do: the request then does
-// better to wait for it than to run elsewhere.
+// better to wait for it than to run elsewhere. The most important class does
+// not wait, because nothing can pass it and the engine lets it pass others.
 func (p *Pool) Pick(w *egretflow.Work, o Options, now time.Time) (Placement, bool) {
 	decodes := p.decodeCandidates(w, o, now)
 	if len(decodes) == 0 {
@@ -104,12 +114,23 @@
 		pl.PrefillBy, pl.TransferBy = now, now
 		return pl, true
 	}
+	if p.keptFree(w) {
+		return Placement{}, false
+	}
 	prefills := p.prefillCandidates(w, o, now)
 	if len(prefills) == 0 {
 		return Placement{}, false
 	}
 	pl := p.bestPair(w, o, prefills, decodes, now)
-	return pl, o.Healthy || !pl.Prefill.deep(now)
+	return pl, o.Healthy || w.Importance.Rank() == 0 || !pl.Prefill.deep(now)
+}
+
+// keptFree reports whether the last free prefill slot is kept from w, so that a
+// more important request does not have to wait for an own prefill to end. With
+// few slots that would cost too much capacity.
+func (p *Pool) keptFree(w *egretflow.Work) bool {
+	slots := p.totals.PrefillSlots
+	return slots >= minSlotsToKeep && w.Importance.Rank() >= firstRankToWait && slots-p.prefill.used <= 1
 }
 
 func (p *Pool) bestPair(w *egretflow.Work, o Options, prefills, decodes []candidate, now time.Time) Placement {
@@ -134,7 +155,10 @@
 		Prefill: a.server, Decode: b.server, Slots: b.server.SlotsFor(w), CachedTokens: a.cached,
 		Suspect: a.suspect || b.suspect, Probe: a.probe || b.probe, Candidates: len(prefills) * len(decodes),
 		startedAt: now, isolated: o.Isolate, matched: a.matched, bytes: bytes,
-		tokens: float64(w.PromptTokens - a.cached), backlog: a.server.backlog(now),
+		tokens: float64(w.PromptTokens - a.cached), backlog: a.wait,
+	}
+	if p.peers {
+		pl.slack = a.server.foreignSlack(p.perPrefill, now)
 	}
 	pl.PrefillBy = now.Add(toDuration(a.seconds))
 	pl.TransferBy = now.Add(toDuration(bestStart + bestTransfer))
@@ -311,7 +335,8 @@
 	nominal := float64(w.PromptTokens-c.cached) / s.prefillRate()
 	c.suspect = s.Speed.Suspect()
 	c.probe = c.suspect && mayProbe(s, w, nominal, now)
-	c.seconds = s.backlog(now) + nominal*c.factor()
+	c.wait = s.backlog(now) + s.foreignBacklog(w.Importance.Rank(), p.perPrefill, now)
+	c.seconds = c.wait + nominal*c.factor()
 	return c
 }
 
--- a/picker/reserve.go
+++ b/picker/reserve.go
@@ -68,7 +68,7 @@
 		pl.Decode.transfers += pl.bytes
 	}
 	pl.Prefill, pl.CachedTokens, pl.matched = next.Prefill, next.CachedTokens, next.matched
-	pl.tokens, pl.backlog, pl.startedAt = next.tokens, next.backlog, next.startedAt
+	pl.tokens, pl.backlog, pl.slack, pl.startedAt = next.tokens, next.backlog, next.slack, next.startedAt
 	pl.PrefillBy, pl.TransferBy, pl.FirstTokenAt = next.PrefillBy, next.TransferBy, next.FirstTokenAt
 	p.reservePrefill(pl, w, now)
 }
@@ -157,13 +157,18 @@
 func (pl *Placement) Computing() bool { return pl.computing }
 
 // PrefillRatio compares an observed prefill time with the nominal time for
-// tokens computed behind the backlog at the start.
+// tokens computed behind the backlog at the start. A time that prompts of other
+// instances explain is no evidence: its ratio is 1.
 func (pl *Placement) PrefillRatio(took time.Duration, tokens int) (ratio float64, ok bool) {
 	nominal := pl.backlog + float64(tokens)/pl.Prefill.prefillRate()
-	if nominal <= 0 || took <= 0 {
+	seconds := took.Seconds()
+	switch {
+	case nominal <= 0 || seconds <= 0:
 		return 0, false
+	case seconds <= nominal:
+		return seconds / nominal, true
 	}
-	return took.Seconds() / nominal, true
+	return max(1, seconds/(nominal+pl.slack)), true
 }
 
 // OverdueRatio compares the time since the start with the nominal prefill time.
--- a/picker/server.go
+++ b/picker/server.go
@@ -148,17 +148,33 @@
 	return s.others
 }
 
-// backlog returns the seconds until own work and that of other instances is
-// computed. Work that is late is expected to take as long again as it is late.
+// backlog returns the seconds until own work is computed. Work that is late is
+// expected to take as long again as it is late.
 func (s *Server) backlog(now time.Time) float64 {
 	own := s.busyUntil.Sub(now).Seconds()
-	if own < 0 {
-		own = 0
-		if s.outstanding > 0 {
-			own = now.Sub(s.busyUntil).Seconds()
-		}
+	if own >= 0 || s.outstanding == 0 {
+		return max(0, own)
 	}
-	return own + min(s.foreign(now)/s.prefillRate()*s.Speed.Factor(), maxForeign.Seconds())
+	return -own
+}
+
+// foreignShare is the share of the prompts of other instances that an engine
+// computes before one of the given rank of importance.
+var foreignShare = [4]float64{0.25, 0.5, 0.75, 1}
+
+// foreignBacklog returns the seconds until the prompts of other instances that
+// go before one of the given rank are computed. The prompt that is being
+// computed is not interrupted.
+func (s *Server) foreignBacklog(rank int, perPrefill float64, now time.Time) float64 {
+	others := s.foreign(now)
+	ahead := max(others*foreignShare[rank], min(others, perPrefill/2))
+	return min(ahead/s.prefillRate()*s.Speed.Factor(), maxForeign.Seconds())
+}
+
+// foreignSlack returns the seconds by which prompts of other instances may
+// delay a prefill beyond its estimate: all that were reported and one more.
+func (s *Server) foreignSlack(perPrefill float64, now time.Time) float64 {
+	return min(s.foreign(now)+perPrefill, float64(s.Spec.Slots-1)*perPrefill) / s.prefillRate()
 }
 
 // deep reports whether new prefills should wait in the queue.
--- a/picker/totals.go
+++ b/picker/totals.go
@@ -19,8 +19,10 @@
 	// PrefillRate in tokens/s is the sum over the prefill servers that may be
 	// used, each scaled by its straggler estimate.
 	PrefillRate float64
-	// Slots counts the decode slots that may be used.
-	Slots int
+	// Slots counts the decode slots that may be used, PrefillSlots those of
+	// prefill servers.
+	Slots        int
+	PrefillSlots int
 }
 
 // Totals returns the sums, after a look at some servers whose grant, load
@@ -47,11 +49,13 @@
 	case limit == 0:
 	case s.role == egretflow.RolePrefill:
 		part.PrefillRate = s.prefillRate() / s.Speed.Factor()
+		part.PrefillSlots = limit
 	default:
 		part.Slots = limit
 	}
 	p.totals.PrefillRate += part.PrefillRate - s.counted.PrefillRate
 	p.totals.Slots += part.Slots - s.counted.Slots
+	p.totals.PrefillSlots += part.PrefillSlots - s.counted.PrefillSlots
 	s.counted = part
 }
 
