--- a/picker/baseline.go
+++ b/picker/baseline.go
@@ -10,7 +10,7 @@
 // Policy selects how servers are chosen.
 type Policy string
 
-// The policies. All but PolicyJoint are baselines for comparison (rule 6).
+// The policies. All but PolicyJoint are baselines for comparison (rule 7).
 const (
 	PolicyJoint       Policy = "Joint"
 	PolicyRoundRobin  Policy = "RoundRobin"
--- a/picker/doc.go
+++ b/picker/doc.go
@@ -29,6 +29,8 @@
 //     falls when cache events are missing.
 //  5. A prompt whose tokens need more than one slot's share of the engine's
 //     blocks occupies several slots.
-//  6. The baseline policies choose from lagging load reports, reserve nothing
+//  6. Normal and Low leave the last prefill slot free, and a few slots of one
+//     decode server, so that an important request does not wait for them.
+//  7. The baseline policies choose from lagging load reports, reserve nothing
 //     and know no grants. They exist for comparison.
 package picker
--- a/picker/pick.go
+++ b/picker/pick.go
@@ -19,6 +19,10 @@
 	// from requests of rank firstRankToWait and less important ones.
 	minSlotsToKeep  = 4
 	firstRankToWait = 2
+	// cushionSlots are kept on one decode server when an instance has at least
+	// minSlotsForCushion.
+	cushionSlots       = 2
+	minSlotsForCushion = 16
 	// suspectPenalty in seconds ranks suspect servers behind all others.
 	suspectPenalty = 1e6
 	// probeCost is the time of a probe that fails, in nominal times: three until
@@ -213,6 +217,7 @@
 		return list
 	}
 	g := p.decode
+	kept := p.cushion(w, now)
 	for n := 0; n < len(g.open) && n < fallbackSize && len(list) < SampleSize; {
 		s := p.draw(g, n)
 		free := s.free(now)
@@ -220,7 +225,11 @@
 			g.leave(s)
 			continue
 		}
-		if s != o.Keep && free >= s.SlotsFor(w) && usable(s, w, o, now) {
+		slots := s.SlotsFor(w)
+		if s == kept && slots <= cushionSlots {
+			free -= cushionSlots
+		}
+		if s != o.Keep && free >= slots && usable(s, w, o, now) {
 			list = append(list, p.decodeCandidate(s, w, now))
 		}
 		n++
@@ -229,6 +238,17 @@
 	return list
 }
 
+// cushion returns the decode server on which cushionSlots are kept from w, or
+// nil. A long prompt of an important request needs several slots of one server,
+// and waiting for them there takes longer than its target allows. Requests that
+// need more than the cushion are not held back by it, or they might never fit.
+func (p *Pool) cushion(w *egretflow.Work, now time.Time) *Server {
+	if w.Importance.Rank() < firstRankToWait || p.totals.Slots < minSlotsForCushion || p.kind != egretflow.PoolKindModel {
+		return nil
+	}
+	return p.Widest(now)
+}
+
 // Widest returns the decode server with the most free slots, among at most
 // fallbackSize; nil when none is free.
 func (p *Pool) Widest(now time.Time) *Server {
--- a/scheduler/attempt_test.go
+++ b/scheduler/attempt_test.go
@@ -239,3 +239,17 @@
 		t.Errorf("%d of %d requests rejected, want only the one that crashes servers", rejected, requests)
 	}
 }
+
+// A burst of unimportant requests must leave room for an important one (5.1).
+func TestRoomIsKeptForImportantRequests(t *testing.T) {
+	d := newDriver(t, 30, 1)
+	for range 30 {
+		d.acquire(func(w *egretflow.Work) {
+			w.PromptTokens, w.FirstTokenBy, w.Importance = 100, time.Time{}, egretflow.ImportanceLow
+		})
+	}
+	w := d.acquire(func(w *egretflow.Work) { w.PromptTokens, w.Importance = 4000, egretflow.ImportanceCritical })
+	if w.assignment == nil || w.assignment.Slots != 2 {
+		t.Errorf("critical request of two slots got %+v behind a burst of low ones", w.assignment)
+	}
+}
