Test deltas with tables larger than them

Cause: the test fleet's document was smaller than one audit entry, so peers always sent the document; trials without checksum or full pull still passed. Change: 40 servers in the test tables, a fork at a watcher and at another instance, a gap in the chain of deltas.

--- a/distributor/distributor_test.go
+++ b/distributor/distributor_test.go
@@ -287,39 +287,50 @@
 }
 
 // Guards against a fork: the instance holds another document under the same
-// revision, so deltas of peers do not fit and it must pull the whole document.
-func TestDeltaOnAnotherBasePullsDocument(t *testing.T) {
-	withFleet(t, 9, 1, func(t *testing.T, f *fleet) {
-		watchers := pickWatchers(f.members)[domainOf(f.members[0])]
-		odd := f.members[slices.IndexFunc(f.members, func(m egretflow.Member) bool { return !contains(watchers, m.Name) })]
-		fork, err := decodeDocument([]byte(`{"Revision": 2, "EditID": "fork", "Routes": [], "Pools": []}`))
-		if err != nil {
-			t.Fatal(err)
-		}
-		f.setLink(odd, linkRefused)
-		f.awaitOthers(odd, f.edit(2))
-		f.instance(odd).active.activate(fork, nil, time.Now())
-		f.awaitOthers(odd, f.edit(3))
-		f.setLink(odd, linkUp)
-		f.awaitRevision(3, 7*time.Second)
-		if current := f.instance(odd).Current().Tables; len(current.Pools) != 1 || current.Pools[0].Servers[0].Slots != 3 {
-			t.Errorf("tables %+v", current)
-		}
-	})
+// revision, so entries do not fit and it must get the whole document.
+func TestEntryOnAnotherBase(t *testing.T) {
+	for _, watcher := range []bool{true, false} {
+		t.Run(fmt.Sprintf("watcher=%t", watcher), func(t *testing.T) {
+			withFleet(t, 9, 1, func(t *testing.T, f *fleet) {
+				watchers := pickWatchers(f.members)[domainOf(f.members[0])]
+				odd := f.members[slices.IndexFunc(f.members, func(m egretflow.Member) bool {
+					return contains(watchers, m.Name) == watcher
+				})]
+				// The fork differs from revision 2 where the next edit changes nothing.
+				fork, err := decodeDocument(tablesWithSlots(1))
+				if err != nil {
+					t.Fatal(err)
+				}
+				fork.tables.Revision, fork.tables.EditID = 2, "fork"
+				fork.tables.Pools[0].Servers[5].Slots = 77
+				f.instance(odd).active.activate(fork, nil, time.Now())
+				f.edit(2)
+				f.awaitRevision(f.edit(3), 7*time.Second)
+				current := f.instance(odd).Current().Tables
+				if servers := current.Pools[0].Servers; servers[0].Slots != 3 || servers[5].Slots != 1 {
+					t.Errorf("revision %d has slots %d and %d, want 3 and 1", current.Revision, servers[0].Slots, servers[5].Slots)
+				}
+			})
+		})
+	}
 }
 
 // Guards against a chain of deltas with a gap, and against one that costs more
 // than the document.
 func TestDeltasAbove(t *testing.T) {
-	s := &snapshot{document: document{&egretflow.Tables{Revision: 9}, make([]byte, 100)}}
+	s := &snapshot{document: document{&egretflow.Tables{Revision: 9}, make([]byte, 1000)}}
 	for r := egretflow.Revision(7); r <= 9; r++ {
 		s.deltas = extend(s.deltas, &delta{r, make([]byte, 40)})
 	}
-	for above, want := range map[egretflow.Revision]int{9: 0, 8: 1, 7: 2, 6: 0, 5: 0, 0: 0, 20: 0} {
+	for above, want := range map[egretflow.Revision]int{9: 0, 8: 1, 7: 2, 6: 3, 5: 0, 0: 0, 20: 0} {
 		if got := len(s.deltasAbove(above)); got != want {
 			t.Errorf("above %d: %d deltas, want %d", above, got, want)
 		}
 	}
+	s.data = s.data[:100]
+	if got := s.deltasAbove(6); got != nil {
+		t.Errorf("%d deltas, larger than the document", len(got))
+	}
 	if s.deltas = extend(s.deltas, nil); len(s.deltas) != 0 {
 		t.Error("the chain went on over a whole document")
 	}
--- a/distributor/fleet_test.go
+++ b/distributor/fleet_test.go
@@ -169,11 +169,18 @@
 	return result.Revision
 }
 
+// tablesWithSlots returns tables that are larger than a few deltas.
 func tablesWithSlots(slots int) json.RawMessage {
-	return json.RawMessage(fmt.Sprintf(`{"Routes": [{"Name": "orders", "Callers": ["*"], "PathPrefix": "/orders",
-		"Pool": "order-desk", "Importance": "High", "FirstTokenTarget": "1s"}],
-		"Pools": [{"Name": "order-desk", "Kind": "Service", "Servers": [{"Name": "o1", "Address": "127.0.0.1:9003",
-		"FailureDomain": "domain-0", "Role": "Service", "Slots": %d}]}]}`, slots))
+	pool := egretflow.Pool{Name: "order-desk", Kind: egretflow.PoolKindService}
+	for n := range 40 {
+		pool.Servers = append(pool.Servers, egretflow.Server{
+			Name: egretflow.ServerName(fmt.Sprintf("o%d", n)), Address: netip.MustParseAddrPort("127.0.0.1:9003"),
+			FailureDomain: "domain-0", Role: egretflow.RoleService, Slots: 1,
+		})
+	}
+	pool.Servers[0].Slots = slots
+	data, _ := json.Marshal(egretflow.Tables{Pools: []egretflow.Pool{pool}})
+	return data
 }
 
 // awaitOthers waits until all instances but one have a revision.
