--- a/cmd/egretctl/egretctl_test.go
+++ b/cmd/egretctl/egretctl_test.go
@@ -23,6 +23,12 @@
 
 const operatorKey = "operator-key"
 
+// instanceList has one live instance; the others must not be asked.
+const instanceList = `[
+	{"targets": ["127.0.0.1:7001"], "labels": {"Name": "entry-1", "Kind": "Instance", "State": "Live"}},
+	{"targets": ["127.0.0.2:7001"], "labels": {"Name": "entry-9", "Kind": "Instance", "State": "Leaving"}},
+	{"targets": ["127.0.0.3:9001"], "labels": {"Name": "o1", "Kind": "BackendServer", "State": "Live"}}]`
+
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){"egretctl": main})
 }
@@ -43,6 +49,12 @@
 			urls := startInstances(env, srv.URL)
 			env.Setenv("EGRETFLOW_INSTANCES", strings.Join(urls, ","))
 			env.Setenv("FIRST_INSTANCE", urls[0])
+			env.Setenv("FIRST_PORT", urls[0][strings.LastIndex(urls[0], ":")+1:])
+			list := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = w.Write([]byte(instanceList))
+			}))
+			env.Defer(list.Close)
+			env.Setenv("LIST", list.URL)
 			return nil
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){"fault": setFault},
--- a/distributor/fleet_test.go
+++ b/distributor/fleet_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -183,15 +182,6 @@
 	return data
 }
 
-// awaitOthers waits until all instances but one have a revision.
-func (f *fleet) awaitOthers(except egretflow.Member, r egretflow.Revision) {
-	f.t.Helper()
-	all := f.members
-	f.members = slices.DeleteFunc(slices.Clone(all), func(m egretflow.Member) bool { return m.Name == except.Name })
-	f.awaitRevision(r, 7*time.Second)
-	f.members = all
-}
-
 // awaitRevision waits until all instances have a revision and returns how long
 // that took.
 func (f *fleet) awaitRevision(r egretflow.Revision, limit time.Duration) time.Duration {
--- a/editor/editor_test.go
+++ b/editor/editor_test.go
@@ -213,16 +213,16 @@
 // store takes, and against an error without field when the document does.
 func TestLargeEdits(t *testing.T) {
 	withTables(t, func(t *testing.T, store *fakestore.Store, ed *Editor) {
-		callers := func(prefix string) string {
-			names := make([]string, 40_000)
+		callers := func(prefix string, count int) string {
+			names := make([]string, count)
 			for n := range names {
-				names[n] = fmt.Sprintf("%s-caller-%06d", prefix, n)
+				names[n] = fmt.Sprintf("%s-caller-%048d", prefix, n)
 			}
 			data, _ := json.Marshal(names)
 			return string(data)
 		}
 		for _, prefix := range []string{"a", "b"} {
-			if _, err := ed.Edit(t.Context(), request("amina", "Routes/chat/Callers", callers(prefix))); err != nil {
+			if _, err := ed.Edit(t.Context(), request("amina", "Routes/chat/Callers", callers(prefix, 12_000))); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -230,7 +230,7 @@
 		if err != nil || len(entries) != 1 || len(entries[0].Changes[0].Before) < 500_000 {
 			t.Errorf("%d entries, error %v", len(entries), err)
 		}
-		_, err = ed.Edit(t.Context(), request("amina", "Routes/chat/Callers", callers(strings.Repeat("c", 20))))
+		_, err = ed.Edit(t.Context(), request("amina", "Routes/chat/Callers", callers("c", 18_000)))
 		var field *egretflow.FieldError
 		if !errors.As(err, &field) || field.Field != "Tables" {
 			t.Errorf("error %v, want the size refused", err)
