Add the claimer for at-most-once work

CommitRequest names the document of each claim, and CommitError is an enum with Full and NotFound; messenger checks both.

--- a/claim.go
+++ b/claim.go
@@ -38,16 +38,33 @@
 	_      struct{} `cbor:",toarray"`
 	From   InstanceName
 	Claims []Claim
+	// Documents holds the store key of the document of each claim.
+	Documents []string
 }
 
 // CommitResult is the record in force after a commit: the own one if it won.
 type CommitResult struct {
 	_     struct{} `cbor:",toarray"`
 	Claim Claim
-	// Error is one of "", Uncertain, Unavailable.
-	Error string
+	// Error is empty or says why there is no record in force.
+	Error CommitError
 }
 
+// CommitError says why a claim was not committed.
+type CommitError string
+
+// The commit errors.
+const (
+	// CommitErrorUncertain means that the claim may still take effect.
+	CommitErrorUncertain CommitError = "Uncertain"
+	// CommitErrorUnavailable means that it is certain not to take effect.
+	CommitErrorUnavailable CommitError = "Unavailable"
+	// CommitErrorFull means that the document has no room for another claim.
+	CommitErrorFull CommitError = "Full"
+	// CommitErrorNotFound means that the claim to be updated has no record.
+	CommitErrorNotFound CommitError = "NotFound"
+)
+
 // CommitResponse holds one result per claim of the request, in order.
 type CommitResponse struct {
 	_       struct{} `cbor:",toarray"`
--- /dev/null
+++ b/claimer/document.go
@@ -0,0 +1,183 @@
+package claimer
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/egretflow/egretflow"
+)
+
+const (
+	documentOpen  = `{"Claims":[`
+	documentClose = `]}`
+	// finishReserve is the room that every record in the state Claimed keeps
+	// for an outcome without a body.
+	finishReserve = 256
+)
+
+var (
+	errFull   = errors.New("claim document is full")
+	errAbsent = errors.New("claim has no record")
+)
+
+// record is a claim with its encoding, so that a write of the document does not
+// encode all claims again.
+type record struct {
+	claim   egretflow.Claim
+	encoded []byte
+}
+
+func newRecord(c egretflow.Claim) (record, error) {
+	encoded, err := json.Marshal(c)
+	if err != nil {
+		return record{}, fmt.Errorf("encode claim: %w", err)
+	}
+	return record{claim: c, encoded: encoded}, nil
+}
+
+// size is the room that the record needs, its later outcome included.
+func (r record) size() int {
+	n := len(r.encoded) + len(",")
+	if r.claim.State == egretflow.ClaimStateClaimed {
+		n += finishReserve
+	}
+	return n
+}
+
+// document is a claim document in memory.
+type document struct {
+	records []record
+	byKey   map[string]int
+	size    int
+}
+
+func newDocument() *document {
+	return &document{byKey: map[string]int{}, size: len(documentOpen) + len(documentClose)}
+}
+
+// decodeDocument reads a stored document and leaves out records that expired
+// longer than KeepMargin ago.
+func decodeDocument(data []byte, now time.Time) (*document, error) {
+	var stored egretflow.ClaimDocument
+	if err := json.Unmarshal(data, &stored); err != nil {
+		return nil, fmt.Errorf("decode claim document: %w", err)
+	}
+	d := newDocument()
+	for _, c := range stored.Claims {
+		if now.After(c.ExpiresAt.Add(KeepMargin)) {
+			continue
+		}
+		r, err := newRecord(c)
+		if err != nil {
+			return nil, err
+		}
+		d.put(r)
+	}
+	return d, nil
+}
+
+func (d *document) encode() []byte {
+	data := make([]byte, 0, d.size)
+	data = append(data, documentOpen...)
+	for n, r := range d.records {
+		if n > 0 {
+			data = append(data, ',')
+		}
+		data = append(data, r.encoded...)
+	}
+	return append(data, documentClose...)
+}
+
+func (d *document) get(keyHash string) (egretflow.Claim, bool) {
+	n, ok := d.byKey[keyHash]
+	if !ok {
+		return egretflow.Claim{}, false
+	}
+	return d.records[n].claim, true
+}
+
+func (d *document) put(r record) {
+	if n, ok := d.byKey[r.claim.KeyHash]; ok {
+		d.size += r.size() - d.records[n].size()
+		d.records[n] = r
+		return
+	}
+	d.byKey[r.claim.KeyHash] = len(d.records)
+	d.records = append(d.records, r)
+	d.size += r.size()
+}
+
+// apply makes the change that c asks for, if the rules allow it, and returns
+// the record in force.
+func (d *document) apply(c egretflow.Claim) (inForce egretflow.Claim, changed bool, err error) {
+	if c.State == egretflow.ClaimStateClaimed {
+		return d.applyClaim(c)
+	}
+	return d.applyUpdate(c)
+}
+
+func (d *document) applyClaim(c egretflow.Claim) (egretflow.Claim, bool, error) {
+	known, ok := d.get(c.KeyHash)
+	switch {
+	case !ok:
+		c.Epoch = 1
+	case known.State == egretflow.ClaimStateNotRun && known.Token != c.Token && known.Fingerprint == c.Fingerprint:
+		c.Epoch = known.Epoch + 1
+	default:
+		return known, false, nil
+	}
+	return d.store(c)
+}
+
+// applyUpdate ends a claim. A NotRun for a claim without a record leaves one,
+// so that the claim has no effect if it arrives later.
+func (d *document) applyUpdate(c egretflow.Claim) (egretflow.Claim, bool, error) {
+	known, ok := d.get(c.KeyHash)
+	if !ok {
+		if c.State != egretflow.ClaimStateNotRun {
+			return egretflow.Claim{}, false, errAbsent
+		}
+		return d.store(c)
+	}
+	if known.Token != c.Token || known.State != egretflow.ClaimStateClaimed {
+		return known, false, nil
+	}
+	known.State, known.Outcome = c.State, c.Outcome
+	return d.store(known)
+}
+
+// store puts a claim into the document. A body that does not fit is left out.
+func (d *document) store(c egretflow.Claim) (egretflow.Claim, bool, error) {
+	r, err := newRecord(c)
+	if err != nil {
+		return egretflow.Claim{}, false, err
+	}
+	old := 0
+	if n, ok := d.byKey[c.KeyHash]; ok {
+		old = d.records[n].size()
+	}
+	if d.size-old+r.size() <= egretflow.MaxStoreValueBytes {
+		d.put(r)
+		return c, true, nil
+	}
+	if c.Outcome == nil || c.Outcome.Truncated {
+		return egretflow.Claim{}, false, errFull
+	}
+	c.Outcome = withoutBody(c.Outcome)
+	return d.store(c)
+}
+
+// withoutBody returns an outcome that fits into finishReserve.
+func withoutBody(o *egretflow.Outcome) *egretflow.Outcome {
+	return &egretflow.Outcome{Status: o.Status, Truncated: true}
+}
+
+// boundOutcome leaves out a body that is too large to keep.
+func boundOutcome(o *egretflow.Outcome) *egretflow.Outcome {
+	if o == nil || len(o.Body) <= MaxOutcomeBytes && len(o.ContentType) <= MaxKeyBytes {
+		return o
+	}
+	return withoutBody(o)
+}
--- a/messenger/check.go
+++ b/messenger/check.go
@@ -93,7 +93,13 @@
 	if err := checkLength("Claims", len(r.Claims), MaxClaims); err != nil {
 		return err
 	}
+	if len(r.Documents) != len(r.Claims) {
+		return &egretflow.FieldError{Field: "Documents", Reason: "must have one entry per claim"}
+	}
 	for n := range r.Claims {
+		if err := checkLength(fmt.Sprintf("Documents[%d]", n), len(r.Documents[n]), MaxTextBytes); err != nil {
+			return err
+		}
 		if err := checkClaim(fmt.Sprintf("Claims[%d]", n), &r.Claims[n]); err != nil {
 			return err
 		}
@@ -113,9 +119,9 @@
 			if err := checkClaim(field+".Claim", &result.Claim); err != nil {
 				return err
 			}
-		case "Uncertain", "Unavailable":
+		case egretflow.CommitErrorUncertain, egretflow.CommitErrorUnavailable, egretflow.CommitErrorFull, egretflow.CommitErrorNotFound:
 		default:
-			return &egretflow.FieldError{Field: field + ".Error", Reason: "must be empty, Uncertain or Unavailable"}
+			return &egretflow.FieldError{Field: field + ".Error", Reason: fmt.Sprintf("unknown value %q", result.Error)}
 		}
 	}
 	return nil
