Add randomised fault runs of a whole fleet in virtual time

Cause: no test ran whole instances together under combined faults. Change: internal/faultrun runs 3 to 5 instances on pipenet with stand-in engines, services, store and list, draws requests and faults from a seed, and checks I1 to I8 from outside.

--- /dev/null
+++ b/internal/faultrun/faultrun_test.go
@@ -0,0 +1,58 @@
+package faultrun
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"testing/synctest"
+)
+
+var (
+	soakSeeds = flag.Int("seeds", 0, "number of seeds of TestSoak; 0 skips it")
+	soakFirst = flag.Uint64("first", 1, "first seed of TestSoak")
+)
+
+// fixedSeeds are the seeds of every test run.
+var fixedSeeds = []uint64{1, 2, 3, 4, 5, 6}
+
+// runSeed runs a seed in virtual time.
+func runSeed(t *testing.T, opts Options) *Report {
+	t.Helper()
+	var report *Report
+	synctest.Test(t, func(t *testing.T) { report = Run(t.Context(), opts) })
+	return report
+}
+
+// Guards against violations of the invariants under combined faults.
+func TestInvariants(t *testing.T) {
+	for _, seed := range fixedSeeds {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			checkReport(t, seed, runSeed(t, Options{Seed: seed}))
+		})
+	}
+}
+
+func checkReport(t *testing.T, seed uint64, report *Report) {
+	t.Helper()
+	for _, v := range report.Violations {
+		t.Errorf("seed %d: %s", seed, v)
+	}
+	t.Logf("seed %d: outcomes %v, %d resumed, %d edits, freed %v after a death", seed, report.Outcomes, report.Resumed, report.Edits, report.FreedAfter)
+	if t.Failed() {
+		for _, f := range report.Faults {
+			t.Logf("seed %d: fault %s", seed, f)
+		}
+	}
+}
+
+// Runs the seeds of the flags and prints those that fail.
+func TestSoak(t *testing.T) {
+	if *soakSeeds == 0 {
+		t.Skip("needs -args -seeds=N")
+	}
+	for seed := *soakFirst; seed < *soakFirst+uint64(*soakSeeds); seed++ {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			checkReport(t, seed, runSeed(t, Options{Seed: seed}))
+		})
+	}
+}
--- a/internal/stub/engine/orders.go
+++ b/internal/stub/engine/orders.go
@@ -135,13 +135,18 @@
 }
 
 func (e *Engine) serveDrain(w http.ResponseWriter, r *http.Request) {
+	e.SetDraining(r.Method != http.MethodDelete)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// SetDraining starts or ends a drain, as /drain does.
+func (e *Engine) SetDraining(draining bool) {
 	e.do(func(now time.Time) {
 		switch {
-		case r.Method == http.MethodDelete:
+		case !draining:
 			e.commands.drainedAt = time.Time{}
 		case !e.commands.draining():
 			e.commands.drainedAt = now
 		}
 	})
-	w.WriteHeader(http.StatusNoContent)
 }
