Retry failed service calls and never answer them with an empty 200

Cause: a failed attempt of an idempotent call released its place, which cancelled its context, before it looked at the cause, so each failure looked like a cancelled request: no retry followed. The error handler ran after the deadline of the request was cancelled, took the caller for gone and wrote nothing, which net/http completes to status 200 with an empty body (I3).

--- a/frontend/request.go
+++ b/frontend/request.go
@@ -112,7 +112,11 @@
 			return err
 		}
 		defer cancel()
-		c.SetRequest(c.Request().WithContext(ctx))
+		original := c.Request()
+		c.SetRequest(original.WithContext(ctx))
+		// The error handler runs after cancel and must see whether the caller has
+		// gone.
+		defer c.SetRequest(original)
 		return next(c)
 	}
 }
--- a/internal/faultrun/caller.go
+++ b/internal/faultrun/caller.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -93,6 +94,7 @@
 	req.GetBody = nil
 	req.Header.Set("Authorization", "Bearer "+callerKey)
 	req.Header.Set("Idempotency-Key", r.marker())
+	req.Header.Set("X-Request-Id", fmt.Sprintf("%s%d", r.marker(), try))
 	if lastID != "" {
 		req.Header.Set("Last-Event-ID", lastID)
 	}
@@ -305,7 +307,8 @@
 // checkUninterrupted checks that a request was not cut by the graceful
 // shutdown of its instance (I7).
 func (w *world) checkUninterrupted(ctx context.Context, rec *record, x *exchange) {
-	if ctx.Err() != nil || x.process == nil || errors.Is(x.err, context.Canceled) {
+	if ctx.Err() != nil || x.process == nil || errors.Is(x.err, context.Canceled) || errors.Is(x.err, syscall.ECONNREFUSED) {
+		// A refused connection carried no request.
 		return
 	}
 	began := x.process.shutdownBegan()
--- a/internal/faultrun/check.go
+++ b/internal/faultrun/check.go
@@ -136,7 +136,7 @@
 		w.report.violate(harness, "read tables: %v", err)
 		return
 	}
-	entries, err := ed.Audit(ctx, 0)
+	entries, err := ed.Audit(ctx, editor.AuditEntries)
 	if err != nil {
 		w.report.violate(harness, "read audit trail: %v", err)
 	}
--- a/relayer/call.go
+++ b/relayer/call.go
@@ -183,8 +183,10 @@
 		held, err = io.ReadAll(io.LimitReader(resp.Body, heldBytes))
 	}
 	if err != nil {
+		// end cancels ctx and would hide the cause.
+		cause := context.Cause(ctx)
 		at.end(resp)
-		if cause := context.Cause(ctx); cause != nil && !errors.Is(cause, errStalled) {
+		if cause != nil && !errors.Is(cause, errStalled) {
 			return nil, cause
 		}
 		var f *failure
