Wire the claimer into the instance

Change: the fleet part builds the claimer, commits claims of peers through it, and stops it after the request path.

--- a/assembler/fleet.go
+++ b/assembler/fleet.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/claimer"
 	"github.com/egretflow/egretflow/distributor"
 	"github.com/egretflow/egretflow/exchanger"
 	"github.com/egretflow/egretflow/messenger"
@@ -16,13 +17,6 @@
 	"github.com/egretflow/egretflow/tracker"
 )
 
-// claimCommitter is a claimer that also commits the claims of peers.
-type claimCommitter interface {
-	egretflow.Claimer
-	HandleCommitClaims(ctx context.Context, r *egretflow.CommitRequest) (*egretflow.CommitResponse, error)
-	Run(ctx context.Context) error
-}
-
 // fleet is the part of an instance that works with other instances.
 type fleet struct {
 	cfg         *Config
@@ -34,7 +28,7 @@
 	distributor *distributor.Distributor
 	exchanger   *exchanger.Exchanger
 	poller      *poller.Poller
-	claimer     claimCommitter
+	claimer     *claimer.Claimer
 }
 
 func newFleet(i *Instance) (*fleet, error) {
@@ -56,6 +50,14 @@
 		Peers: f.client, State: i.Scheduler, Tables: f.distributor, Members: f.tracker, Hints: f.distributor, Budget: f.meter,
 	})
 	f.poller = poller.New(f.pollerConfig(i))
+	var err error
+	f.claimer, err = claimer.New(claimer.Config{
+		Instance: cfg.Self.Name, Store: cfg.Store, Peers: f.client, Members: f.reachableMembers, Clock: cfg.Clock,
+		Rand: cfg.newRand(), Recorder: i.Explainer, Checker: i.Checker,
+	})
+	if err != nil {
+		return nil, wrapPart("claimer", err)
+	}
 	return f, nil
 }
 
@@ -90,9 +92,6 @@
 
 // HandleCommitClaims implements egretflow.PeerHandler.
 func (f *fleet) HandleCommitClaims(ctx context.Context, r *egretflow.CommitRequest) (*egretflow.CommitResponse, error) {
-	if f.claimer == nil {
-		return nil, fmt.Errorf("commit claims: %w", egretflow.ErrUnavailable)
-	}
 	return f.claimer.HandleCommitClaims(ctx, r)
 }
 
@@ -121,6 +120,7 @@
 		{Name: "tracker", Run: f.tracker.Run},
 		{Name: "members", Run: f.followMembers},
 		{Name: "distributor", Run: f.distributor.Run},
+		{Name: "claimer", Run: f.claimer.Run},
 		{Name: "peers", Run: f.servePeers},
 		{Name: "exchanger", Run: f.exchange},
 		{Name: "poller", Run: f.poller.Run},
--- a/assembler/instance.go
+++ b/assembler/instance.go
@@ -86,7 +86,7 @@
 func (i *Instance) currentTables() *egretflow.Tables { return i.tables.Current().Tables }
 
 func (i *Instance) claimer() egretflow.Claimer {
-	if i.fleet == nil || i.fleet.claimer == nil {
+	if i.fleet == nil {
 		return nil
 	}
 	return i.fleet.claimer
