--- a/authenticator/file.go
+++ b/authenticator/file.go
@@ -21,21 +21,25 @@
 
 	modTime time.Time
 	size    int64
+	// loaded is the error of the last load.
+	loaded error
 	// failure is the last error that was reported.
 	failure string
 }
 
-// reload loads the file if it changed since the last call.
+// reload loads the file if it changed since the last call, and returns the error
+// of the last load.
 func (f *watchedFile) reload() error {
 	info, err := os.Stat(f.path)
 	if err != nil {
 		return fmt.Errorf("check file: %w", err)
 	}
 	if info.ModTime().Equal(f.modTime) && info.Size() == f.size {
-		return nil
+		return f.loaded
 	}
 	f.modTime, f.size = info.ModTime(), info.Size()
-	return f.load()
+	f.loaded = f.load()
+	return f.loaded
 }
 
 // run follows the file until ctx ends.
--- a/authenticator/tls.go
+++ b/authenticator/tls.go
@@ -46,7 +46,7 @@
 func (c *Certificate) ServerConfig(clientCAPath string) (*tls.Config, error) {
 	config := &tls.Config{
 		MinVersion:     tls.VersionTLS12,
-		NextProtos:     []string{"h2", "http/1.1"},
+		NextProtos:     []string{"http/1.1"},
 		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return c.current.Load(), nil },
 	}
 	if clientCAPath == "" {
--- a/cmd/egretflow/demo.go
+++ b/cmd/egretflow/demo.go
@@ -12,6 +12,7 @@
 
 	"github.com/egretflow/egretflow"
 	"github.com/egretflow/egretflow/authenticator"
+	"github.com/egretflow/egretflow/explainer"
 	"github.com/egretflow/egretflow/internal/stub/engine"
 	"github.com/egretflow/egretflow/supervisor"
 )
@@ -47,6 +48,7 @@
 	}}}
 	inst, err := newInstance(instanceConfig{
 		name: "entry-1", tables: func() *egretflow.Tables { return tables },
+		events:  explainer.New(explainer.DefaultEvents, nil),
 		callers: authenticator.Static(map[string]string{demoKey: "demo"}),
 	})
 	if err != nil {
--- a/cmd/egretflow/instance.go
+++ b/cmd/egretflow/instance.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -14,13 +15,12 @@
 	"github.com/egretflow/egretflow/relayer"
 	"github.com/egretflow/egretflow/scheduler"
 	"github.com/egretflow/egretflow/supervisor"
-	"github.com/sirupsen/logrus"
 )
 
 // instance is the parts of an entry instance on its request path.
 type instance struct {
 	name      egretflow.InstanceName
-	explainer *explainer.Explainer
+	events    *explainer.Explainer
 	metrics   *recorder.Metrics
 	checker   *checker.Checker
 	scheduler *scheduler.Scheduler
@@ -34,28 +34,29 @@
 	tables  func() *egretflow.Tables
 	callers frontend.Identifier
 	limits  frontend.Limits
-	logger  *logrus.Logger
+	tls     *tls.Config
+	events  *explainer.Explainer
 }
 
 func newInstance(cfg instanceConfig) (*instance, error) {
-	i := &instance{name: cfg.name, explainer: explainer.New(explainer.DefaultEvents, cfg.logger)}
+	i := &instance{name: cfg.name, events: cfg.events}
 	var err error
 	if i.metrics, err = recorder.New(); err != nil {
 		return nil, fmt.Errorf("create metrics: %w", err)
 	}
 	clock := egretflow.SystemClock
-	i.checker = checker.New(cfg.name, clock, i.explainer, i.metrics.InvariantViolated)
+	i.checker = checker.New(cfg.name, clock, i.events, i.metrics.InvariantViolated)
 	i.scheduler = scheduler.New(scheduler.Config{
-		Instance: cfg.name, Clock: clock, Rand: newRand(), Recorder: i.explainer, Checker: i.checker,
+		Instance: cfg.name, Clock: clock, Rand: newRand(), Recorder: i.events, Checker: i.checker,
 	})
 	dialer := &net.Dialer{}
 	i.relayer = relayer.New(relayer.Config{
-		Instance: cfg.name, Scheduler: i.scheduler, Recorder: i.explainer, Checker: i.checker, Clock: clock,
+		Instance: cfg.name, Scheduler: i.scheduler, Recorder: i.events, Checker: i.checker, Clock: clock,
 		Rand: newRand(), Dial: dialer.DialContext, Wasted: i.metrics.WastedPrefill,
 	})
 	i.frontend = frontend.New(frontend.Config{
-		Instance: cfg.name, Relayer: i.relayer, Tables: cfg.tables, Callers: cfg.callers, Recorder: i.explainer,
-		Checker: i.checker, Metrics: i.metrics, Clock: clock, Rand: newRand(), Limits: cfg.limits,
+		Instance: cfg.name, Relayer: i.relayer, Tables: cfg.tables, Callers: cfg.callers, Recorder: i.events,
+		Checker: i.checker, Metrics: i.metrics, Clock: clock, Rand: newRand(), Limits: cfg.limits, TLS: cfg.tls,
 	})
 	return i, nil
 }
@@ -63,7 +64,7 @@
 // tasks returns the tasks of the request path in their start order.
 func (i *instance) tasks(ln net.Listener) []supervisor.Task {
 	return []supervisor.Task{
-		{Name: "explainer", Run: i.explainer.Run},
+		{Name: "explainer", Run: i.events.Run},
 		{Name: "scheduler", Run: i.scheduler.Run},
 		{Name: "relayer", Run: func(ctx context.Context) error {
 			<-ctx.Done()
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -91,6 +92,8 @@
 	Clock    egretflow.Clock
 	Rand     *rand.Rand
 	Limits   Limits
+	// TLS serves callers over TLS; nil for none.
+	TLS *tls.Config
 }
 
 // Frontend serves callers.
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -23,7 +24,11 @@
 func (f *Frontend) Serve(ctx context.Context, ln net.Listener) error {
 	server := f.newServer()
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(newListener(netutil.LimitListener(ln, f.cfg.Limits.MaxConnections))) }()
+	ln = newListener(netutil.LimitListener(ln, f.cfg.Limits.MaxConnections))
+	if f.cfg.TLS != nil {
+		ln = tls.NewListener(ln, f.cfg.TLS)
+	}
+	go func() { failed <- server.Serve(ln) }()
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serve callers: %w", err)
--- /dev/null
+++ b/internal/openai/openai_test.go
@@ -0,0 +1,116 @@
+package openai
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestScanChunk checks the scanner against encoding/json with values that need
+// escapes, and with members in any place.
+func TestScanChunk(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		id, content := rapid.String().Draw(t, "id"), rapid.String().Draw(t, "content")
+		extra := rapid.SampledFrom([]any{nil, 1.5, true, "x\"}", map[string]any{"a": []any{"]", map[string]any{}}}}).Draw(t, "extra")
+		finish := rapid.SampledFrom([]any{nil, "stop"}).Draw(t, "finish")
+		data, err := json.Marshal(map[string]any{
+			"aa": extra, "id": id, "zz": extra,
+			"choices": []any{map[string]any{"index": 0, "a": extra, "delta": map[string]any{"content": content}, "finish_reason": finish}},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		c, err := ScanChunk(data)
+		if err != nil {
+			t.Fatalf("scan %s: %v", data, err)
+		}
+		text, err := c.AppendText(nil)
+		if err != nil || string(text) != strings.ToValidUTF8(content, "\uFFFD") {
+			t.Errorf("text is %q, want %q: %v", text, content, err)
+		}
+		if want, _ := finish.(string); c.Finish() != want {
+			t.Errorf("finish reason is %q, want %q", c.Finish(), want)
+		}
+		var changed struct{ ID string }
+		if err := json.Unmarshal(c.AppendWithID(nil, "other"), &changed); err != nil || changed.ID != "other" {
+			t.Errorf("id is %q after the change: %v", changed.ID, err)
+		}
+	})
+}
+
+// TestScanMalformed guards against a cut or malformed chunk that is passed on,
+// and against a scan that does not end.
+func TestScanMalformed(t *testing.T) {
+	const whole = `{"id":"a","choices":[{"index":0,"delta":{"content":"x\"y"},"finish_reason":null}],"usage":{"prompt_tokens":1}}`
+	if _, err := ScanChunk([]byte(whole)); err != nil {
+		t.Fatal(err)
+	}
+	for n := range len(whole) {
+		if _, err := ScanChunk([]byte(whole[:n])); err == nil {
+			t.Errorf("no error for %s", whole[:n])
+		}
+	}
+	for _, text := range []string{"[]", "null", `{"id" "a"}`, `{"id":"a",}x`, `{"choices":[{]}`, whole + "x", `{"a":}`} {
+		if _, err := ScanChunk([]byte(text)); err == nil {
+			t.Errorf("no error for %s", text)
+		}
+	}
+}
+
+// TestBody checks the bodies towards engines (4.5, 4.8).
+func TestBody(t *testing.T) {
+	request, err := ParseRequest(Chat, []byte(`{"model":"m","max_completion_tokens":10,"temperature":0.5,"tools":[{"x":1}],
+		"stream_options":{"include_usage":false},"messages":[{"role":"user","content":[{"type":"text","text":"Hello"}]}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	transfer := json.RawMessage(`{"remote_host":"h"}`)
+	for name, tt := range map[string]struct {
+		variant Variant
+		want    string
+	}{
+		"Prefill": {Variant{Prefill: true, Priority: 2}, `{"kv_transfer_params":{"do_remote_decode":true,"do_remote_prefill":false},"max_tokens":1,"messages":[{"role":"user","content":[{"type":"text","text":"Hello"}]}],"model":"m","priority":2,"stream":false,"temperature":0.5,"tools":[{"x":1}]}`},
+		"Decode":  {Variant{Transfer: transfer}, `{"kv_transfer_params":{"remote_host":"h"},"max_completion_tokens":10,"messages":[{"role":"user","content":[{"type":"text","text":"Hello"}]}],"model":"m","priority":0,"stream":true,"stream_options":{"include_usage":true},"temperature":0.5,"tools":[{"x":1}]}`},
+		"Continued": {Variant{Transfer: transfer, SentText: "a \"b\"", SentTokens: 4},
+			`{"add_generation_prompt":false,"continue_final_message":true,"kv_transfer_params":{"remote_host":"h"},"max_completion_tokens":6,"messages":[{"role":"user","content":[{"type":"text","text":"Hello"}]},{"content":"a \"b\"","role":"assistant"}],"model":"m","priority":0,"stream":true,"stream_options":{"include_usage":true},"temperature":0.5,"tools":[{"x":1}]}`},
+	} {
+		if got := string(request.Body(tt.variant)); got != tt.want {
+			t.Errorf("%s: body is %s, want %s", name, got, tt.want)
+		}
+	}
+	if want := "user\nHello\n"; request.Prompt != want {
+		t.Errorf("prompt is %q, want %q", request.Prompt, want)
+	}
+}
+
+// TestToolCalls checks that a plain answer merges tool calls of a stream.
+func TestToolCalls(t *testing.T) {
+	var answer Answer
+	for _, data := range []string{
+		`{"id":"a","choices":[{"delta":{"role":"assistant","tool_calls":[{"index":0,"id":"c1","type":"function","function":{"name":"look","arguments":"{\"a\""}}]}}]}`,
+		`{"id":"a","choices":[{"delta":{"tool_calls":[{"index":0,"function":{"arguments":":1}"}}]},"finish_reason":"tool_calls"}]}`,
+	} {
+		c, err := ScanChunk([]byte(data))
+		if err != nil || !c.Other {
+			t.Fatalf("scan: other %v, %v", c.Other, err)
+		}
+		if err := answer.Add(&c); err != nil {
+			t.Fatal(err)
+		}
+	}
+	calls, _ := json.Marshal(answer.delta["tool_calls"])
+	if want := `[{"function":{"arguments":"{\"a\":1}","name":"look"},"id":"c1","index":0,"type":"function"}]`; string(calls) != want {
+		t.Errorf("tool calls are %s, want %s", calls, want)
+	}
+}
+
+func BenchmarkScanChunk(b *testing.B) {
+	data := []byte(`{"id":"7ad9dfcf21efe85","object":"chat.completion.chunk","created":1796364002,"model":"letter-writers","choices":[{"index":0,"delta":{"content":"w4f28d572-3 "},"finish_reason":null}]}`)
+	for b.Loop() {
+		if _, err := ScanChunk(data); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/openai/scan.go
+++ b/internal/openai/scan.go
@@ -60,6 +60,7 @@
 		for s.pos < len(s.data) && !bytes.ContainsRune([]byte(",]} \t\r\n"), rune(s.data[s.pos])) {
 			s.pos++
 		}
+		s.bad = s.bad || s.pos == start
 	}
 	if s.bad {
 		return nil
