--- a/assembler/config.go
+++ b/assembler/config.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/explainer"
 	"github.com/egretflow/egretflow/frontend"
 	"github.com/egretflow/egretflow/messenger"
 	"github.com/egretflow/egretflow/picker"
@@ -36,6 +37,8 @@
 	Incarnation uint64
 	Clock       egretflow.Clock
 	Rand        *rand.Rand
+	// Explainer gets all events; by default one that logs to Logger.
+	Explainer *explainer.Explainer
 	// Logger gets one line per event; nil writes none.
 	Logger *logrus.Logger
 	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
@@ -43,7 +46,9 @@
 
 	Callers        frontend.Identifier
 	CallerListener net.Listener
-	Limits         frontend.Limits
+	// CallerTLS, if set, serves callers over TLS.
+	CallerTLS *tls.Config
+	Limits    frontend.Limits
 
 	Operators        frontend.Identifier
 	OperatorListener net.Listener
--- a/assembler/instance.go
+++ b/assembler/instance.go
@@ -42,7 +42,10 @@
 	if err := cfg.check(); err != nil {
 		return nil, fmt.Errorf("check settings: %w", err)
 	}
-	i := &Instance{cfg: cfg, Explainer: explainer.New(explainer.DefaultEvents, cfg.Logger)}
+	i := &Instance{cfg: cfg, Explainer: cfg.Explainer}
+	if i.Explainer == nil {
+		i.Explainer = explainer.New(explainer.DefaultEvents, cfg.Logger)
+	}
 	var err error
 	if i.Metrics, err = recorder.New(); err != nil {
 		return nil, wrapPart("metrics", err)
@@ -72,7 +75,7 @@
 	})
 	i.frontend = frontend.New(frontend.Config{
 		Instance: cfg.Self.Name, Relayer: i.relayer, Tables: i.currentTables, Callers: cfg.Callers,
-		Recorder: i.Explainer, Checker: i.Checker, Metrics: i.Metrics, Clock: cfg.Clock, Rand: cfg.newRand(), Limits: cfg.Limits,
+		Recorder: i.Explainer, Checker: i.Checker, Metrics: i.Metrics, Clock: cfg.Clock, Rand: cfg.newRand(), Limits: cfg.Limits, TLS: cfg.CallerTLS,
 	})
 	if cfg.OperatorListener == nil {
 		return
--- a/cmd/egretflow/demo.go
+++ b/cmd/egretflow/demo.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -11,8 +12,8 @@
 	"time"
 
 	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/assembler"
 	"github.com/egretflow/egretflow/authenticator"
-	"github.com/egretflow/egretflow/explainer"
 	"github.com/egretflow/egretflow/internal/stub/engine"
 	"github.com/egretflow/egretflow/supervisor"
 )
@@ -46,21 +47,21 @@
 		Name: "letters", Callers: []egretflow.CallerName{"demo"}, Models: []egretflow.ModelName{demoModel}, Pool: "letters",
 		Importance: egretflow.ImportanceNormal, Idempotent: true, FirstTokenTarget: egretflow.Duration(1100 * time.Millisecond),
 	}}}
-	inst, err := newInstance(instanceConfig{
-		name: "entry-1", tables: func() *egretflow.Tables { return tables },
-		events:  explainer.New(explainer.DefaultEvents, nil),
-		callers: authenticator.Static(map[string]string{demoKey: "demo"}),
-	})
+	ln, err := listenLoopback()
 	if err != nil {
 		return err
 	}
-	ln, err := listenLoopback()
+	inst, err := assembler.New(assembler.Config{
+		Self:  egretflow.Member{Name: "entry-1", FailureDomain: "loopback", Region: "local"},
+		Clock: egretflow.SystemClock, Rand: newRand(), Dial: (&net.Dialer{}).DialContext,
+		Callers:        authenticator.Static(map[string]string{demoKey: "demo"}),
+		CallerListener: ln, Tables: tables,
+	})
 	if err != nil {
-		return err
+		return fmt.Errorf("assemble instance: %w", err)
 	}
 	failed := make(chan error, 1)
-	go func() { failed <- supervisor.Run(ctx, inst.tasks(ln)) }()
-	inst.scheduler.Apply(tables)
+	go func() { failed <- supervisor.Run(ctx, inst.Tasks()) }()
 	err = printAnswer(ctx, ln.Addr().String())
 	cancel()
 	if stopErr := <-failed; err == nil {
@@ -69,6 +70,8 @@
 	return err
 }
 
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
 func listenLoopback() (net.Listener, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
