Read streams over connections of their own without goroutines

An open stream took 72 KB above what caller and engine take by themselves. The event parser ran as a coroutine with a stack of its own and each engine connection had two goroutines of http.Transport, and the request body stayed referenced by the response. Streams now use one connection each, read by the goroutine of the request; a body is not kept twice.

--- a/internal/openai/chunk.go
+++ b/internal/openai/chunk.go
@@ -1,6 +1,7 @@
 package openai
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"time"
@@ -84,6 +85,13 @@
 	})
 }
 
+// Clone returns a chunk that does not share the data of c.
+func (c *Chunk) Clone() *Chunk {
+	// The data was scanned before, so it is well-formed.
+	clone, _ := ScanChunk(bytes.Clone(c.data))
+	return &clone
+}
+
 // HasID reports whether the chunk belongs to the given attempt.
 func (c *Chunk) HasID(id string) bool {
 	return len(c.id) == len(id)+2 && string(c.id[1:len(c.id)-1]) == id
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -112,7 +112,7 @@
 	body := at.job.Request.Body(openai.Variant{
 		Prefill: true, Priority: at.a.Work.Importance.Rank(), SentText: at.sentText, SentTokens: at.sentTokens,
 	})
-	resp, err := at.post(ctx, server, body)
+	resp, err := at.post(ctx, at.r.client.do, server, body)
 	if err != nil {
 		return nil, at.probed(ctx, server, err)
 	}
@@ -162,10 +162,11 @@
 	body := at.job.Request.Body(openai.Variant{
 		Transfer: transfer, Priority: at.a.Work.Importance.Rank(), SentText: at.sentText, SentTokens: at.sentTokens,
 	})
-	err := s.start(ctx, func(ctx context.Context) (*http.Response, error) { return at.post(ctx, server, body) })
+	err := s.start(ctx, func(ctx context.Context) (*http.Response, error) {
+		return at.post(ctx, at.r.client.open, server, body)
+	})
 	if err != nil {
 		s.disconnect()
-		s.finish(context.Canceled)
 		return nil, err
 	}
 	at.unusedTokens = 0
@@ -183,7 +184,7 @@
 func patience(expected time.Duration) time.Duration { return max(minPatience, patienceFactor*expected) }
 
 // post sends a completion request to an engine. The response has status 200.
-func (at *attempt) post(ctx context.Context, server *egretflow.Server, body []byte) (*http.Response, error) {
+func (at *attempt) post(ctx context.Context, do roundTrip, server *egretflow.Server, body []byte) (*http.Response, error) {
 	url := serverURL(server.Address, at.job.Pool.ServerTLS, string(at.job.Request.Endpoint))
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
@@ -194,7 +195,7 @@
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("X-Request-Id", string(at.a.Attempt))
-	resp, used, err := at.r.client.do(req, false)
+	resp, used, err := do(req)
 	if err != nil && !used && ctx.Err() == nil {
 		return nil, &failure{kind: unreachableKind(err), server: server.Name, err: err}
 	}
--- a/relayer/call.go
+++ b/relayer/call.go
@@ -207,7 +207,11 @@
 	if by := at.a.GrantExpiresAt; !by.IsZero() && !at.started.Before(by) {
 		return nil, &failure{kind: failureRefused, server: server.Name, err: fmt.Errorf("grant expired at %v", by)}
 	}
-	resp, used, err := at.r.client.do(at.request(ctx), fresh)
+	do := at.r.client.do
+	if fresh {
+		do = at.r.client.open
+	}
+	resp, used, err := do(at.request(ctx))
 	if err != nil && !used {
 		return nil, &failure{kind: unreachableKind(err), server: server.Name, err: err}
 	}
--- a/relayer/client.go
+++ b/relayer/client.go
@@ -26,46 +26,45 @@
 	maxResponseHeader = 64 << 10
 )
 
-// client sends requests to backend servers over pooled or new connections.
+// client sends requests to backend servers, over pooled connections with do and
+// over new ones with open. New ones serve streams, probes of a stalled
+// connection, and non-idempotent requests, because net/http repeats a request
+// that carries an Idempotency-Key when a reused connection breaks.
 type client struct {
 	pooled *http.Transport
-	// fresh opens a connection for each request. It is used for probes of a
-	// stalled connection, and for non-idempotent requests, because net/http
-	// repeats a request that carries an Idempotency-Key when a reused connection
-	// breaks.
-	fresh *http.Transport
+	dial   DialFunc
+	tls    *tls.Config
 }
 
 func newClient(dial DialFunc, tlsConfig *tls.Config) *client {
-	dialContext := func(ctx context.Context, network, address string) (net.Conn, error) {
+	bounded := func(ctx context.Context, network, address string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 		defer cancel()
 		return dial(ctx, network, address)
 	}
-	pooled := &http.Transport{
-		DialContext: dialContext, TLSClientConfig: tlsConfig, DisableCompression: true,
+	if tlsConfig == nil {
+		tlsConfig = &tls.Config{MinVersion: tls.VersionTLS12}
+	}
+	return &client{dial: bounded, tls: tlsConfig, pooled: &http.Transport{
+		DialContext: bounded, TLSClientConfig: tlsConfig, DisableCompression: true,
 		MaxIdleConnsPerHost: idleConnsPerHost, IdleConnTimeout: idleConnTimeout,
 		ReadBufferSize: connBufferBytes, WriteBufferSize: connBufferBytes,
 		MaxResponseHeaderBytes: maxResponseHeader,
-	}
-	fresh := pooled.Clone()
-	fresh.DisableKeepAlives = true
-	return &client{pooled: pooled, fresh: fresh}
+	}}
 }
 
+// roundTrip is one of the ways to send a request.
+type roundTrip func(req *http.Request) (resp *http.Response, used bool, err error)
+
 func (c *client) close() { c.pooled.CloseIdleConnections() }
 
 // do sends req. When it returns an error, used says whether a connection was
 // obtained, so that bytes of the request may have been written.
-func (c *client) do(req *http.Request, fresh bool) (resp *http.Response, used bool, err error) {
+func (c *client) do(req *http.Request) (resp *http.Response, used bool, err error) {
 	var got atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { got.Store(true) }}
 	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
-	transport := c.pooled
-	if fresh {
-		transport = c.fresh
-	}
-	resp, err = transport.RoundTrip(req)
+	resp, err = c.pooled.RoundTrip(req)
 	return resp, got.Load(), err
 }
 
@@ -89,7 +88,7 @@
 	if err != nil {
 		return fmt.Errorf("build probe: %w", err)
 	}
-	resp, _, err := r.client.do(req, true)
+	resp, _, err := r.client.open(req)
 	if err != nil {
 		return fmt.Errorf("probe server %s: %w", server.Name, err)
 	}
--- a/relayer/complete.go
+++ b/relayer/complete.go
@@ -37,7 +37,6 @@
 	// whole text and can continue it on another server.
 	if err := s.start(ctx, s.get); err != nil {
 		s.disconnect()
-		s.finish(context.Canceled)
 		return p.result, gone(err)
 	}
 	return p.run(ctx, s, nil)
--- a/relayer/failure.go
+++ b/relayer/failure.go
@@ -67,9 +67,8 @@
 	errStalled = errors.New("no data within the stall timeout")
 	// errComplete ends a complete answer. It is not io.EOF, because that is what
 	// broken connections return.
-	errComplete   = errors.New("answer is complete")
-	errIncomplete = errors.New("stream ended before finish reason, usage and [DONE]")
-	errLost       = errors.New("another attempt answered first")
+	errComplete = errors.New("answer is complete")
+	errLost     = errors.New("another attempt answered first")
 )
 
 // Error codes of engines.
--- a/relayer/resume.go
+++ b/relayer/resume.go
@@ -74,7 +74,7 @@
 		return nil, fmt.Errorf("build resume request: %w", err)
 	}
 	req.Header.Set("Last-Event-ID", strconv.Itoa(s.offset))
-	resp, used, err := s.r.client.do(req, true)
+	resp, used, err := s.r.client.open(req)
 	if err != nil && !used && refusedConnection(err) {
 		return nil, &failure{kind: failureCrashed, server: s.server.Name, err: err}
 	}
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -5,14 +5,12 @@
 	"errors"
 	"fmt"
 	"io"
-	"iter"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/egretflow/egretflow"
 	"github.com/egretflow/egretflow/internal/openai"
-	"github.com/tmaxmax/go-sse"
 )
 
 const (
@@ -20,9 +18,8 @@
 	// (4.9).
 	stallFactor = 10
 	// maxResumes bounds resumes of a stream without progress in between.
-	maxResumes    = 3
-	maxEventBytes = 1 << 20
-	doneEvent     = "[DONE]"
+	maxResumes = 3
+	doneEvent  = "[DONE]"
 )
 
 // stream reads the events of one attempt at one decode server and resumes over
@@ -45,18 +42,17 @@
 	patience time.Duration
 	// pending holds the chunks that start has read, until next returns them.
 	pending []*openai.Chunk
+	// chunk is the one that next returned last.
+	chunk openai.Chunk
 	// idle is called before a read that may block.
 	idle func() error
 
 	ctx context.Context
-	// finish ends ctx.
-	finish context.CancelCauseFunc
 	// cancel closes the current connection; nil when there is none.
 	cancel context.CancelCauseFunc
 	timer  *time.Timer
 	body   io.ReadCloser
-	events func() (sse.Event, error, bool)
-	stop   func()
+	events *eventReader
 }
 
 func newStream(r *Relayer, job *Job, server *egretflow.Server, id egretflow.AttemptID) *stream {
@@ -66,7 +62,7 @@
 // start opens the stream with send and reads up to its first token. Only one
 // resume is allowed before it, so that a stalled KV transfer is given up soon.
 func (s *stream) start(ctx context.Context, send func(context.Context) (*http.Response, error)) error {
-	s.ctx, s.finish = context.WithCancelCause(ctx)
+	s.ctx = ctx
 	s.resumes = maxResumes - 1
 	if err := s.connect(send); err != nil {
 		if !resumable(err) {
@@ -82,7 +78,7 @@
 		if err != nil {
 			return err
 		}
-		read = append(read, c)
+		read = append(read, c.Clone())
 	}
 	s.pending = read
 	s.resumes = 0
@@ -103,7 +99,7 @@
 	}
 	s.body = resp.Body
 	reader := &watchedReader{stream: s, body: resp.Body}
-	s.events, s.stop = iter.Pull2(iter.Seq2[sse.Event, error](sse.Read(reader, &sse.ReadConfig{MaxEventSize: maxEventBytes})))
+	s.events = newEventReader(reader)
 	return nil
 }
 
@@ -111,7 +107,6 @@
 // it is handed over, the engine keeps it for the instance that resumes it.
 func (s *stream) close(err error) {
 	s.disconnect()
-	s.finish(context.Canceled)
 	ended := err == nil || errors.Is(err, ErrHandedOver)
 	switch {
 	case s.attempt == nil && !ended:
@@ -134,7 +129,6 @@
 	s.cancel(context.Canceled)
 	if s.body != nil {
 		s.body.Close()
-		s.stop()
 		s.body = nil
 	}
 	s.cancel = nil
@@ -166,15 +160,12 @@
 		return c, nil
 	}
 	for {
-		event, err, ok := s.events()
-		if !ok {
-			err = errIncomplete
-		}
-		if err == nil && event.Data == doneEvent {
+		id, data, err := s.events.next()
+		if err == nil && string(data) == doneEvent {
 			return nil, s.end()
 		}
 		if err == nil {
-			c, err := s.check(&event)
+			c, err := s.check(id, data)
 			if c != nil || err != nil {
 				return c, err
 			}
@@ -196,8 +187,8 @@
 
 // check returns the chunk of an event if it is the next one, nil if it was
 // read before, or a failure (4.7).
-func (s *stream) check(event *sse.Event) (*openai.Chunk, error) {
-	c, err := openai.ScanChunk([]byte(event.Data))
+func (s *stream) check(id, data []byte) (*openai.Chunk, error) {
+	c, err := openai.ScanChunk(data)
 	if err != nil {
 		return nil, s.mismatch(err.Error())
 	}
@@ -205,8 +196,8 @@
 		return nil, s.mismatch("chunk of another attempt")
 	}
 	offset := s.offset
-	if event.LastEventID != "" {
-		if offset, err = strconv.Atoi(event.LastEventID); err != nil {
+	if len(id) > 0 {
+		if offset, err = strconv.Atoi(string(id)); err != nil {
 			return nil, s.mismatch("event id is not an offset")
 		}
 	}
@@ -222,7 +213,8 @@
 	s.offset = offset
 	s.finished = s.finished || c.Finish() != ""
 	s.usage = s.usage || c.HasUsage()
-	return &c, nil
+	s.chunk = c
+	return &s.chunk, nil
 }
 
 // repeats reports whether a chunk at the current offset was read before. A
