Bound the shutdown of the claimer without a race

Cause: a Begin at the time of shutdown added to a wait group while Run waited for it; the race detector reported it in the random-fault test. Change: Run takes all places of the bounded background updates instead, so that none starts any more. Tests read the fake store under its lock.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -22,7 +22,6 @@
 	stop context.CancelFunc
 	// settling bounds and counts the updates in the background.
 	settling chan struct{}
-	updates  sync.WaitGroup
 
 	mu         sync.Mutex
 	writers    map[string]*writerEntry
@@ -77,17 +76,17 @@
 	}
 }
 
+// drain takes all places of settling, so that no update starts any more, and
+// waits for those that have one.
 func (c *Claimer) drain() {
-	done := make(chan struct{})
-	go func() {
-		c.updates.Wait()
-		close(done)
-	}()
 	timer := time.NewTimer(drainWait)
 	defer timer.Stop()
-	select {
-	case <-done:
-	case <-timer.C:
+	for range maxSettling {
+		select {
+		case c.settling <- struct{}{}:
+		case <-timer.C:
+			return
+		}
 	}
 }
 
@@ -248,9 +247,7 @@
 		result <- egretflow.ErrUnavailable
 		return result
 	}
-	c.updates.Add(1)
 	go func() {
-		defer c.updates.Done()
 		defer func() { <-c.settling }()
 		ctx, cancel := context.WithTimeout(c.ctx, settleWait)
 		defer cancel()
--- a/claimer/fake_test.go
+++ b/claimer/fake_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -37,6 +38,14 @@
 	s.outage = on
 }
 
+// value returns what the store holds under a key.
+func (s *fakeStore) value(key string) ([]byte, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	entry, ok := s.entries[key]
+	return entry.Value, ok
+}
+
 func (s *fakeStore) Get(ctx context.Context, key string) (egretflow.StoreEntry, error) {
 	sleep(ctx, s.latency)
 	s.mu.Lock()
@@ -213,6 +222,13 @@
 	}
 }
 
+// violated lists the violations of invariants so far.
+func (r *recorder) violated() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return strings.Join(r.violations, "; ")
+}
+
 func (f *fleet) claimer(name egretflow.InstanceName) *Claimer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
