--- /dev/null
+++ b/editor/audit.go
@@ -0,0 +1,197 @@
+package editor
+
+import (
+	"bytes"
+	"cmp"
+	"compress/gzip"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/egretflow/egretflow"
+)
+
+// AuditEntries is the number of entries that the audit trail keeps (6.4).
+const AuditEntries = 1000
+
+// auditBlock is the number of slots read by one call: slots 120 to 129 share
+// the prefix Audit/12.
+const auditBlock = 10
+
+// compressAbove is the size in bytes from which an entry is stored in gzip
+// format. Smaller ones stay readable with any client of the store.
+const compressAbove = 64 << 10
+
+// maxEntryBytes bounds a decompressed entry: two documents and their overhead.
+const maxEntryBytes = 4 * egretflow.MaxStoreValueBytes
+
+var gzipMagic = []byte{0x1f, 0x8b}
+
+// Entry is one accepted edit in the audit trail.
+type Entry struct {
+	Revision egretflow.Revision
+	EditID   string
+	Who      string
+	At       time.Time
+	Reason   string
+	// Changes hold the state before and after.
+	Changes []Change
+	// Checksum is the xxhash64 of the document that the edit wrote.
+	Checksum uint64
+}
+
+// AuditPrefix starts the keys of all entries.
+const AuditPrefix = "Audit/"
+
+func auditSlot(r egretflow.Revision) int { return int(r % AuditEntries) }
+
+func auditKey(r egretflow.Revision) string { return fmt.Sprintf("%s%03d", AuditPrefix, auditSlot(r)) }
+
+func auditPrefix(r egretflow.Revision) string {
+	return fmt.Sprintf("%s%02d", AuditPrefix, auditSlot(r)/auditBlock)
+}
+
+// encode returns the entry as stored.
+func (n *Entry) encode() ([]byte, error) {
+	data, err := json.Marshal(n)
+	if err != nil {
+		return nil, fmt.Errorf("encode audit entry: %w", err)
+	}
+	if len(data) <= compressAbove {
+		return data, nil
+	}
+	var b bytes.Buffer
+	w := gzip.NewWriter(&b)
+	if _, err := w.Write(data); err != nil {
+		return nil, fmt.Errorf("compress audit entry: %w", err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, fmt.Errorf("compress audit entry: %w", err)
+	}
+	return b.Bytes(), nil
+}
+
+// DecodeEntry decodes an entry as stored.
+func DecodeEntry(data []byte) (*Entry, error) {
+	if bytes.HasPrefix(data, gzipMagic) {
+		r, err := gzip.NewReader(bytes.NewReader(data))
+		if err != nil {
+			return nil, fmt.Errorf("decompress audit entry: %w", err)
+		}
+		if data, err = io.ReadAll(io.LimitReader(r, maxEntryBytes)); err != nil {
+			return nil, fmt.Errorf("decompress audit entry: %w", err)
+		}
+	}
+	var n Entry
+	if err := json.Unmarshal(data, &n); err != nil {
+		return nil, fmt.Errorf("decode audit entry: %w", err)
+	}
+	return &n, nil
+}
+
+// entryAt returns the entry of one revision or ErrNotFound.
+func (e *Editor) entryAt(ctx context.Context, r egretflow.Revision) (*Entry, error) {
+	stored, err := e.store.Get(ctx, auditKey(r))
+	if err != nil {
+		return nil, fmt.Errorf("read audit trail: %w", err)
+	}
+	n, err := DecodeEntry(stored.Value)
+	if err != nil {
+		return nil, err
+	}
+	if n.Revision != r {
+		return nil, fmt.Errorf("audit entry of revision %d: %w", r, egretflow.ErrNotFound)
+	}
+	return n, nil
+}
+
+// listBlock returns the entries that share a call with revision r, newest
+// first.
+func (e *Editor) listBlock(ctx context.Context, r egretflow.Revision) ([]Entry, error) {
+	stored, err := e.store.List(ctx, auditPrefix(r))
+	if err != nil {
+		return nil, fmt.Errorf("read audit trail: %w", err)
+	}
+	entries := make([]Entry, 0, len(stored))
+	for _, s := range stored {
+		n, err := DecodeEntry(s.Value)
+		if err != nil {
+			return nil, err
+		}
+		entries = append(entries, *n)
+	}
+	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(b.Revision, a.Revision) })
+	return entries, nil
+}
+
+// Audit returns up to limit entries, newest first.
+func (e *Editor) Audit(ctx context.Context, limit int) ([]Entry, error) {
+	var entries []Entry
+	err := e.walkAudit(ctx, func(n Entry) bool {
+		entries = append(entries, n)
+		return len(entries) < limit
+	})
+	return entries, err
+}
+
+// walkAudit calls visit with each entry, newest first, until it returns false.
+func (e *Editor) walkAudit(ctx context.Context, visit func(Entry) bool) error {
+	current, err := e.Tables(ctx)
+	if err != nil {
+		return err
+	}
+	newest := current.Revision
+	oldest := egretflow.Revision(1)
+	if newest > AuditEntries {
+		oldest = newest - AuditEntries + 1
+	}
+	for newest >= oldest {
+		entries, err := e.listBlock(ctx, newest)
+		if err != nil {
+			return err
+		}
+		first := max(oldest, newest-newest%auditBlock)
+		for _, n := range entries {
+			if n.Revision >= first && n.Revision <= newest && !visit(n) {
+				return nil
+			}
+		}
+		newest = first - 1
+	}
+	return nil
+}
+
+// entriesAfter returns the entries after a revision, oldest first, or none if
+// the trail does not reach back to it.
+func (e *Editor) entriesAfter(ctx context.Context, base egretflow.Revision) []Entry {
+	var entries []Entry
+	err := e.walkAudit(ctx, func(n Entry) bool {
+		if n.Revision > base {
+			entries = append(entries, n)
+		}
+		return n.Revision > base+1
+	})
+	if err != nil || len(entries) == 0 || entries[len(entries)-1].Revision != base+1 {
+		return nil
+	}
+	slices.Reverse(entries)
+	return entries
+}
+
+// findEdit returns the result of an edit that was accepted before, or nil.
+func (e *Editor) findEdit(ctx context.Context, id string) (*Result, error) {
+	var found *Result
+	err := e.walkAudit(ctx, func(n Entry) bool {
+		if n.EditID == id {
+			found = &Result{Revision: n.Revision, EditID: id, Changes: n.Changes, Written: true}
+		}
+		return found == nil
+	})
+	if err != nil {
+		return nil, fmt.Errorf("find edit %s: %w", id, err)
+	}
+	return found, nil
+}
