--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -106,6 +106,9 @@
 // offer queues w or refuses it early (5.1).
 func (t *task) offer(w *waiter) {
 	p := w.pool
+	if t.startAtOnce(w) {
+		return
+	}
 	w.item = admitter.Item{Work: w.work, Slots: 1, Service: p.picker.Idle(w.work), Owner: w}
 	if p.picker.Kind() == egretflow.PoolKindModel {
 		w.item.Tokens = p.picker.Uncached(w.work)
@@ -123,6 +126,21 @@
 	t.dispatch(p)
 }
 
+// startAtOnce starts w when nothing waits before it and there is a place. It
+// saves the estimate of the wait for most requests of a pool that is not full.
+func (t *task) startAtOnce(w *waiter) bool {
+	p := w.pool
+	if p.queue.Len() > 0 || p.picker.Full() {
+		return false
+	}
+	pl, ok := p.picker.Pick(w.work, picker.Options{}, t.now)
+	if !ok || (!pl.Probe && t.late(w.work, pl.FirstTokenAt)) {
+		return false
+	}
+	t.start(w, pl)
+	return true
+}
+
 // isolate queues a crash suspect apart from other requests, which it must not
 // hold up while it waits for a server without suspects (5.6).
 func (t *task) isolate(w *waiter) {
@@ -182,35 +200,34 @@
 }
 
 // placeOne tries the next requests in order and reports whether one left the
-// queue.
+// queue. The first that needs several slots of one server and finds none keeps
+// the server with the most free slots to itself, or requests that need one slot
+// would take each slot that becomes free.
 func (t *task) placeOne(p *pool) bool {
-	heads := p.queue.Heads(headsPerRound)
-	for n, item := range heads {
+	var o picker.Options
+	for _, item := range p.queue.Heads(headsPerRound) {
 		w := item.Owner.(*waiter)
-		if !t.place(w) {
-			if p.blocked == nil {
-				p.blocked = w
-			}
-			continue
+		if t.place(w, o) {
+			return true
 		}
-		for _, passed := range heads[:n] {
-			if passed.Slots > 1 {
-				p.queue.Bypassed(passed)
-			}
+		if p.blocked == nil {
+			p.blocked = w
+		}
+		if o.Keep == nil && item.Slots > 1 {
+			o.Keep = p.picker.Widest(t.now)
 		}
-		return true
 	}
 	return false
 }
 
 // place starts or refuses the waiting request w and reports false when it must
 // wait longer.
-func (t *task) place(w *waiter) bool {
+func (t *task) place(w *waiter, o picker.Options) bool {
 	if t.verdict(w.work) != crashdetector.Allow {
 		t.moveSuspect(w)
 		return true
 	}
-	pl, ok := w.pool.picker.Pick(w.work, picker.Options{}, t.now)
+	pl, ok := w.pool.picker.Pick(w.work, o, t.now)
 	if !ok {
 		return false
 	}
--- a/scheduler/attempt_test.go
+++ b/scheduler/attempt_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/crashdetector"
 )
 
 // driver sends messages to a task in virtual time.
@@ -184,3 +185,57 @@
 		t.Errorf("wanted %v, want four slots of prefill and of decode servers", total)
 	}
 }
+
+// Short requests that take each slot that becomes free would starve a prompt
+// that needs several.
+func TestLongPromptIsNotStarved(t *testing.T) {
+	d := newDriver(t, 30, 1)
+	var running []*egretflow.Assignment
+	short := func(w *egretflow.Work) { w.PromptTokens, w.FirstTokenBy = 100, time.Time{} }
+	for range 20 {
+		running = append(running, d.acquire(short).assignment)
+	}
+	long := d.acquire(func(w *egretflow.Work) { w.PromptTokens, w.FirstTokenBy = 10_000, time.Time{} })
+	waiting := d.acquire(func(w *egretflow.Work) { short(w); w.Importance = egretflow.ImportanceLow })
+	for n, a := range running[:4] {
+		if long.done || waiting.done {
+			t.Fatalf("after %d of 4 slots: long prompt started %v, short one behind it %v", n, long.done, waiting.done)
+		}
+		d.release(a)
+	}
+	if long.assignment == nil {
+		t.Errorf("the long prompt did not start with 4 free slots: %v", long.err)
+	}
+}
+
+// The requests that shared a lost server with a crashing one must not share its
+// next server as well, or they are rejected with it (5.6).
+func TestInnocentRequestsAreNotRejected(t *testing.T) {
+	const requests = 10
+	d := newDriver(t, 12, 4)
+	for f := range uint64(requests) {
+		d.task.crashes.Charge(f+1, "lost", d.now)
+	}
+	var running []*egretflow.Assignment
+	for f := range uint64(requests) {
+		if w := d.acquire(withFingerprint(f + 1)); w.assignment != nil {
+			running = append(running, w.assignment)
+		}
+	}
+	// The first request crashes its next server, too.
+	lost := running[0].Decode.Name
+	for _, a := range running {
+		if a.Decode.Name == lost {
+			d.observe(egretflow.ObservationCrashed, lost, a)
+		}
+	}
+	rejected := 0
+	for f := range uint64(requests) {
+		if d.task.crashes.Verdict(f+1, d.now) == crashdetector.Reject {
+			rejected++
+		}
+	}
+	if rejected != 1 {
+		t.Errorf("%d of %d requests rejected, want only the one that crashes servers", rejected, requests)
+	}
+}
