Publish a copy of the owned servers to the poller

Cause: exchanger.Owned returned a pointer into the state of its task, a data race found by the process script under the race detector. Change: Run stores a pointer to a copy that is never written again.

--- a/assembler/fleet.go
+++ b/assembler/fleet.go
@@ -172,7 +172,7 @@
 }
 
 func (f *fleet) servePeers(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { f.server.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = f.server.Close() })
 	defer stop()
 	defer f.client.Close()
 	err := messenger.Serve(f.server, f.meter.Listener(f.cfg.Peers.Listener))
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -123,7 +123,8 @@
 	defer ticker.Stop()
 	for {
 		t.tick(ctx)
-		e.owned.Store(&t.owned)
+		owned := t.owned
+		e.owned.Store(&owned)
 		if err := t.receive(ctx, ticker.C); err != nil {
 			return nil
 		}
