--- a/relayer/call.go
+++ b/relayer/call.go
@@ -183,8 +183,10 @@
 		held, err = io.ReadAll(io.LimitReader(resp.Body, heldBytes))
 	}
 	if err != nil {
+		// end cancels ctx and would hide the cause.
+		cause := context.Cause(ctx)
 		at.end(resp)
-		if cause := context.Cause(ctx); cause != nil && !errors.Is(cause, errStalled) {
+		if cause != nil && !errors.Is(cause, errStalled) {
 			return nil, cause
 		}
 		var f *failure
@@ -205,7 +207,11 @@
 	if by := at.a.GrantExpiresAt; !by.IsZero() && !at.started.Before(by) {
 		return nil, &failure{kind: failureRefused, server: server.Name, err: fmt.Errorf("grant expired at %v", by)}
 	}
-	resp, used, err := at.r.client.do(at.request(ctx), fresh)
+	do := at.r.client.do
+	if fresh {
+		do = at.r.client.open
+	}
+	resp, used, err := do(at.request(ctx))
 	if err != nil && !used {
 		return nil, &failure{kind: unreachableKind(err), server: server.Name, err: err}
 	}
