Keep a slow caller from looking like a stalled engine, and check invariants

The stall timer of a stream also ran while the answer was written to the caller. A caller that paused for some seconds made the instance give up good engines one after the other; the new test lost its answer with "no prefill server". The timer now runs only while the engine is read. The count of open requests at shutdown no longer uses a WaitGroup whose Add can race with Wait. The relayer asserts I2 and I3 for each answer.

--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/egretflow/egretflow"
@@ -104,8 +103,7 @@
 	streams streamCounter
 	randMu  sync.Mutex
 
-	draining atomic.Bool
-	open     sync.WaitGroup
+	open *openRequests
 	// handover ends when open answers must end after the current event.
 	handover      context.Context
 	startHandover context.CancelFunc
@@ -114,7 +112,7 @@
 // New returns a Frontend.
 func New(cfg Config) *Frontend {
 	cfg.Limits = cfg.Limits.withDefaults()
-	f := &Frontend{cfg: cfg, bodies: semaphore.NewWeighted(cfg.Limits.MaxTotalBodyBytes), streams: newStreamCounter()}
+	f := &Frontend{cfg: cfg, bodies: semaphore.NewWeighted(cfg.Limits.MaxTotalBodyBytes), streams: newStreamCounter(), open: newOpenRequests()}
 	f.handover, f.startHandover = context.WithCancel(context.Background())
 	f.handler = f.routes()
 	return f
--- /dev/null
+++ b/frontend/open.go
@@ -0,0 +1,52 @@
+package frontend
+
+import "sync"
+
+// openRequests counts requests in progress and rejects new ones once a drain
+// has begun.
+type openRequests struct {
+	mu     sync.Mutex
+	count  int
+	closed bool
+	// idle is closed when a drain has begun and no request is left.
+	idle chan struct{}
+}
+
+func newOpenRequests() *openRequests { return &openRequests{idle: make(chan struct{})} }
+
+// enter reports whether a request may start; if so, leave must follow.
+func (o *openRequests) enter() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.closed {
+		return false
+	}
+	o.count++
+	return true
+}
+
+func (o *openRequests) leave() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.count--
+	if o.closed && o.count == 0 {
+		close(o.idle)
+	}
+}
+
+// drain rejects new requests from now on. It must be called once.
+func (o *openRequests) drain() <-chan struct{} {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.closed = true
+	if o.count == 0 {
+		close(o.idle)
+	}
+	return o.idle
+}
+
+func (o *openRequests) draining() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.closed
+}
--- a/frontend/request.go
+++ b/frontend/request.go
@@ -91,12 +91,10 @@
 func (f *Frontend) admit(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		x := requestOf(c)
-		// The counter comes before the check, so that drain misses no request.
-		f.open.Add(1)
-		defer f.open.Done()
-		if f.draining.Load() {
+		if !f.open.enter() {
 			return f.refuseLater(http.StatusServiceUnavailable, egretflow.RefusalDraining, "the instance is shutting down")
 		}
+		defer f.open.leave()
 		if f.cfg.Tables() == nil {
 			return f.refuseLater(http.StatusServiceUnavailable, egretflow.RefusalNoServer, "the instance has no tables yet")
 		}
--- a/frontend/resume_test.go
+++ b/frontend/resume_test.go
@@ -1,6 +1,8 @@
 package frontend_test
 
 import (
+	"bufio"
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -139,3 +141,28 @@
 		w.checkFreed()
 	}, frontend.Limits{WriteTimeout: time.Second})
 }
+
+// TestPausedReader guards against a stall of the caller that is taken for a
+// stall of the engine.
+func TestPausedReader(t *testing.T) {
+	run(t, func(w *world) {
+		c := w.dial(1)
+		defer c.Close()
+		body := chat(600, true).body
+		send(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-v\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		time.Sleep(10 * time.Second)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		data, err := io.ReadAll(resp.Body)
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		w.checkWhole(&response{Response: resp, body: data}, 600)
+		if resumes := w.engines["decode-1"].Stats().Resumes; resumes != 0 {
+			w.t.Errorf("the stream was resumed %d times", resumes)
+		}
+	})
+}
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -57,17 +57,12 @@
 }
 
 // Ready reports whether the instance takes new work.
-func (f *Frontend) Ready() bool { return !f.draining.Load() && f.cfg.Tables() != nil }
+func (f *Frontend) Ready() bool { return !f.open.draining() && f.cfg.Tables() != nil }
 
 // drain rejects new work and waits for open requests.
 func (f *Frontend) drain() {
-	f.draining.Store(true)
+	done := f.open.drain()
 	f.record(egretflow.EventShutdownStarted, "")
-	done := make(chan struct{})
-	go func() {
-		f.open.Wait()
-		close(done)
-	}()
 	timer := time.NewTimer(f.cfg.Limits.DrainTimeout)
 	defer timer.Stop()
 	select {
--- a/frontend/world_test.go
+++ b/frontend/world_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -44,6 +45,8 @@
 	services  map[egretflow.ServerName]*service.Service
 	claimer   *fakeClaimer
 	instances []*instance
+	limits    frontend.Limits
+	tls       *tls.Config
 }
 
 // instance is one entry instance.
@@ -86,12 +89,11 @@
 			w.addEngine(ctx, egretflow.RoleDecode, hostDecode, n)
 			w.addService(ctx, n)
 		}
-		limit := frontend.Limits{}
 		if len(limits) > 0 {
-			limit = limits[0]
+			w.limits = limits[0]
 		}
 		for n := 1; n <= 2; n++ {
-			w.addInstance(n, limit)
+			w.addInstance(n, w.limits)
 		}
 		defer func() {
 			cancel()
@@ -152,6 +154,12 @@
 	w.serve(ctx, address, &http.Server{Handler: s, ConnContext: s.Faults.ConnContext})
 }
 
+// serveTLS adds a third instance that serves callers over TLS.
+func (w *world) serveTLS(config *tls.Config) {
+	w.tls = config
+	w.addInstance(3, w.limits)
+}
+
 func (w *world) addInstance(n int, limits frontend.Limits) {
 	i := &instance{host: host(hostInstance, n), scheduler: newFakeScheduler(w.tables, n), explainer: explainer.New(1000, nil)}
 	var err error
@@ -167,7 +175,7 @@
 	i.frontend = frontend.New(frontend.Config{
 		Relayer: r, Tables: func() *egretflow.Tables { return w.tables }, Recorder: i.explainer, Checker: i.checker,
 		Callers: authenticator.Static(map[string]string{"key-v": "vonwiller", "key-k": "kilimanjaro"}),
-		Metrics: i.metrics, Clock: time.Now, Rand: rand.New(rand.NewPCG(8, uint64(n))), Limits: limits,
+		Metrics: i.metrics, Clock: time.Now, Rand: rand.New(rand.NewPCG(8, uint64(n))), Limits: limits, TLS: w.tls,
 	})
 	ln, err := w.net.Listen(netip.AddrPortFrom(i.host, 80))
 	if err != nil {
--- a/relayer/complete.go
+++ b/relayer/complete.go
@@ -137,9 +137,12 @@
 	}
 	var f *failure
 	if errors.As(err, &f) && f.kind == failureRejected {
+		// The engine does not state that nothing ran.
+		if state == egretflow.RunStateNotRun {
+			state = egretflow.RunStateMayHaveRun
+		}
 		return &egretflow.Refusal{
-			Status: f.status, Reason: egretflow.RefusalBadRequest, RunState: egretflow.RunStateMayHaveRun,
-			Message: f.message, Err: err,
+			Status: f.status, Reason: egretflow.RefusalBadRequest, RunState: state, Message: f.message, Err: err,
 		}
 	}
 	return &egretflow.Refusal{
--- a/relayer/progress.go
+++ b/relayer/progress.go
@@ -28,6 +28,8 @@
 	result Result
 	// text is the generated text up to result.Tokens.
 	text []byte
+	// passed is the number of tokens that were passed on.
+	passed int
 	// finished says that the finish reason was passed on.
 	finished bool
 	// unknownText says that text is incomplete, or that the answer holds more
@@ -47,6 +49,7 @@
 	s.idle = p.job.Sink.Flush
 	err := p.copy(s)
 	if errors.Is(err, errComplete) {
+		p.r.cfg.Checker.Check(egretflow.InvariantWholeAnswer, p.finished, p.job.Work.Request, "answer ends without finish reason")
 		err = p.job.Sink.Flush()
 	}
 	s.close(err)
@@ -97,6 +100,7 @@
 		p.r.record(egretflow.EventFirstToken, p.job.Work, s.assignment(), field("server", s.server.Name))
 	}
 	p.result.Started = true
+	p.check(c)
 	if c.HasText() {
 		p.result.LastTokenAt = p.r.now()
 	}
@@ -110,6 +114,16 @@
 	return nil
 }
 
+// check asserts that no token is passed on twice and nothing after the end (I2).
+func (p *progress) check(c *openai.Chunk) {
+	repeated := c.HasText() && p.result.Tokens <= p.passed
+	p.r.cfg.Checker.Check(egretflow.InvariantAnsweredOnce, !repeated && !(c.HasText() && p.finished), p.job.Work.Request,
+		"text was passed on twice or after the end")
+	if c.HasText() {
+		p.passed = p.result.Tokens
+	}
+}
+
 // correctUsage replaces the usage of the last attempt by that of the answer:
 // what earlier attempts generated is part of its prompt.
 func (p *progress) correctUsage(s *stream, c *openai.Chunk) {
--- a/relayer/resume.go
+++ b/relayer/resume.go
@@ -54,7 +54,7 @@
 }
 
 // stalled reports whether the stall timer closed the connection.
-func (s *stream) stalled() bool { return !s.timer.Stop() }
+func (s *stream) stalled() bool { return errors.Is(context.Cause(s.conn), errStalled) }
 
 func (s *stream) giveUp(stalled bool, cause error) error {
 	s.disconnect()
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -48,7 +48,9 @@
 	idle func() error
 
 	ctx context.Context
-	// cancel closes the current connection; nil when there is none.
+	// conn is the context of the current connection and cancel closes it; cancel
+	// is nil when there is none.
+	conn   context.Context
 	cancel context.CancelCauseFunc
 	timer  *time.Timer
 	body   io.ReadCloser
@@ -90,7 +92,7 @@
 func (s *stream) connect(send func(context.Context) (*http.Response, error)) error {
 	s.disconnect()
 	ctx, cancel := context.WithCancelCause(s.ctx)
-	s.cancel = cancel
+	s.conn, s.cancel = ctx, cancel
 	s.timer = time.AfterFunc(s.patience, func() { cancel(errStalled) })
 	resp, err := send(ctx)
 	if err != nil {
@@ -134,7 +136,8 @@
 	s.cancel = nil
 }
 
-// watchedReader restarts the stall timer at each read of the connection.
+// watchedReader runs the stall timer during each read of the connection. It does
+// not run while the answer is written to a slow caller.
 type watchedReader struct {
 	stream *stream
 	body   io.Reader
@@ -148,7 +151,9 @@
 		}
 	}
 	s.timer.Reset(s.patience)
-	return w.body.Read(p)
+	n, err := w.body.Read(p)
+	s.timer.Stop()
+	return n, err //nolint:wrapcheck // io.Reader
 }
 
 // next returns the next chunk, or errComplete after a complete answer. The chunk is
