--- a/frontend/mismatch_test.go
+++ b/frontend/mismatch_test.go
@@ -25,7 +25,10 @@
 		_, _ = rw.Write([]byte(out))
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/chat/completions", func(rw http.ResponseWriter, r *http.Request) { serve(rw, r.Header.Get("X-Request-Id")) })
+	mux.HandleFunc("POST /v1/chat/completions", func(rw http.ResponseWriter, r *http.Request) {
+		w.traceparent = r.Header.Get("Traceparent")
+		serve(rw, r.Header.Get("X-Request-Id"))
+	})
 	mux.HandleFunc("GET /v1/streams/{id}", func(rw http.ResponseWriter, r *http.Request) { serve(rw, r.PathValue("id")) })
 	mux.HandleFunc("POST /abort_request", func(http.ResponseWriter, *http.Request) {})
 	w.serve(ctx, address, &http.Server{Handler: mux})
@@ -72,10 +75,13 @@
 		t.Run(name, func(t *testing.T) {
 			run(t, func(w *world) {
 				w.scriptedDecode(w.t.Context(), tt.script)
-				resp := w.must(chat(3, true))
+				resp := w.must(chat(3, true).with("Traceparent", "00-trace"))
 				if list := events(resp.body); text(w.t, list) != wantText(3) || list[len(list)-1].data != "[DONE]" {
 					w.t.Errorf("answer is %s", resp.body)
 				}
+				if w.traceparent != "00-trace" {
+					w.t.Errorf("Traceparent towards the engine is %q", w.traceparent)
+				}
 				if strings.Count(string(resp.body), `"finish_reason":"length"`) != 1 {
 					w.t.Errorf("answer does not have one finish reason: %s", resp.body)
 				}
--- a/frontend/service_test.go
+++ b/frontend/service_test.go
@@ -199,3 +199,25 @@
 		}
 	})
 }
+
+// TestHedgedCall guards against a straggler that delays idempotent calls, and
+// against a hedge of calls that must run once (5.4).
+func TestHedgedCall(t *testing.T) {
+	for path, hedges := range map[string]int{"/prices/1": 1, "/orders": 0} {
+		t.Run(path, func(t *testing.T) {
+			run(t, func(w *world) {
+				w.instances[0].scheduler.hedges = true
+				w.services["desk-1"].Faults.Add(fault.Fault{Kind: fault.Slow, Factor: 200})
+				r := order("key-1")
+				r.path = path
+				resp := w.must(r)
+				if resp.StatusCode != http.StatusOK || len(resp.body) == 0 {
+					w.t.Errorf("status %d: %s", resp.StatusCode, resp.body)
+				}
+				if fast := resp.took < time.Second; fast != (hedges > 0) || w.instances[0].scheduler.hedged != hedges {
+					w.t.Errorf("answer after %v with %d hedges, want %d", resp.took, w.instances[0].scheduler.hedged, hedges)
+				}
+			})
+		})
+	}
+}
--- a/frontend/world_test.go
+++ b/frontend/world_test.go
@@ -47,6 +47,8 @@
 	instances []*instance
 	limits    frontend.Limits
 	tls       *tls.Config
+	// traceparent is the header that a scripted server got last.
+	traceparent string
 }
 
 // instance is one entry instance.
