--- a/frontend/bench_test.go
+++ b/frontend/bench_test.go
@@ -106,43 +106,74 @@
 	return resp.Body
 }
 
-func cpuTime() time.Duration {
+// cpuTime returns the processor time of this process in user and kernel mode.
+func cpuTime() (user, system time.Duration) {
 	var u syscall.Rusage
 	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+	return time.Duration(u.Utime.Nano()), time.Duration(u.Stime.Nano())
 }
 
 // BenchmarkRelay measures the processor time of this process per event on real
 // sockets: of the engine and the caller alone (Direct), and with the entry
-// instance between them (Relayed). The difference is the cost of the relay.
+// instance between them (Relayed). The difference is the cost of the relay. The
+// events come as fast as the engine can write them (Burst), or 20 each
+// millisecond, which is about the rate of section 1.5 (Steady), or each after the
+// last one arrived, so that the process sleeps and wakes for each (Single).
 func BenchmarkRelay(b *testing.B) {
-	const streams = 50
-	for _, name := range []string{"Direct", "Relayed"} {
-		b.Run(name, func(b *testing.B) {
-			engine := &benchEngine{tokens: make(chan struct{})}
-			address := listen(b, engine)
-			if name == "Relayed" {
-				address = benchInstance(b, address)
-			}
-			var readers sync.WaitGroup
-			for range streams {
-				body := openStream(b, b.Context(), address)
-				readers.Go(func() {
-					lines := bufio.NewScanner(body)
-					for lines.Scan() {
-					}
-				})
-			}
-			b.ResetTimer()
-			started := cpuTime()
-			for range b.N {
-				engine.tokens <- struct{}{}
+	for _, pace := range []string{"Burst", "Steady", "Single"} {
+		for _, way := range []string{"Direct", "Relayed"} {
+			b.Run(pace+way, func(b *testing.B) { benchRelay(b, pace, way == "Relayed") })
+		}
+	}
+}
+
+func benchRelay(b *testing.B, pace string, relayed bool) {
+	const streams, perTick = 400, 20
+	single := pace == "Single"
+	engine := &benchEngine{tokens: make(chan struct{})}
+	address := listen(b, engine)
+	if relayed {
+		address = benchInstance(b, address)
+	}
+	arrived := make(chan struct{}, 1)
+	var readers sync.WaitGroup
+	for range streams {
+		body := openStream(b, b.Context(), address)
+		readers.Go(func() {
+			lines := bufio.NewScanner(body)
+			for lines.Scan() {
+				if single && strings.HasPrefix(lines.Text(), "id: ") {
+					arrived <- struct{}{}
+				}
 			}
-			close(engine.tokens)
-			readers.Wait()
-			b.ReportMetric(float64((cpuTime()-started).Microseconds())/float64(b.N), "cpu-us/event")
 		})
+		if single {
+			<-arrived
+		}
+	}
+	b.ResetTimer()
+	user, system := cpuTime()
+	tick := time.NewTicker(time.Millisecond)
+	defer tick.Stop()
+	for n := range b.N {
+		engine.tokens <- struct{}{}
+		if single {
+			<-arrived
+		} else if pace == "Steady" && n%perTick == 0 {
+			<-tick.C
+		}
 	}
+	userEnd, systemEnd := cpuTime()
+	b.ReportMetric(float64((userEnd-user).Nanoseconds())/1000/float64(b.N), "user-us/event")
+	b.ReportMetric(float64((systemEnd-system).Nanoseconds())/1000/float64(b.N), "kernel-us/event")
+	go func() {
+		// The end of a relayed answer has ids too.
+		for range arrived {
+		}
+	}()
+	close(engine.tokens)
+	readers.Wait()
+	close(arrived)
 }
 
 // BenchmarkOpenStreams measures the memory of open streams, as BenchmarkRelay
