Set no timer for each relayed event

Each event set the stall timer twice and the write deadline once, and built its event id anew. The stall watch now notes the time and its timer looks at it when it fires; the write deadline is renewed after half of the timeout; the constant part of an event id is kept for the attempt.

--- a/frontend/answer.go
+++ b/frontend/answer.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/egretflow/egretflow"
 	"github.com/egretflow/egretflow/internal/openai"
 	"github.com/egretflow/egretflow/relayer"
 	"github.com/labstack/echo/v4"
@@ -40,6 +41,11 @@
 	control *http.ResponseController
 	buf     []byte
 	started bool
+	// deadline is the write deadline of the connection.
+	deadline time.Time
+	// attempt and prefix are those of the last event id.
+	attempt egretflow.AttemptID
+	prefix  string
 }
 
 // Chunk implements relayer.Sink.
@@ -48,8 +54,12 @@
 	if chunk.HasUsage() && bare && !a.job.Request.IncludeUsage {
 		return nil
 	}
+	if id.Attempt != a.attempt || a.prefix == "" {
+		a.attempt, a.prefix = id.Attempt, id.Prefix()
+	}
 	a.buf = append(a.buf, "id: "...)
-	a.buf = id.Append(a.buf)
+	a.buf = append(a.buf, a.prefix...)
+	a.buf = id.AppendOffset(a.buf)
 	a.buf = append(a.buf, "\ndata: "...)
 	a.buf = chunk.AppendWithID(a.buf, string(a.job.Work.Request))
 	a.buf = append(a.buf, "\n\n"...)
@@ -72,8 +82,7 @@
 		w.Header().Set(headerRunState, "Ran")
 		w.WriteHeader(http.StatusOK)
 	}
-	// Writers without deadlines exist only in tests.
-	_ = a.control.SetWriteDeadline(a.f.cfg.Clock().Add(a.f.cfg.Limits.WriteTimeout))
+	a.setDeadline()
 	_, err := w.Write(a.buf)
 	a.buf = a.buf[:0]
 	if err != nil {
@@ -85,6 +94,18 @@
 	return nil
 }
 
+// setDeadline bounds the next write to between half of the write timeout and all
+// of it. The deadline is not set for each event, because that costs a timer.
+func (a *eventAnswer) setDeadline() {
+	now, timeout := a.f.cfg.Clock(), a.f.cfg.Limits.WriteTimeout
+	if a.deadline.Sub(now) > timeout/2 {
+		return
+	}
+	a.deadline = now.Add(timeout)
+	// Writers without deadlines exist only in tests.
+	_ = a.control.SetWriteDeadline(a.deadline)
+}
+
 func (a *eventAnswer) end() error {
 	a.buf = append(a.buf, "data: [DONE]\n\n"...)
 	return a.Flush()
--- a/relayer/eventid.go
+++ b/relayer/eventid.go
@@ -25,22 +25,21 @@
 	unescapeDots = strings.NewReplacer("~", ".")
 )
 
-// prefix returns the part of the id that is the same for a whole attempt.
-func (e EventID) prefix() string {
+// Prefix returns the part of the text form that is the same for a whole attempt.
+func (e EventID) Prefix() string {
 	return escapeDots.Replace(string(e.Request)) + "." + escapeDots.Replace(string(e.Attempt)) + "." +
 		escapeDots.Replace(string(e.Server)) + "."
 }
 
-// Append appends the text form to dst. The offset is written as base+offset.
-func (e EventID) Append(dst []byte) []byte {
-	dst = append(dst, e.prefix()...)
+// AppendOffset appends the rest of the text form, which is base+offset.
+func (e EventID) AppendOffset(dst []byte) []byte {
 	dst = strconv.AppendInt(dst, int64(e.Base), 10)
 	dst = append(dst, '+')
 	return strconv.AppendInt(dst, int64(e.Offset), 10)
 }
 
 // String returns the text form.
-func (e EventID) String() string { return string(e.Append(nil)) }
+func (e EventID) String() string { return string(e.AppendOffset([]byte(e.Prefix()))) }
 
 // ParseEventID reads the text form.
 func ParseEventID(s string) (EventID, error) {
--- a/relayer/resume.go
+++ b/relayer/resume.go
@@ -53,7 +53,7 @@
 	return errors.As(err, &f) && f.kind == failureStalled
 }
 
-// stalled reports whether the stall timer closed the connection.
+// stalled reports whether the stall watch closed the connection.
 func (s *stream) stalled() bool { return errors.Is(context.Cause(s.conn), errStalled) }
 
 func (s *stream) giveUp(stalled bool, cause error) error {
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -52,7 +52,7 @@
 	// is nil when there is none.
 	conn   context.Context
 	cancel context.CancelCauseFunc
-	timer  *time.Timer
+	watch  *stallWatch
 	body   io.ReadCloser
 	events *eventReader
 }
@@ -85,6 +85,7 @@
 	s.pending = read
 	s.resumes = 0
 	s.patience = max(minPatience, stallFactor*time.Duration(s.job.Pool.TokenGap))
+	s.watch.setPatience(s.patience)
 	return nil
 }
 
@@ -93,7 +94,7 @@
 	s.disconnect()
 	ctx, cancel := context.WithCancelCause(s.ctx)
 	s.conn, s.cancel = ctx, cancel
-	s.timer = time.AfterFunc(s.patience, func() { cancel(errStalled) })
+	s.watch = newStallWatch(s.r.cfg.Clock, s.patience, func() { cancel(errStalled) })
 	resp, err := send(ctx)
 	if err != nil {
 		s.disconnect()
@@ -127,7 +128,7 @@
 	if s.cancel == nil {
 		return
 	}
-	s.timer.Stop()
+	s.watch.stop()
 	s.cancel(context.Canceled)
 	if s.body != nil {
 		s.body.Close()
@@ -136,8 +137,8 @@
 	s.cancel = nil
 }
 
-// watchedReader runs the stall timer during each read of the connection. It does
-// not run while the answer is written to a slow caller.
+// watchedReader watches for a stall during each read of the connection. It does
+// not watch while the answer is written to a slow caller.
 type watchedReader struct {
 	stream *stream
 	body   io.Reader
@@ -150,9 +151,9 @@
 			return 0, err
 		}
 	}
-	s.timer.Reset(s.patience)
+	s.watch.begin()
 	n, err := w.body.Read(p)
-	s.timer.Stop()
+	s.watch.end()
 	return n, err //nolint:wrapcheck // io.Reader
 }
 
