--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -48,9 +48,11 @@
 	idle func() error
 
 	ctx context.Context
-	// cancel closes the current connection; nil when there is none.
+	// conn is the context of the current connection and cancel closes it; cancel
+	// is nil when there is none.
+	conn   context.Context
 	cancel context.CancelCauseFunc
-	timer  *time.Timer
+	watch  *stallWatch
 	body   io.ReadCloser
 	events *eventReader
 }
@@ -83,6 +85,7 @@
 	s.pending = read
 	s.resumes = 0
 	s.patience = max(minPatience, stallFactor*time.Duration(s.job.Pool.TokenGap))
+	s.watch.setPatience(s.patience)
 	return nil
 }
 
@@ -90,8 +93,8 @@
 func (s *stream) connect(send func(context.Context) (*http.Response, error)) error {
 	s.disconnect()
 	ctx, cancel := context.WithCancelCause(s.ctx)
-	s.cancel = cancel
-	s.timer = time.AfterFunc(s.patience, func() { cancel(errStalled) })
+	s.conn, s.cancel = ctx, cancel
+	s.watch = newStallWatch(s.r.cfg.Clock, s.patience, func() { cancel(errStalled) })
 	resp, err := send(ctx)
 	if err != nil {
 		s.disconnect()
@@ -125,7 +128,7 @@
 	if s.cancel == nil {
 		return
 	}
-	s.timer.Stop()
+	s.watch.stop()
 	s.cancel(context.Canceled)
 	if s.body != nil {
 		s.body.Close()
@@ -134,7 +137,8 @@
 	s.cancel = nil
 }
 
-// watchedReader restarts the stall timer at each read of the connection.
+// watchedReader watches for a stall during each read of the connection. It does
+// not watch while the answer is written to a slow caller.
 type watchedReader struct {
 	stream *stream
 	body   io.Reader
@@ -147,8 +151,10 @@
 			return 0, err
 		}
 	}
-	s.timer.Reset(s.patience)
-	return w.body.Read(p)
+	s.watch.begin()
+	n, err := w.body.Read(p)
+	s.watch.end()
+	return n, err //nolint:wrapcheck // io.Reader
 }
 
 // next returns the next chunk, or errComplete after a complete answer. The chunk is
