--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -108,3 +108,92 @@
 		})
 	}
 }
+
+// Guards against a new owner that grants slots on which requests of a member
+// still run that does not report to it.
+func TestRunningRequestsOfSilentMember(t *testing.T) {
+	tests := []struct {
+		name    string
+		running int
+		want    int
+	}{
+		{"only the share of the silent member is withheld", 0, 12},
+		{"more running than the share", 10, 6},
+		{"everything runs elsewhere", 16, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(4, decode("a", 16))
+			for range 10 {
+				h.owner.ObserveLoad(egretflow.LoadReport{Server: "a", MeasuredAt: h.now, Running: test.running}, h.now)
+				h.exchange("i0", "i1", "i2")
+			}
+			if got := h.free("i0", "a") + h.free("i1", "a") + h.free("i2", "a"); got != test.want {
+				t.Errorf("granted %d slots, want %d", got, test.want)
+			}
+		})
+	}
+}
+
+// Guards against two instances that both grant a server for long because they
+// disagree about its owner.
+func TestFormerOwnerRenewsForOneLifetime(t *testing.T) {
+	h := newHarness(2, decode("a", 16))
+	h.rounds(6, h.names...)
+	h.owner.SetView(allocator.View{Holders: h.names, Servers: []allocator.Capacity{decode("a", 16)}}, h.now)
+	h.holders["i0"].Want("a", [4]int{9})
+	h.rounds(3, h.names...)
+	if got := h.free("i0", "a"); got != 8 {
+		t.Errorf("former owner granted %d slots, want the reported 8", got)
+	}
+	h.rounds(8, h.names...)
+	if got := h.free("i0", "a"); got != 0 {
+		t.Errorf("holder still has %d slots of the former owner", got)
+	}
+}
+
+// Guards against a delayed request that undoes what a later one reported, and
+// against slots given away before the holder has confirmed a smaller grant.
+func TestReportsCountInOrder(t *testing.T) {
+	h := newHarness(2, decode("a", 4))
+	h.rounds(6, h.names...)
+	request := func(name egretflow.InstanceName, sentAt time.Time, d egretflow.Demand) []egretflow.Grant {
+		d.Server = "a"
+		return h.owner.Answer(&egretflow.ExchangeRequest{From: name, Incarnation: 1, SentAt: sentAt, Demands: []egretflow.Demand{d}}, h.now)
+	}
+	h.now = h.now.Add(100 * time.Millisecond)
+	request("i1", h.now, egretflow.Demand{Held: 2, InUse: 1})
+	if got := request("i0", h.now, egretflow.Demand{Held: 2, InUse: 2, Wanted: [4]int{9}})[0].Slots; got != 2 {
+		t.Errorf("granted %d slots while the other holder may still use 2 of 4", got)
+	}
+	later := h.now.Add(time.Millisecond)
+	if got := request("i1", later, egretflow.Demand{Held: 2, InUse: 2}); len(got) != 1 {
+		t.Errorf("got %d grants for a new request", len(got))
+	}
+	if got := request("i1", h.now, egretflow.Demand{}); got != nil {
+		t.Errorf("got grants %v for a request sent before the newest one", got)
+	}
+	if got := request("i0", later, egretflow.Demand{Held: 2, InUse: 2, Wanted: [4]int{9}})[0].Slots; got != 2 {
+		t.Errorf("granted %d slots after a delayed request, want 2", got)
+	}
+}
+
+// Guards against work that starts after the grant has expired, such as after a
+// pause of the process.
+func TestHolderStartsOnlyUnderUnexpiredGrant(t *testing.T) {
+	h := allocator.NewHolder()
+	h.Apply([]egretflow.Grant{{Server: "a", Slots: 2, ExpiresAt: start.Add(allocator.TTL)}})
+	if !h.Start("a", 1, start) {
+		t.Error("work did not start under a grant")
+	}
+	if h.Start("a", 2, start) {
+		t.Error("work started beyond the grant")
+	}
+	if h.Start("a", 1, start.Add(allocator.TTL)) {
+		t.Error("work started under an expired grant")
+	}
+	want := egretflow.Demand{Server: "a", InUse: 1}
+	if got := h.Demands(start.Add(allocator.TTL)); len(got) != 1 || got[0] != want {
+		t.Errorf("demands after expiry are %v, want %v", got, want)
+	}
+}
--- a/allocator/ledger.go
+++ b/allocator/ledger.go
@@ -20,10 +20,18 @@
 	inUse     int
 	held      int
 	wanted    [4]int
+	// samples holds the recent reports of InUse, oldest first.
+	samples []sample
 	// committed is the number of slots that the holder may believe it has.
 	committed int
 }
 
+// sample is one report of InUse.
+type sample struct {
+	at    time.Time
+	inUse int
+}
+
 // expiredGrant withholds the slots of an expired record.
 type expiredGrant struct {
 	holder      egretflow.InstanceName
@@ -70,8 +78,10 @@
 
 // report enters a holder's demand.
 func (l *ledger) report(r *egretflow.ExchangeRequest, d egretflow.Demand, now time.Time) {
-	if old := l.records[r.From]; old != nil && old.incarnation != r.Incarnation {
+	old := l.records[r.From]
+	if old != nil && old.incarnation != r.Incarnation {
 		l.withhold(r.From, old)
+		old = nil
 	}
 	rec := &record{
 		incarnation: r.Incarnation,
@@ -82,6 +92,10 @@
 		wanted:      d.Wanted,
 		committed:   max(d.InUse, d.Held),
 	}
+	if old != nil {
+		rec.samples = slices.DeleteFunc(old.samples, func(s sample) bool { return now.Sub(s.at) > 2*loadLifetime })
+	}
+	rec.samples = append(rec.samples, sample{now, d.InUse})
 	l.records[r.From] = rec
 	// A holder that is back counts these slots itself. The difference stays
 	// withheld because the report may have been delayed since before the expiry.
@@ -144,7 +158,8 @@
 	}
 }
 
-// observeLoad frees expired slots that the report shows free.
+// observeLoad frees expired slots that the report shows free. It may count
+// requests of other holders too, so more than these may stay withheld.
 func (l *ledger) observeLoad(report egretflow.LoadReport, now time.Time) {
 	if report.MeasuredAt.Before(l.load.MeasuredAt) {
 		return
@@ -153,31 +168,43 @@
 	if l.capacity.Shared {
 		return
 	}
-	unknown := l.unknownRunning(now)
-	if unknown == 0 && report.MeasuredAt.After(l.waitsUntil.Add(-TTL)) {
+	if l.unknownRunning(now) == 0 && report.MeasuredAt.After(l.waitsUntil.Add(-TTL)) {
 		l.accounted = true
 	}
 	for n := range l.expired {
-		e := &l.expired[n]
-		if report.MeasuredAt.After(e.expiredAt) {
-			e.slots = min(e.slots, unknown)
+		if e := &l.expired[n]; report.MeasuredAt.After(e.expiredAt) {
+			e.slots = min(e.slots, report.Running)
 		}
 	}
 	l.expired = slices.DeleteFunc(l.expired, func(e expiredGrant) bool { return e.slots == 0 })
 }
 
-// unknownRunning returns the running requests that no holder reports.
+// unknownRunning estimates the running requests that no holder reports. It
+// counts for each holder the fewest that it reported around the measurement.
 func (l *ledger) unknownRunning(now time.Time) int {
 	if l.capacity.Shared || l.load.MeasuredAt.Add(loadLifetime).Before(now) {
 		return 0
 	}
 	running := l.load.Running
 	for _, rec := range l.records {
-		running -= rec.inUse
+		running -= rec.fewestInUse(l.load.MeasuredAt)
 	}
 	return max(0, running)
 }
 
+// fewestInUse returns the lowest InUse of the last report before a time and of
+// all later ones.
+func (r *record) fewestInUse(since time.Time) int {
+	fewest := r.inUse
+	for n := len(r.samples) - 1; n >= 0; n-- {
+		fewest = min(fewest, r.samples[n].inUse)
+		if !r.samples[n].at.After(since) {
+			break
+		}
+	}
+	return fewest
+}
+
 // absent reports whether a listed member does not report to this owner.
 func (l *ledger) absent(holders []egretflow.InstanceName) bool {
 	return slices.ContainsFunc(holders, func(h egretflow.InstanceName) bool { return l.records[h] == nil })
--- a/allocator/targets.go
+++ b/allocator/targets.go
@@ -11,6 +11,17 @@
 type target struct {
 	holder egretflow.InstanceName
 	slots  int
+	// held is what the holder has now. Among equals a slot stays with the holder
+	// that has it, so that slots do not wander while all are in use.
+	held int
+}
+
+// before reports whether t gets a slot before o.
+func (t target) before(o target) bool {
+	if t.slots != o.slots {
+		return t.slots < o.slots
+	}
+	return t.slots < t.held && o.slots >= o.held
 }
 
 // division spreads a number of free slots over the targets.
@@ -23,7 +34,7 @@
 func (l *ledger) targets(holders []egretflow.InstanceName, slots int) map[egretflow.InstanceName]int {
 	d := division{free: slots}
 	for _, name := range l.rotated(slices.Sorted(maps.Keys(l.records))) {
-		d.targets = append(d.targets, target{holder: name})
+		d.targets = append(d.targets, target{holder: name, held: l.records[name].held})
 	}
 	d.raise(func(h egretflow.InstanceName) int { return l.records[h].inUse })
 	d.raise(func(h egretflow.InstanceName) int {
@@ -57,7 +68,7 @@
 	for ; d.free > 0; d.free-- {
 		lowest := -1
 		for n, t := range d.targets {
-			if t.slots < goals[n] && (lowest < 0 || t.slots < d.targets[lowest].slots) {
+			if t.slots < goals[n] && (lowest < 0 || t.before(d.targets[lowest])) {
 				lowest = n
 			}
 		}
