Add the commander for fenced commands to engines

Change: package commander with a lease per model pool, desired state written before any command, read-back each second, drained role changes with hysteresis, and bounded model loads. Result: tests against the stand-ins of engine and store in virtual time pass, also with the race detector: a late order of a paused holder is rejected by engines that check the token and repaired within 2 s by the others.

--- /dev/null
+++ b/commander/fleet_test.go
@@ -0,0 +1,254 @@
+package commander
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/internal/stub/engine"
+	"github.com/egretflow/egretflow/internal/stub/store"
+	"github.com/egretflow/egretflow/internal/stub/stubtest"
+	"github.com/egretflow/egretflow/storeclient"
+)
+
+const (
+	testPool  = "assistant"
+	sendOrder = "POST /orders"
+	readLoad  = "GET /load"
+)
+
+// fleet is a pool of engines, a store and two commanders on an in-memory
+// network.
+type fleet struct {
+	t       *testing.T
+	hosts   *stubtest.Hosts
+	store   *store.Store
+	engines map[egretflow.ServerName]*engine.Engine
+	lines   []*line
+
+	mu     sync.Mutex
+	tables egretflow.Tables
+	load   RoleLoad
+}
+
+// line carries the requests of one commander to the engines, with faults.
+type line struct {
+	next http.RoundTripper
+
+	mu sync.Mutex
+	// pause delays the next request with the method and path of pausedCall, as
+	// when the process is paused there.
+	pause      time.Duration
+	pausedCall string
+	// loseAnswers is the number of orders whose answer is still to be lost.
+	loseAnswers int
+	orders      int
+}
+
+func (l *line) RoundTrip(r *http.Request) (*http.Response, error) {
+	pause, lose := l.take(r.Method + " " + r.URL.Path)
+	if pause > 0 {
+		time.Sleep(pause)
+		r = r.WithContext(context.WithoutCancel(r.Context()))
+	}
+	resp, err := l.next.RoundTrip(r)
+	if err == nil && lose {
+		resp.Body.Close()
+		return nil, errors.New("connection lost")
+	}
+	return resp, err
+}
+
+// take uses up the faults that apply to a call.
+func (l *line) take(call string) (pause time.Duration, lose bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if call == l.pausedCall {
+		pause, l.pause = l.pause, 0
+	}
+	if call == sendOrder {
+		l.orders++
+		if lose = l.loseAnswers > 0; lose {
+			l.loseAnswers--
+		}
+	}
+	return pause, lose
+}
+
+func (l *line) pauseAt(call string, pause time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pausedCall, l.pause = call, pause
+}
+
+func (l *line) loseNext(answers int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.loseAnswers = answers
+}
+
+func (l *line) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.orders
+}
+
+// options change a fleet before it starts.
+type options struct {
+	checks     bool
+	engines    int
+	model      string
+	loadSecs   int64
+	commanders int
+	maxLoads   int
+}
+
+// inFleet runs a test in virtual time. Half of the engines start as Prefill.
+func inFleet(t *testing.T, o options, test func(t *testing.T, f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{t: t, hosts: stubtest.New(t), store: store.New(store.Config{Latency: time.Millisecond}),
+			engines: map[egretflow.ServerName]*engine.Engine{}}
+		f.hosts.Serve("10.0.9.9:80", f.store, f.store.Faults)
+		pool := egretflow.Pool{Name: testPool, Kind: egretflow.PoolKindModel, Model: "m"}
+		var weights *engine.WeightStore
+		if o.loadSecs > 0 {
+			weights = &engine.WeightStore{BytesPerSecond: 1000}
+		}
+		for n := range o.engines {
+			s := egretflow.Server{
+				Name: egretflow.ServerName(fmt.Sprintf("s%d", n)), Role: egretflow.RolePrefill, ChecksFencing: o.checks,
+				Address: netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:80", n+1)),
+			}
+			if n >= o.engines/2 {
+				s.Role = egretflow.RoleDecode
+			}
+			e := engine.New(engine.Config{Name: string(s.Name), Role: s.Role, Model: o.model, ChecksFencing: o.checks,
+				Weights: weights, ModelBytes: 1000 * o.loadSecs})
+			f.engines[s.Name] = e
+			f.hosts.Serve(s.Address.String(), e, e.Faults)
+			pool.Servers = append(pool.Servers, s)
+		}
+		f.tables = egretflow.Tables{Revision: 1, Pools: []egretflow.Pool{pool}}
+		ctx, stop := context.WithCancel(t.Context())
+		var done sync.WaitGroup
+		for n := range o.commanders {
+			c := f.newCommander(n, o.maxLoads)
+			done.Go(func() { _ = c.Run(ctx) })
+			time.Sleep(400 * time.Millisecond) // so that they do not act at the same time
+		}
+		test(t, f)
+		stop()
+		done.Wait()
+	})
+}
+
+func (f *fleet) newCommander(n, maxLoads int) *Commander {
+	host := fmt.Sprintf("10.0.1.%d", n+1)
+	st, err := storeclient.New(storeclient.Config{BaseURL: "http://10.0.9.9:80", Client: f.hosts.Client(host), Clock: time.Now})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	l := &line{next: f.hosts.Client(host).Transport}
+	f.lines = append(f.lines, l)
+	c, err := New(Config{
+		Instance: egretflow.InstanceName(host), Store: st, Tables: f, Client: &http.Client{Transport: l},
+		Members:  func() []egretflow.Member { return nil },
+		RoleLoad: func(egretflow.PoolName) (RoleLoad, bool) { return f.roleLoad() },
+		MaxLoads: maxLoads, Clock: time.Now, Recorder: f,
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return c
+}
+
+// Record implements egretflow.Recorder.
+func (f *fleet) Record(egretflow.Event) {}
+
+// Subscribe implements egretflow.TablesHolder.
+func (f *fleet) Subscribe(func(*egretflow.Tables)) {}
+
+// Current implements egretflow.TablesHolder.
+func (f *fleet) Current() egretflow.TablesInForce {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	data, err := json.Marshal(f.tables.Pools)
+	if err != nil {
+		panic(err)
+	}
+	var tables egretflow.Tables
+	if err := json.Unmarshal(data, &tables.Pools); err != nil {
+		panic(err)
+	}
+	return egretflow.TablesInForce{Tables: &tables, Confirmed: true}
+}
+
+func (f *fleet) setRole(server int, role egretflow.Role) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.tables.Pools[0].Servers[server].Role = role
+}
+
+func (f *fleet) setLoad(l RoleLoad) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.load = l
+}
+
+func (f *fleet) roleLoad() (RoleLoad, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.load, f.load != RoleLoad{}
+}
+
+// state reads an engine as the commanders do.
+func (f *fleet) state(server int) engine.OrderState {
+	f.t.Helper()
+	resp, err := f.hosts.Client("10.0.2.1").Get(fmt.Sprintf("http://10.0.0.%d:80/orders", server+1))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var s engine.OrderState
+	if err := json.NewDecoder(resp.Body).Decode(&s); err != nil {
+		f.t.Fatal(err)
+	}
+	return s
+}
+
+func (f *fleet) wantRole(server int, want egretflow.Role) {
+	f.t.Helper()
+	if got := f.state(server); got.Role != want || got.Model != "m" {
+		f.t.Errorf("server %d has role %s and model %q, want %s and m", server, got.Role, got.Model, want)
+	}
+}
+
+// holder returns the line of the commander that has sent orders.
+func (f *fleet) holder() *line {
+	if f.lines[0].count() > 0 {
+		return f.lines[0]
+	}
+	return f.lines[1]
+}
+
+// roles counts the engines by role.
+func (f *fleet) roles() map[egretflow.Role]int {
+	f.t.Helper()
+	counts := map[egretflow.Role]int{}
+	for n := range f.engines {
+		var index int
+		if _, err := fmt.Sscanf(string(n), "s%d", &index); err != nil {
+			f.t.Fatal(err)
+		}
+		counts[f.state(index).Role]++
+	}
+	return counts
+}
