Keep the distance of role changes and wait for lagging load reports

Cause: the distance of 60 s counted from the start of a change, so a drain of 11 s left 51 s between two changes, and an engine counted as empty on a load report from before its drain. Change: the distance counts from the end of a change as well, and a drain lasts at least 4 s.

--- a/commander/config.go
+++ b/commander/config.go
@@ -25,6 +25,9 @@
 	// DefaultMaxLoads is the default of Config.MaxLoads.
 	DefaultMaxLoads = 1
 
+	// leastDrain is how long a drain lasts at least. Instances can send new work
+	// for 3 s after it (9.2), and a load report lags by 1 s.
+	leastDrain = 4 * time.Second
 	// undrainFor is how long after a role change a drain of the engine is
 	// ended again. It covers the late command of a holder that was paused.
 	undrainFor = 10 * time.Minute
--- a/commander/desired.go
+++ b/commander/desired.go
@@ -12,7 +12,7 @@
 type desired struct {
 	// Fencing is the token of the holder that wrote it.
 	Fencing uint64
-	// ChangedAt is the time of the last role change.
+	// ChangedAt is when the last role change started or finished.
 	ChangedAt time.Time
 	Engines   []engineTarget
 }
--- a/commander/pool.go
+++ b/commander/pool.go
@@ -187,10 +187,11 @@
 			continue
 		}
 		r, ok := readings[e.Server]
-		drained := ok && r.load.Draining && r.load.Running+r.load.Waiting == 0
+		drained := ok && r.load.Draining && r.load.Running+r.load.Waiting == 0 &&
+			now.Sub(e.DrainBy.Add(-DrainTime)) >= leastDrain
 		if drained || !now.Before(e.DrainBy) {
 			e.finishChange(now)
-			changed = true
+			p.desired.ChangedAt, changed = now, true
 			continue
 		}
 		changing = true
