Test the claimer over the protocol of the store

Cause: the fake store of the tests cannot show a wrong classification of lost answers, outages and slow calls by the real client. Change: a test with storeclient and the stand-in under LostAnswer, Outage, Slow and Stall; retries of a finished request must not call the store.

--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +13,10 @@
 	"github.com/google/uuid"
 
 	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/internal/stub/fault"
+	"github.com/egretflow/egretflow/internal/stub/store"
+	"github.com/egretflow/egretflow/internal/stub/stubtest"
+	"github.com/egretflow/egretflow/storeclient"
 )
 
 // keyAt returns a key of UUID version 7 with the given time.
@@ -182,8 +187,9 @@
 func TestTicketEndsAtRunBy(t *testing.T) {
 	inFleet(t, 2, func(t *testing.T, f *fleet) {
 		key := keyAt(time.Now(), 1)
-		ticket, _, err := f.claimer(instanceName(0)).Begin(t.Context(), key, time.Now().Add(3*time.Second))
-		if err != nil || !ticket.RunBy.Equal(time.Now().Add(3*time.Second-time.Since(ticket.Claim.ExpiresAt.Add(-Retention)))) {
+		deadline := time.Now().Add(3 * time.Second)
+		ticket, _, err := f.claimer(instanceName(0)).Begin(t.Context(), key, deadline)
+		if err != nil || !ticket.RunBy.Equal(deadline) {
 			t.Fatalf("got ticket %v and error %v, want RunBy at the caller's deadline", ticket, err)
 		}
 		if err := f.claimer(instanceName(0)).NotRun(t.Context(), ticket); err != nil {
@@ -217,6 +223,42 @@
 	}
 }
 
+// Over the protocol of the store, with the faults of its stand-in: the claims
+// hold, and retries of a finished request do not call the store again.
+func TestOverStoreProtocol(t *testing.T) {
+	inFleet(t, 0, func(t *testing.T, f *fleet) {
+		hosts := stubtest.New(t)
+		backend := store.New(store.Config{Latency: 2 * time.Millisecond, WritesPerSecond: 300, ReadsPerSecond: 2000})
+		hosts.Serve("10.0.9.9:80", backend, backend.Faults)
+		client, err := storeclient.New(storeclient.Config{BaseURL: "http://10.0.9.9:80", Client: hosts.Client("10.0.0.1"), Clock: time.Now})
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.backend = client
+		for n := range 3 {
+			f.start(instanceName(n))
+		}
+		for n, kind := range []fault.Kind{fault.LostAnswer, fault.Outage, fault.Slow, fault.Stall} {
+			backend.Faults.Add(fault.Fault{Kind: kind, Factor: 300, Count: 2, Until: time.Now().Add(2 * time.Second)})
+			key := keyAt(time.Now(), n)
+			ticket := f.mustBegin(n%3, key)
+			if err := f.claimer(instanceName(n%3)).Finish(t.Context(), ticket, ordered("first")); err != nil {
+				t.Fatalf("%s: finish: %v", kind, err)
+			}
+			for try := range 30 {
+				calls := backend.Stats().Total
+				_, outcome, err := f.claimer(instanceName(try%3)).Begin(t.Context(), key, time.Time{})
+				if err != nil || outcome == nil {
+					t.Errorf("%s: retry %d: got outcome %v and error %v", kind, try, outcome, err)
+				}
+				if more := backend.Stats().Total - calls; try >= 3 && more > 0 {
+					t.Errorf("%s: retry %d called the store %d times", kind, try, more)
+				}
+			}
+		}
+	})
+}
+
 // A committer that cannot be reached, and two committers at once, must not
 // stop claims or let two of them win.
 func TestCommitterChange(t *testing.T) {
@@ -238,28 +280,46 @@
 // A document is full before it exceeds the largest value of the store, and
 // claims in it can still be ended.
 func TestFullDocument(t *testing.T) {
+	const document, claims = "Claims/0/Plain-0", 2500
 	inFleet(t, 1, func(t *testing.T, f *fleet) {
 		c := f.claimer(instanceName(0))
+		var mu sync.Mutex
 		var tickets []*egretflow.ClaimTicket
 		var refusal error
-		for n := 0; refusal == nil && n < 200_000; n++ {
+		var done sync.WaitGroup
+		for n, begun := 0, 0; begun < claims; n++ {
 			key := egretflow.ClaimKey{Caller: "desk", Route: "orders", Key: fmt.Sprint("plain-", n)}
-			if p, _ := locate(key, time.Now()); p.document != "Claims/0/Plain-0" {
+			if p, _ := locate(key, time.Now()); p.document != document {
 				continue
 			}
-			ticket, _, err := c.Begin(t.Context(), key, time.Time{})
-			if refusal = err; err == nil {
-				tickets = append(tickets, ticket)
+			if begun++; begun%100 == 0 {
+				done.Wait()
 			}
+			done.Go(func() {
+				ticket, _, err := c.Begin(context.Background(), key, time.Time{})
+				mu.Lock()
+				defer mu.Unlock()
+				if err != nil {
+					refusal = err
+					return
+				}
+				tickets = append(tickets, ticket)
+			})
 		}
+		done.Wait()
 		wantRefusal(t, refusal, 503, egretflow.RefusalOverload, egretflow.RunStateNotRun)
-		body := strings.Repeat("x", MaxOutcomeBytes)
-		for _, ticket := range tickets {
-			if err := c.Finish(context.Background(), ticket, ordered(body)); err != nil {
-				t.Fatalf("finish in a full document: %v", err)
+		for n, ticket := range tickets {
+			if n%100 == 0 {
+				done.Wait()
 			}
+			done.Go(func() {
+				if err := c.Finish(context.Background(), ticket, ordered(strings.Repeat("x", MaxOutcomeBytes))); err != nil {
+					t.Errorf("finish in a full document: %v", err)
+				}
+			})
 		}
-		if value, _ := f.store.value("Claims/0/Plain-0"); len(value) > egretflow.MaxStoreValueBytes {
+		done.Wait()
+		if value, _ := f.store.value(document); len(value) > egretflow.MaxStoreValueBytes {
 			t.Errorf("document has %d bytes", len(value))
 		}
 		t.Logf("%d claims fit", len(tickets))
--- a/claimer/fake_test.go
+++ b/claimer/fake_test.go
@@ -146,8 +146,10 @@
 
 // fleet is a set of claimers that reach each other by direct calls.
 type fleet struct {
-	t       *testing.T
-	store   *fakeStore
+	t     *testing.T
+	store *fakeStore
+	// backend is what the claimers use; by default store.
+	backend egretflow.Store
 	checker *recorder
 	seed    uint64
 
@@ -166,6 +168,7 @@
 		stops: map[egretflow.InstanceName]context.CancelFunc{}, cut: map[egretflow.InstanceName]bool{},
 		views: map[egretflow.InstanceName][]egretflow.InstanceName{},
 	}
+	f.backend = f.store
 	for n := range instances {
 		f.start(instanceName(n))
 	}
@@ -183,7 +186,7 @@
 	seed := f.seed
 	f.mu.Unlock()
 	c, err := New(Config{
-		Instance: name, Store: f.store, Peers: &fakePeers{fleet: f}, Clock: time.Now,
+		Instance: name, Store: f.backend, Peers: &fakePeers{fleet: f}, Clock: time.Now,
 		Members: func() []egretflow.Member { return f.members(name) },
 		Rand:    rand.New(rand.NewPCG(seed, 1)), Recorder: f.checker, Checker: f.checker,
 	})
