Report the bytes between instances in load runs

The load command did not show whether a change to the sharing of slots stays inside the 6 KB/s that an instance may write to its peers. Results now hold the mean rate per instance, as a column and in the JSON lines.

--- a/internal/loadgen/fleet.go
+++ b/internal/loadgen/fleet.go
@@ -173,6 +173,16 @@
 	return nil
 }
 
+// peerBytes returns the bytes that all instances have written to their peers.
+func (f *fleet) peerBytes() int64 {
+	var sum int64
+	for _, inst := range f.instances {
+		written, _ := inst.Bytes()
+		sum += written
+	}
+	return sum
+}
+
 // stop ends the instances and the platform.
 func (f *fleet) stop() {
 	f.cancel()
--- a/internal/loadgen/measure.go
+++ b/internal/loadgen/measure.go
@@ -35,6 +35,9 @@
 	FirstTokenP50 float64
 	FirstTokenP99 float64
 	TokenGapP95   float64
+	// PeerBytesPerSecond is the mean rate at which an instance writes to its
+	// peers while requests arrive.
+	PeerBytesPerSecond float64
 }
 
 const (
--- a/internal/loadgen/report.go
+++ b/internal/loadgen/report.go
@@ -13,13 +13,13 @@
 // WriteTable prints one line per result.
 func WriteTable(w io.Writer, results []*Result) error {
 	tw := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
-	fmt.Fprintln(tw, "Scenario\tPolicy\tSeed\tArrived\tWhole\tRefused\tFailed\tGoodput/s\tCritical%\tHigh%\tNormal%\tLow%\tWasted%\tTTFT p50 ms\tp99 ms\tGap p95 ms")
+	fmt.Fprintln(tw, "Scenario\tPolicy\tSeed\tArrived\tWhole\tRefused\tFailed\tGoodput/s\tCritical%\tHigh%\tNormal%\tLow%\tWasted%\tTTFT p50 ms\tp99 ms\tGap p95 ms\tPeer B/s")
 	for _, r := range results {
 		fmt.Fprintf(tw, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%.2f", r.Scenario, r.Policy, r.Seed, r.Arrived, r.Whole, r.Refused, r.Failed, r.GoodputPerSecond)
 		for _, i := range egretflow.Importances {
 			fmt.Fprintf(tw, "\t%.1f", r.GoodByImportance[i])
 		}
-		fmt.Fprintf(tw, "\t%.2f\t%.0f\t%.0f\t%.1f\n", r.WastedPrefillPercent, r.FirstTokenP50, r.FirstTokenP99, r.TokenGapP95)
+		fmt.Fprintf(tw, "\t%.2f\t%.0f\t%.0f\t%.1f\t%.0f\n", r.WastedPrefillPercent, r.FirstTokenP50, r.FirstTokenP99, r.TokenGapP95, r.PeerBytesPerSecond)
 	}
 	if err := tw.Flush(); err != nil {
 		return fmt.Errorf("write table: %w", err)
--- a/internal/loadgen/run.go
+++ b/internal/loadgen/run.go
@@ -74,7 +74,7 @@
 	}
 	finished := make(chan finishedRequest, len(arrivals))
 	var wg sync.WaitGroup
-	start := cfg.Clock()
+	start, written := cfg.Clock(), f.peerBytes()
 	for n := range arrivals {
 		a := &arrivals[n]
 		if err := wait(ctx, start.Add(a.After).Sub(cfg.Clock())); err != nil {
@@ -85,9 +85,13 @@
 			finished <- finishedRequest{a, sentAt, client.Send(ctx, f.urls[a.Instance], a)}
 		})
 	}
+	written = f.peerBytes() - written
+	elapsed := cfg.Clock().Sub(start)
 	wg.Wait()
 	close(finished)
-	return collect(cfg, b, finished), nil
+	r := collect(cfg, b, finished)
+	r.PeerBytesPerSecond = float64(written) / float64(cfg.Instances) / elapsed.Seconds()
+	return r, nil
 }
 
 func collect(cfg Config, b *backends, finished <-chan finishedRequest) *Result {
