Count the overhead of a call when a prefill is judged

Cause: in the process script a prefill of 6 tokens took 4 ms against a nominal 0.4 ms, so healthy servers became suspect with factors of 5 and 8. The relayer also reported cached prompt tokens as computed, which hides slow servers. Change: the nominal time of a prefill includes 10 ms for the call; the relayer reports computed tokens only.

--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/estimator"
 )
 
 var start = time.Unix(1000, 0)
@@ -222,3 +223,13 @@
 		t.Errorf("LeastLoaded ignored Avoid: %v", c)
 	}
 }
+
+// Guards against a prompt of a few tokens whose call overhead makes a healthy
+// prefill server look like a straggler.
+func TestShortPromptIsNoEvidenceOfAStraggler(t *testing.T) {
+	pl := Placement{Prefill: &Server{Spec: &egretflow.Server{PrefillTokensPerSecond: 16000}}}
+	ratio, ok := pl.PrefillRatio(4*time.Millisecond, 6)
+	if !ok || ratio > estimator.SuspectRatio {
+		t.Errorf("a prefill of 6 tokens in 4 ms has ratio %.2f, %t, want at most %.1f", ratio, ok, estimator.SuspectRatio)
+	}
+}
--- a/picker/reserve.go
+++ b/picker/reserve.go
@@ -156,11 +156,16 @@
 // Computing reports whether the prefill is still running.
 func (pl *Placement) Computing() bool { return pl.computing }
 
+// callOverhead is the time in seconds that a call takes besides the prefill.
+// Without it a prompt of a few tokens, whose prefill takes less than a
+// millisecond, makes any server look slow.
+const callOverhead = 0.010
+
 // PrefillRatio compares an observed prefill time with the nominal time for
 // tokens computed behind the backlog at the start. A time that prompts of other
 // instances explain is no evidence: its ratio is 1.
 func (pl *Placement) PrefillRatio(took time.Duration, tokens int) (ratio float64, ok bool) {
-	nominal := pl.backlog + float64(tokens)/pl.Prefill.prefillRate()
+	nominal := pl.backlog + float64(tokens)/pl.Prefill.prefillRate() + callOverhead
 	seconds := took.Seconds()
 	switch {
 	case nominal <= 0 || seconds <= 0:
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -144,7 +144,7 @@
 	at.unusedTokens = usage.PromptTokens - usage.Cached()
 	at.r.cfg.Scheduler.Observe(egretflow.Observation{
 		Kind: egretflow.ObservationPrefillDone, Server: server.Name, Attempt: at.a.Attempt,
-		StartedAt: started, EndedAt: at.r.now(), Tokens: usage.PromptTokens, CachedTokens: usage.Cached(),
+		StartedAt: started, EndedAt: at.r.now(), Tokens: at.unusedTokens, CachedTokens: usage.Cached(),
 	})
 	at.r.cfg.Scheduler.Release(egretflow.Release{Attempt: at.a.Attempt, PrefillOnly: true})
 	at.r.record(egretflow.EventPrefillDone, at.a.Work, at.a, field("server", server.Name))
