Command engines and wait for capacity before an instance is ready

Cause: nothing ran the commander, and an instance reported ready about 2 s before it held grants, so its first requests were refused.

--- a/assembler/config.go
+++ b/assembler/config.go
@@ -60,6 +60,9 @@
 	// Store holds tables and claims; Tables is used if it is nil.
 	Store  egretflow.Store
 	Tables *egretflow.Tables
+	// EngineCommands lets the instance take part in commanding engines, such as
+	// changes of their role (8).
+	EngineCommands bool
 	// ServerTLS is used towards servers of pools with ServerTLS.
 	ServerTLS *tls.Config
 }
--- a/assembler/fleet.go
+++ b/assembler/fleet.go
@@ -5,14 +5,17 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/egretflow/egretflow"
 	"github.com/egretflow/egretflow/claimer"
+	"github.com/egretflow/egretflow/commander"
 	"github.com/egretflow/egretflow/distributor"
 	"github.com/egretflow/egretflow/exchanger"
 	"github.com/egretflow/egretflow/messenger"
 	"github.com/egretflow/egretflow/poller"
+	"github.com/egretflow/egretflow/scheduler"
 	"github.com/egretflow/egretflow/supervisor"
 	"github.com/egretflow/egretflow/tracker"
 )
@@ -29,11 +32,42 @@
 	exchanger   *exchanger.Exchanger
 	poller      *poller.Poller
 	claimer     *claimer.Claimer
+	// commander is nil unless the instance commands engines.
+	commander *commander.Commander
+	// warmBy ends the wait for capacity at the start, and warmed says that it
+	// has come.
+	warmBy time.Time
+	warmed atomic.Bool
+}
+
+// warmTimeout is the longest time that a new instance is not ready for lack of
+// capacity. Without it an outage of a pool would keep the instance from serving
+// the other pools.
+const warmTimeout = 5 * time.Second
+
+// warm reports whether the instance has held slots of every model pool since
+// its start. A new owner grants nothing for one lifetime of a grant, and
+// requests would only be refused until then.
+func (f *fleet) warm(tables *egretflow.Tables, s *scheduler.Scheduler) bool {
+	if f.warmed.Load() {
+		return true
+	}
+	for n := range tables.Pools {
+		if tables.Pools[n].Kind != egretflow.PoolKindModel {
+			continue
+		}
+		if _, ok := s.RoleUse(tables.Pools[n].Name); !ok && f.cfg.Clock().Before(f.warmBy) {
+			return false
+		}
+	}
+	f.warmed.Store(true)
+	return true
 }
 
 func newFleet(i *Instance) (*fleet, error) {
 	cfg := &i.cfg
 	f := &fleet{cfg: cfg, meter: messenger.NewMeter(messenger.BudgetBytesPerSecond, cfg.Clock), names: messenger.NewNames()}
+	f.warmBy = cfg.Clock().Add(warmTimeout)
 	if err := f.addMessenger(i); err != nil {
 		return nil, err
 	}
@@ -58,9 +92,27 @@
 	if err != nil {
 		return nil, wrapPart("claimer", err)
 	}
+	if cfg.EngineCommands {
+		if err := f.addCommander(i); err != nil {
+			return nil, wrapPart("commander", err)
+		}
+	}
 	return f, nil
 }
 
+func (f *fleet) addCommander(i *Instance) error {
+	var err error
+	f.commander, err = commander.New(commander.Config{
+		Instance: f.cfg.Self.Name, Store: f.cfg.Store, Tables: f.distributor, Members: f.reachableMembers,
+		Client: f.cfg.httpClient(), Clock: f.cfg.Clock, Recorder: i.Explainer,
+		RoleLoad: func(pool egretflow.PoolName) (commander.RoleLoad, bool) {
+			use, ok := i.Scheduler.RoleUse(pool)
+			return commander.RoleLoad(use), ok
+		},
+	})
+	return err
+}
+
 func (f *fleet) addMessenger(i *Instance) error {
 	peers := f.cfg.Peers
 	var err error
@@ -116,7 +168,7 @@
 }
 
 func (f *fleet) tasks() []supervisor.Task {
-	return []supervisor.Task{
+	tasks := []supervisor.Task{
 		{Name: "tracker", Run: f.tracker.Run},
 		{Name: "members", Run: f.followMembers},
 		{Name: "distributor", Run: f.distributor.Run},
@@ -125,6 +177,10 @@
 		{Name: "exchanger", Run: f.exchange},
 		{Name: "poller", Run: f.poller.Run},
 	}
+	if f.commander != nil {
+		tasks = append(tasks, supervisor.Task{Name: "commander", Run: f.commander.Run})
+	}
+	return tasks
 }
 
 // membersInterval is how often a change of the membership is passed on to the
--- a/assembler/instance.go
+++ b/assembler/instance.go
@@ -111,10 +111,14 @@
 	return map[string]http.Handler{egretflow.StatusPath: i.fleet.distributor.StatusHandler()}
 }
 
-// Ready reports whether the instance takes new work: it has tables and does not
-// shut down.
+// Ready reports whether the instance takes new work: it has tables and, after
+// its start, capacity, and does not shut down.
 func (i *Instance) Ready() bool {
-	return i.currentTables() != nil && i.frontend.Ready()
+	tables := i.currentTables()
+	if tables == nil || !i.frontend.Ready() {
+		return false
+	}
+	return i.fleet == nil || i.fleet.warm(tables, i.Scheduler)
 }
 
 // Tasks returns the tasks of the instance in their start order.
--- a/cmd/egretflow/serve.go
+++ b/cmd/egretflow/serve.go
@@ -22,6 +22,8 @@
 	StoreURL   string `help:"URL of the key-value store." xor:"tables"`
 	ListURL    string `help:"URL of the platform's list of instances and backend servers."`
 
+	EngineCommands bool `help:"Take part in commanding engines: roles that follow demand, models, adapters."`
+
 	Listen       string        `help:"Address for callers." default:"127.0.0.1:8080"`
 	KeysFile     string        `help:"Hashes of the keys of callers." type:"existingfile" required:""`
 	DrainTimeout time.Duration `help:"Time for open requests at shutdown." default:"20s"`
--- a/cmd/egretflow/settings.go
+++ b/cmd/egretflow/settings.go
@@ -37,8 +37,8 @@
 		// The time of the start grows with each start of the instance.
 		Incarnation: uint64(l.clock().UnixNano()),
 		Clock:       l.clock, Rand: newRand(), Dial: (&net.Dialer{}).DialContext, Explainer: l.events,
-		ListURL: f.ListURL,
-		Limits:  frontend.Limits{DrainTimeout: f.DrainTimeout, MaxBodyBytes: f.MaxBodyBytes, MaxStreams: f.MaxStreams},
+		ListURL: f.ListURL, EngineCommands: f.EngineCommands,
+		Limits: frontend.Limits{DrainTimeout: f.DrainTimeout, MaxBodyBytes: f.MaxBodyBytes, MaxStreams: f.MaxStreams},
 	}
 	for _, step := range []func(*assembler.Config) error{
 		l.checkNames, l.loadTables, l.loadCallers, l.loadOperators, l.loadPeers,
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -117,6 +117,8 @@
 		t.setUnavailable(m.servers)
 	case demandsMessage:
 		m.reply <- t.demands(m.now)
+	case roleUseMessage:
+		m.reply <- t.roleUse(m.pool)
 	case crashesMessage:
 		m.reply <- t.crashes.Reports(m.now)
 	case mergeMessage:
