Do not take a server for crashed because a request to it was lost

After a stalled decode request the resume got 404, which counted as a crash of the server and so against the request (5.6), although the server had never got it. A 404 now means a crash only when the engine had answered on this stream and the connection failed less than 3 s before. The new test fails without the change.

--- a/cmd/egretflow/script_test.go
+++ b/cmd/egretflow/script_test.go
@@ -86,7 +86,7 @@
 	for _, name := range names {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		ts.Check(err)
-		defer ln.Close()
+		defer func() { _ = ln.Close() }()
 		ts.Setenv(name, ln.Addr().String())
 	}
 }
--- a/frontend/failure_test.go
+++ b/frontend/failure_test.go
@@ -160,6 +160,27 @@
 	})
 }
 
+// TestLostDecodeRequest guards against a server that is taken for crashed, and
+// its request for the cause (5.6), because a request to it was lost on the way.
+func TestLostDecodeRequest(t *testing.T) {
+	run(t, func(w *world) {
+		w.net.SetDelay(host(hostInstance, 1), host(hostDecode, 1), 50*time.Millisecond)
+		done := w.start(chat(10, true))
+		for w.net.OpenConns() < 6 {
+			time.Sleep(time.Millisecond)
+		}
+		w.net.Silence(host(hostDecode, 1))
+		w.checkWhole(<-done, 10)
+		if i := w.instances[0]; i.scheduler.saw(egretflow.ObservationCrashed, "decode-1") {
+			w.t.Error("a crash of decode-1 was observed")
+		}
+		if got := w.engines["decode-1"].Stats().Requests; got != 0 {
+			w.t.Errorf("decode-1 got %d requests, so none was lost", got)
+		}
+		w.checkFreed()
+	})
+}
+
 // TestNoServerLeft guards against a claim of NotRun for work that ran, and
 // against the opposite (I4).
 func TestNoServerLeft(t *testing.T) {
--- a/relayer/resume.go
+++ b/relayer/resume.go
@@ -21,6 +21,9 @@
 			s.disconnect()
 			return err
 		}
+		if s.resumes == 0 || s.brokeAt.IsZero() {
+			s.brokeAt = s.r.now()
+		}
 		s.resumes++
 		if s.resumes > maxResumes {
 			return s.giveUp(stalled, cause)
@@ -56,6 +59,10 @@
 // stalled reports whether the stall watch closed the connection.
 func (s *stream) stalled() bool { return errors.Is(context.Cause(s.conn), errStalled) }
 
+// kept reports whether an engine that has not lost its state knows the stream:
+// the engine has answered, and keeps a disconnected stream for streamKept.
+func (s *stream) kept() bool { return s.known && s.r.now().Sub(s.brokeAt) < streamKept }
+
 func (s *stream) giveUp(stalled bool, cause error) error {
 	s.disconnect()
 	// A server that breaks every new connection is down.
@@ -84,9 +91,7 @@
 	if resp.StatusCode != http.StatusOK {
 		defer resp.Body.Close()
 		f := errorAnswer(s.server.Name, resp)
-		// An engine keeps a disconnected stream for seconds. One that does not
-		// know the stream has lost its state.
-		if f.kind = failureBroken; resp.StatusCode == http.StatusNotFound {
+		if f.kind = failureBroken; resp.StatusCode == http.StatusNotFound && s.kept() {
 			f.kind = failureCrashed
 		}
 		return nil, f
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -20,6 +20,8 @@
 	// maxResumes bounds resumes of a stream without progress in between.
 	maxResumes = 3
 	doneEvent  = "[DONE]"
+	// streamKept is how long an engine keeps a disconnected stream (4.6).
+	streamKept = 3 * time.Second
 )
 
 // stream reads the events of one attempt at one decode server and resumes over
@@ -37,7 +39,11 @@
 	offset   int
 	finished bool
 	usage    bool
-	resumes  int
+	// known says that the engine has answered, and brokeAt is when the connection
+	// failed after the last progress.
+	known   bool
+	brokeAt time.Time
+	resumes int
 	// patience is the time without an event after which the stream is stalled.
 	patience time.Duration
 	// pending holds the chunks that start has read, until next returns them.
@@ -101,6 +107,7 @@
 		return err
 	}
 	s.body = resp.Body
+	s.known = true
 	reader := &watchedReader{stream: s, body: resp.Body}
 	s.events = newEventReader(reader)
 	return nil
