--- a/assembler/config.go
+++ b/assembler/config.go
@@ -57,6 +57,10 @@
 	Tables *egretflow.Tables
 	// ServerTLS is used towards servers of pools with ServerTLS.
 	ServerTLS *tls.Config
+	// WrapScheduler and WrapClaimer, if set, replace what the request path uses
+	// of the scheduler and the claimer. Tests plant faults with them.
+	WrapScheduler func(egretflow.Scheduler) egretflow.Scheduler
+	WrapClaimer   func(egretflow.Claimer) egretflow.Claimer
 }
 
 func (c *Config) check() error {
--- a/assembler/instance.go
+++ b/assembler/instance.go
@@ -89,16 +89,23 @@
 	if i.fleet == nil {
 		return nil
 	}
+	if wrap := i.cfg.WrapClaimer; wrap != nil {
+		return wrap(i.fleet.claimer)
+	}
 	return i.fleet.claimer
 }
 
 // tap returns the scheduler as the request path sees it: load reports that ride
 // on answers also reach the fleet's parts.
 func (i *Instance) tap() egretflow.Scheduler {
-	if i.fleet == nil {
-		return i.Scheduler
+	var tapped egretflow.Scheduler = i.Scheduler
+	if i.fleet != nil {
+		tapped = &loadTap{Scheduler: i.Scheduler, fleet: i.fleet}
+	}
+	if wrap := i.cfg.WrapScheduler; wrap != nil {
+		return wrap(tapped)
 	}
-	return &loadTap{Scheduler: i.Scheduler, fleet: i.fleet}
+	return tapped
 }
 
 func (i *Instance) operatorHandlers() map[string]http.Handler {
--- a/internal/faultrun/caller.go
+++ b/internal/faultrun/caller.go
@@ -40,6 +40,8 @@
 	runState egretflow.RunState
 	body     []byte
 	err      error
+	// altered says that the body was not that of the first try.
+	altered bool
 }
 
 // record is what a caller saw of a planned request.
@@ -52,7 +54,7 @@
 }
 
 // send plays the caller of a request until its end.
-func (w *world) send(r *plannedRequest) {
+func (w *world) send(r *plannedRequest) Outcome {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	if r.cancelAfter > 0 {
@@ -76,6 +78,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.records = append(w.records, rec)
+	return outcome
 }
 
 // open sends one HTTP request to the nth instance from the first choice. The
@@ -83,7 +86,7 @@
 func (w *world) open(ctx context.Context, r *plannedRequest, try int, lastID string) (*http.Response, exchange) {
 	i := w.instances[(r.instance+try)%len(w.instances)]
 	x := exchange{started: time.Now(), instance: i, process: i.current()}
-	path, body := r.path(), r.body()
+	path, body := r.path(), r.bodyOf(try)
 	url := "http://" + netip.AddrPortFrom(i.host, callerPort).String() + path
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
@@ -93,7 +96,7 @@
 	// The transport must not send the request again by itself.
 	req.GetBody = nil
 	req.Header.Set("Authorization", "Bearer "+callerKey)
-	req.Header.Set("Idempotency-Key", r.marker())
+	req.Header.Set("Idempotency-Key", r.key())
 	req.Header.Set("X-Request-Id", fmt.Sprintf("%s%d", r.marker(), try))
 	if lastID != "" {
 		req.Header.Set("Last-Event-ID", lastID)
@@ -144,6 +147,14 @@
 	return body
 }
 
+// bodyOf returns the body of a try.
+func (r *plannedRequest) bodyOf(try int) []byte {
+	if r.altered && try == r.tries-1 {
+		return append(r.body(), "altered"...)
+	}
+	return r.body()
+}
+
 // text is the whole expected answer.
 func (r *plannedRequest) text() string {
 	return engine.AnswerText(engine.PromptText(r.messages()), 1, r.tokens)
@@ -299,7 +310,7 @@
 	var got service.Answer
 	err := json.Unmarshal(x.body, &got)
 	hash := fmt.Sprintf("%016x", xxhash.Sum64(r.body()))
-	if err != nil || got.Path != r.path() || got.Key != r.marker() || got.BodyHash != hash {
+	if err != nil || got.Path != r.path() || got.Key != r.key() || got.BodyHash != hash {
 		w.report.violate(egretflow.InvariantWholeAnswer, "%s got a wrong response: %.200s", r.marker(), x.body)
 	}
 }
@@ -331,7 +342,9 @@
 			if !r.together {
 				_ = sleep(ctx, time.Duration(try)*callerPatience/8)
 			}
-			results <- w.unaryOnce(ctx, rec, try)
+			x := w.unaryOnce(ctx, rec, try)
+			x.altered = r.altered && try == r.tries-1
+			results <- x
 		}()
 	}
 	outcome := OutcomeRefused
@@ -340,7 +353,9 @@
 		rec.add(x)
 		if x.err == nil && x.status == http.StatusOK {
 			outcome = OutcomeWhole
-			w.checkBody(rec, &x)
+			if !x.altered {
+				w.checkBody(rec, &x)
+			}
 		}
 	}
 	return outcome
--- a/internal/faultrun/check.go
+++ b/internal/faultrun/check.go
@@ -84,7 +84,7 @@
 		if rec.request.kind != kindOrder {
 			continue
 		}
-		key, runs := rec.request.marker(), 0
+		key, runs := rec.request.key(), 0
 		for _, b := range w.backends {
 			if b.service != nil {
 				runs += b.service.Stats().Executions[key]
@@ -98,7 +98,7 @@
 			if x.status != http.StatusOK || x.err != nil {
 				continue
 			}
-			if first != nil && !bytes.Equal(first, x.body) {
+			if first != nil && (x.altered || !bytes.Equal(first, x.body)) {
 				w.report.violate(egretflow.InvariantAtMostOnce, "%s got two outcomes: %s and %s", key, first, x.body)
 			}
 			first = x.body
@@ -169,6 +169,22 @@
 	}
 }
 
+// checkRecovered checks that every instance serves all kinds of requests after
+// the faults.
+func (w *world) checkRecovered() {
+	n := recoveredFirst
+	for i := range w.instances {
+		for _, kind := range []requestKind{kindStream, kindPlain, kindCall, kindOrder} {
+			n++
+			r := &plannedRequest{n: n, kind: kind, instance: i, tries: 1, tokens: 5, promptBytes: 100}
+			if outcome := w.send(r); outcome != OutcomeWhole {
+				rec := w.records[len(w.records)-1]
+				w.report.violate(harness, "%s of entry-%d ends as %s after the faults: %s", kind, i, outcome, rec.exchanges[0].body)
+			}
+		}
+	}
+}
+
 // pollInterval is how often the revisions of the instances are read.
 const pollInterval = 500 * time.Millisecond
 
@@ -246,8 +262,11 @@
 	w.running.Wait()
 }
 
-// deathFirst numbers the first request of the measurement.
-const deathFirst = 1_000_000
+// Numbers of the first requests after the faults.
+const (
+	recoveredFirst = 500_000
+	deathFirst     = 1_000_000
+)
 
 func (w *world) heldTotal() int {
 	total := 0
--- a/internal/faultrun/faults.go
+++ b/internal/faultrun/faults.go
@@ -38,9 +38,10 @@
 	FaultEdits          FaultKind = "RacingEdits"
 )
 
-// AllFaults lists all kinds of faults.
+// AllFaults lists all kinds of faults. Those that end or separate processes come
+// more often.
 var AllFaults = []FaultKind{
-	FaultKill, FaultShutdown, FaultPause, FaultCut, FaultSilence, FaultPartition, FaultStoreOutage, FaultStoreSlow,
+	FaultKill, FaultKill, FaultKill, FaultShutdown, FaultShutdown, FaultPause, FaultCut, FaultSilence, FaultPartition, FaultStoreOutage, FaultStoreSlow,
 	FaultStoreStall, FaultStoreLost, FaultListOutage, FaultBackendStall, FaultBackendSlow, FaultBackendCrash,
 	FaultBackendOutage, FaultBackendLost, FaultBackendSilence, FaultBackendCut, FaultTransfer, FaultLeave, FaultDrain, FaultEdits,
 }
@@ -68,6 +69,9 @@
 		length: between(rng, 200*time.Millisecond, 6*time.Second),
 		factor: 2 + 8*rng.Float64(), count: 1 + rng.IntN(4),
 	}
+	if f.kind == FaultLeave || f.kind == FaultDrain {
+		f.length += leaveLimit
+	}
 	f.at = between(rng, 0, horizon-f.length)
 	return f
 }
@@ -132,7 +136,8 @@
 			w.restart(i)
 		})
 	case FaultPause:
-		i.disturb()
+		// What was sent before the end of the pause arrives after it.
+		i.disturbUntil(time.Now().Add(2 * f.length))
 		w.delayHost(i, f.length/4)
 		w.later(f.length, func() { w.delayHost(i, 0) })
 	case FaultCut:
--- a/internal/faultrun/instance.go
+++ b/internal/faultrun/instance.go
@@ -50,6 +50,8 @@
 	listeners []net.Listener
 	ended     chan struct{}
 	err       error
+	// stopping is closed when a graceful shutdown begins.
+	stopping chan struct{}
 
 	mu   sync.Mutex
 	dead bool
@@ -74,10 +76,14 @@
 	return p != nil && p.assembled.Ready()
 }
 
-func (i *instance) disturb() {
+func (i *instance) disturb() { i.disturbUntil(time.Now()) }
+
+func (i *instance) disturbUntil(t time.Time) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.disturbedAt = time.Now()
+	if t.After(i.disturbedAt) {
+		i.disturbedAt = t
+	}
 }
 
 // undisturbedSince reports whether no fault hit the connections of the host
@@ -96,7 +102,7 @@
 		return nil
 	}
 	i.incarnation++
-	p := &process{ended: make(chan struct{})}
+	p := &process{ended: make(chan struct{}), stopping: make(chan struct{})}
 	cfg, err := i.config(p)
 	if err != nil {
 		return err
@@ -132,7 +138,7 @@
 	planted := &i.w.opts.Planted
 	callers := listeners[callerPort]
 	if planted.Callers != nil {
-		callers = planted.Callers(callers)
+		callers = planted.Callers(callers, p.stopping)
 	}
 	dial := p.dialer(i.w.network.Dialer(i.host))
 	if planted.Dial != nil {
@@ -158,6 +164,7 @@
 		Operators: authenticator.Static(map[string]string{operatorKey: "operator"}), OperatorListener: listeners[operatorPort],
 		Peers:   &assembler.PeerSettings{Listener: listeners[peerPort], Key: func() string { return peerKey }, Verifier: verifier},
 		ListURL: "http://" + listAddress.String() + "/targets", Store: client,
+		WrapScheduler: planted.Scheduler, WrapClaimer: planted.Claimer,
 	}, nil
 }
 
@@ -211,9 +218,9 @@
 	if p == nil {
 		return
 	}
-	p.mu.Lock()
-	p.stoppingAt = time.Now()
-	p.mu.Unlock()
+	if !p.beginShutdown() {
+		return
+	}
 	p.stop()
 	<-p.ended
 	for _, ln := range p.listeners {
@@ -227,6 +234,18 @@
 	}
 }
 
+// beginShutdown returns false if a shutdown has begun before.
+func (p *process) beginShutdown() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.stoppingAt.IsZero() {
+		return false
+	}
+	p.stoppingAt = time.Now()
+	close(p.stopping)
+	return true
+}
+
 func (p *process) shutdownBegan() time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/faultrun/plan.go
+++ b/internal/faultrun/plan.go
@@ -39,6 +39,11 @@
 	cancelAfter time.Duration
 	// timeout sets X-Request-Deadline; 0 for none.
 	timeout time.Duration
+	// keyTime makes the Idempotency-Key one of UUID version 7; zero for a plain
+	// key.
+	keyTime time.Time
+	// altered gives the last try of an order another body.
+	altered bool
 	// crashes puts the crash marker of the stand-in engines into the prompt.
 	crashes bool
 }
@@ -46,6 +51,18 @@
 // marker is contained in the prompt or body and tells requests apart.
 func (r *plannedRequest) marker() string { return fmt.Sprintf("request-%d-", r.n) }
 
+// epoch is before the first request; synctest starts its clock there.
+var epoch = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// key returns the Idempotency-Key.
+func (r *plannedRequest) key() string {
+	if r.keyTime.IsZero() {
+		return r.marker()
+	}
+	return fmt.Sprintf("%012x", r.keyTime.UnixMilli())[:8] + "-" + fmt.Sprintf("%012x", r.keyTime.UnixMilli())[8:] +
+		fmt.Sprintf("-7000-8000-%012x", r.n)
+}
+
 // fleetPlan is the size of the fleet.
 type fleetPlan struct{ instances, prefill, decode, services int }
 
@@ -63,16 +80,16 @@
 		instances: 3 + rng.IntN(3), prefill: 2 + rng.IntN(2), decode: 2 + rng.IntN(3), services: 2,
 	}}
 	for n := range 40 + rng.IntN(60) {
-		p.requests = append(p.requests, drawRequest(rng, n, &p.fleet, opts.Orders))
+		p.requests = append(p.requests, drawRequest(rng, n, &p.fleet))
 	}
-	for range rng.IntN(12) {
+	for range 2 + rng.IntN(14) {
 		p.faults = append(p.faults, drawFault(rng, &p.fleet, opts.faultKinds()))
 	}
 	slices.SortStableFunc(p.faults, func(a, b plannedFault) int { return cmp.Compare(a.at, b.at) })
 	return p
 }
 
-func drawRequest(rng *rand.Rand, n int, fleet *fleetPlan, orders bool) plannedRequest {
+func drawRequest(rng *rand.Rand, n int, fleet *fleetPlan) plannedRequest {
 	r := plannedRequest{
 		n: n, at: between(rng, 0, horizon), instance: rng.IntN(fleet.instances), tries: 1 + rng.IntN(3),
 		tokens: 1 + rng.IntN(120), promptBytes: rng.IntN(4000),
@@ -82,11 +99,15 @@
 		r.kind = kindStream
 	case draw < 65:
 		r.kind = kindPlain
-	case draw < 80 || !orders:
+	case draw < 78:
 		r.kind = kindCall
 	default:
 		r.kind = kindOrder
 		r.together = rng.IntN(4) == 0
+		r.altered = !r.together && r.tries > 1 && rng.IntN(4) == 0
+		if rng.IntN(2) == 0 {
+			r.keyTime = epoch.Add(r.at)
+		}
 	}
 	if rng.IntN(6) == 0 {
 		r.cancelAfter = between(rng, 0, 3*time.Second)
--- a/internal/faultrun/run.go
+++ b/internal/faultrun/run.go
@@ -14,9 +14,7 @@
 type Options struct {
 	Seed uint64
 	// Faults are the kinds that may happen; nil means all.
-	Faults []FaultKind
-	// Orders adds non-idempotent calls.
-	Orders  bool
+	Faults  []FaultKind
 	Planted Planted
 	// Logger gets the events of the instances; nil writes none.
 	Logger *logrus.Logger
@@ -29,11 +27,13 @@
 	return o.Faults
 }
 
-// settleTime is the time for requests to end after the last fault, and
-// freeTime the time for the engines to free what is left.
+// settleTime is the time for requests to end after the last fault. freeTime is
+// the time for the instances and engines to free what is left: an instance
+// notices a caller on a silent connection only when the buffer of the connection
+// is full and a write has timed out, with the default limits after about 16 s.
 const (
 	settleTime = 60 * time.Second
-	freeTime   = 6 * time.Second
+	freeTime   = 20 * time.Second
 )
 
 // Run runs the fleet of a seed. It must be called in a synctest bubble, and all
@@ -52,6 +52,7 @@
 	w.recover(ctx)
 	stopPolling()
 	w.check(ctx)
+	w.checkRecovered()
 	w.measureDeath()
 	return report
 }
--- a/internal/faultrun/world.go
+++ b/internal/faultrun/world.go
@@ -49,7 +49,9 @@
 	hostOperator
 )
 
-func host(kind hostKind, n int) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, byte(kind), byte(n)}) }
+func host(kind hostKind, n int) netip.Addr {
+	return netip.AddrFrom4([4]byte{10, 0, byte(kind), byte(n)})
+}
 
 var (
 	storeAddress = netip.AddrPortFrom(host(hostPlatform, 1), platformPort)
