--- a/claimer/faults_test.go
+++ b/claimer/faults_test.go
@@ -22,13 +22,14 @@
 )
 
 // TestMain fixes the seed of rapid, so that every run checks the same cases.
+// Flags on the command line override it.
 func TestMain(m *testing.M) {
-	flag.Parse()
 	for name, value := range map[string]string{"rapid.seed": "20260704", "rapid.checks": "300", "rapid.nofailfile": "true"} {
 		if err := flag.Set(name, value); err != nil {
 			panic(err)
 		}
 	}
+	flag.Parse()
 	os.Exit(m.Run())
 }
 
