--- a/claimer/fake_test.go
+++ b/claimer/fake_test.go
@@ -13,8 +13,10 @@
 	"github.com/egretflow/egretflow"
 )
 
-// fakeStore is a key-value store in memory. Its calls take latency.
+// fakeStore is a key-value store in memory with the calls that claims need. Its
+// calls take latency.
 type fakeStore struct {
+	egretflow.Store
 	latency time.Duration
 
 	mu       sync.Mutex
@@ -108,26 +110,6 @@
 	return s.revision, nil
 }
 
-func (s *fakeStore) List(context.Context, string) ([]egretflow.StoreEntry, error) {
-	return nil, errors.ErrUnsupported
-}
-
-func (s *fakeStore) Watch(context.Context, string, int64, chan<- egretflow.StoreEntry) error {
-	return errors.ErrUnsupported
-}
-
-func (s *fakeStore) GrantLease(context.Context, time.Duration) (egretflow.Lease, error) {
-	return egretflow.Lease{}, errors.ErrUnsupported
-}
-
-func (s *fakeStore) KeepLease(context.Context, egretflow.LeaseID) (egretflow.Lease, error) {
-	return egretflow.Lease{}, errors.ErrUnsupported
-}
-
-func (s *fakeStore) RevokeLease(context.Context, egretflow.LeaseID) error {
-	return errors.ErrUnsupported
-}
-
 // recorder counts violations and drops events.
 type recorder struct {
 	mu         sync.Mutex
