Test messenger, tracker and poller

After a timeout the client replaces the whole transport: the test of a stalled connection showed that it offered the closed connection once more. The model counts a holder that never reported to an owner by its issuer.

--- a/allocator/model_test.go
+++ b/allocator/model_test.go
@@ -355,17 +355,17 @@
 		}
 		slots := m.usable(n)[g.Server]
 		total += slots
-		if silent := m.now.Sub(n.reportedAt[owner.id()+string(g.Server)]); silent >= 2*allocator.TTL {
-			unreported += m.running(n, g.Server)
-			continue
-		}
-		if issuer := n.issuer[g.Server]; issuer != owner.id() && issuer != owner.id()+" reported" {
+		issuer := n.issuer[g.Server]
+		silent := m.now.Sub(n.reportedAt[owner.id()+string(g.Server)])
+		switch {
+		case m.dead(issuer):
 			// Grants of a dead owner expire while the new one waits; only requests
 			// that run longer are unknown to it.
-			if m.dead(issuer) {
-				slots = m.running(n, g.Server)
-			}
+			unreported += m.running(n, g.Server)
+		case issuer != owner.id() && issuer != owner.id()+" reported":
 			unreported += slots
+		case silent >= 2*allocator.TTL:
+			unreported += m.running(n, g.Server)
 		}
 	}
 	if excess := total - m.slots(g.Server); excess > unreported {
@@ -375,7 +375,7 @@
 }
 
 func (m *model) dead(issuer string) bool {
-	return !slices.ContainsFunc(m.nodes, func(n *modelNode) bool {
+	return issuer != "" && !slices.ContainsFunc(m.nodes, func(n *modelNode) bool {
 		return n.alive && (n.id() == issuer || n.id()+" reported" == issuer)
 	})
 }
--- a/exchanger/cluster_test.go
+++ b/exchanger/cluster_test.go
@@ -113,7 +113,7 @@
 }
 
 func (n *node) start(incarnation uint64) {
-	t, clock := n.cluster.t, egretflow.Clock(egretflow.SystemClock)
+	t, clock := n.cluster.t, egretflow.SystemClock
 	names := messenger.NewNames()
 	var servers []egretflow.ServerName
 	for _, p := range n.cluster.tables.Pools {
@@ -156,7 +156,7 @@
 	}
 	n.server = messenger.NewServer(handler, nil)
 	ctx, cancel := context.WithCancel(t.Context())
-	n.cancel = func() { cancel(); client.Close(); n.server.Close() }
+	n.cancel = func() { cancel(); client.Close(); _ = n.server.Close() }
 	for _, run := range []func(context.Context) error{n.tracker.Run, n.exchanger.Run, loads.Run, n.work} {
 		n.done.Go(func() { _ = run(ctx) })
 	}
--- a/messenger/client.go
+++ b/messenger/client.go
@@ -61,7 +61,7 @@
 	response, err := call(ctx, c, l.exchange, r)
 	if err != nil {
 		if connect.CodeOf(err) == connect.CodeDeadlineExceeded || errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			l.reset()
+			c.drop(to.Address, l)
 		}
 		return nil, fmt.Errorf("exchange with %s: %w", to.Name, fromConnectError(err))
 	}
@@ -92,11 +92,21 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for address, l := range c.links {
-		l.reset()
+		l.close()
 		delete(c.links, address)
 	}
 }
 
+// drop closes a link that has stopped delivering.
+func (c *Client) drop(address netip.AddrPort, l *link) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.links[address] == l {
+		delete(c.links, address)
+	}
+	l.close()
+}
+
 // link returns the connections to a peer and closes those unused for long.
 func (c *Client) link(address netip.AddrPort) *link {
 	now := c.cfg.Clock()
@@ -106,7 +116,7 @@
 	if l == nil {
 		for other, unused := range c.links {
 			if now.Sub(unused.usedAt) > linkLifetime {
-				unused.reset()
+				unused.close()
 				delete(c.links, other)
 			}
 		}
--- a/messenger/link.go
+++ b/messenger/link.go
@@ -26,10 +26,9 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
-	// closeDials ends the dials since the last reset. The transport runs them
-	// without the context of the request, so they would outlive it.
+	// closeDials ends all dials. The transport runs them without the context of
+	// the request, so they would outlive it.
 	closeDials context.CancelFunc
-	dials      context.Context
 }
 
 // dialTimeout bounds a dial to a host that does not answer at all.
@@ -37,7 +36,8 @@
 
 func newLink(cfg ClientConfig, c *codec, address netip.AddrPort) *link {
 	l := &link{conns: map[net.Conn]bool{}}
-	l.dials, l.closeDials = context.WithCancel(context.Background())
+	dials, closeDials := context.WithCancel(context.Background())
+	l.closeDials = closeDials
 	protocols := &http.Protocols{}
 	protocols.SetHTTP2(cfg.TLS != nil)
 	protocols.SetUnencryptedHTTP2(cfg.TLS == nil)
@@ -49,7 +49,7 @@
 		DialContext: func(ctx context.Context, network, to string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 			defer cancel()
-			stop := context.AfterFunc(l.currentDials(), cancel)
+			stop := context.AfterFunc(dials, cancel)
 			defer stop()
 			conn, err := cfg.Dial(ctx, network, to)
 			if err != nil {
@@ -86,17 +86,11 @@
 	return t
 }
 
-func (l *link) currentDials() context.Context {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.dials
-}
-
-// reset closes all connections and ends all dials; the next call dials again.
-func (l *link) reset() {
-	l.mu.Lock()
+// close closes all connections and ends all dials. The link is not used again:
+// its transport may still offer a closed connection for a moment.
+func (l *link) close() {
 	l.closeDials()
-	l.dials, l.closeDials = context.WithCancel(context.Background())
+	l.mu.Lock()
 	conns := make([]net.Conn, 0, len(l.conns))
 	for c := range l.conns {
 		conns = append(conns, c)
--- /dev/null
+++ b/poller/poller_test.go
@@ -0,0 +1,92 @@
+package poller
+
+import (
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/exchanger"
+	"github.com/egretflow/egretflow/slicer"
+)
+
+type engine struct{ asked int }
+
+func (e *engine) RoundTrip(r *http.Request) (*http.Response, error) {
+	e.asked++
+	body := `{"running": 3, "free_blocks": 7, "role": "Decode", "draining": true}`
+	return &http.Response{StatusCode: 200, Body: io.NopCloser(strings.NewReader(body)), Request: r}, nil
+}
+
+// Guards against a load on engines that grows without need, and against late
+// readings where grants wait for them.
+func TestRate(t *testing.T) {
+	tests := []struct {
+		name        string
+		kind        egretflow.PoolKind
+		urgent, saw bool
+		want        int
+	}{
+		{"owned", egretflow.PoolKindModel, false, false, 10},
+		{"grants wait", egretflow.PoolKindModel, true, true, 20},
+		{"traffic carries the load", egretflow.PoolKindModel, false, true, 5},
+		{"plain service", egretflow.PoolKindService, true, false, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := &engine{}
+				readings := 0
+				server := &egretflow.Server{Name: "s", Address: netip.MustParseAddrPort("10.0.0.1:80")}
+				owned := []exchanger.OwnedServer{{Share: slicer.Share{Server: server, Kind: test.kind}, Urgent: test.urgent}}
+				p := New(Config{
+					Servers: func() []exchanger.OwnedServer { return owned },
+					Client:  &http.Client{Transport: e}, Clock: time.Now,
+					Sinks: []func(egretflow.Observation){func(o egretflow.Observation) {
+						if o.Kind != egretflow.ObservationLoad || o.Load.Running != 3 || !o.Load.Draining {
+							t.Errorf("observation is %+v", o.Load)
+						}
+						readings++
+					}},
+				})
+				go func() { _ = p.Run(t.Context()) }()
+				for range 100 {
+					if test.saw {
+						p.SawLoad("s", time.Now())
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+				synctest.Wait()
+				if e.asked < test.want || e.asked > test.want+1 || readings != e.asked {
+					t.Errorf("asked %d times in 10 s and passed on %d readings, want %d", e.asked, readings, test.want)
+				}
+			})
+		})
+	}
+}
+
+// Guards against an old reading that looks new because of a wrong clock, which
+// would free slots that are still in use.
+func TestMeasuredAt(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 10, 0, time.UTC)
+	tests := []struct{ measured, want string }{
+		{"2026-01-01T00:00:09Z", "2026-01-01T00:00:09Z"},
+		{"2026-01-01T00:00:11Z", "2026-01-01T00:00:08.5Z"},
+		{"2025-12-31T00:00:00Z", "2026-01-01T00:00:08.5Z"},
+	}
+	for _, test := range tests {
+		r, err := decodeLoad(strings.NewReader(`{"measured_at": "`+test.measured+`"}`), "s", now)
+		if err != nil || r.MeasuredAt.Format(time.RFC3339Nano) != test.want {
+			t.Errorf("measured at %s is taken as %v, %v, want %s", test.measured, r, err, test.want)
+		}
+	}
+	for _, body := range []string{"", "{", `{"running": -1}`, `{"role": "Odd"}`} {
+		if _, err := decodeLoad(strings.NewReader(body), "s", now); err == nil {
+			t.Errorf("load report %q is accepted", body)
+		}
+	}
+}
--- a/slicer/servers.go
+++ b/slicer/servers.go
@@ -118,7 +118,8 @@
 func (s *Slicer) cached(g group, servers []*egretflow.Server, count int) []int {
 	inputs := xxhash.New()
 	for _, server := range servers {
-		fmt.Fprintf(inputs, "%s/%s\n", server.Name, server.FailureDomain)
+		// Writing to a hash returns no error.
+		_, _ = inputs.WriteString(string(server.Name) + "/" + string(server.FailureDomain) + "\n")
 	}
 	sum := inputs.Sum64() + uint64(count)
 	if c, ok := s.groups[g]; ok && c.inputs == sum {
--- /dev/null
+++ b/tracker/tracker_test.go
@@ -0,0 +1,132 @@
+package tracker
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/egretflow/egretflow"
+)
+
+// platform serves a list that a test changes, and takes what the tracker says.
+type platform struct {
+	body        string
+	status      int
+	unavailable []egretflow.ServerName
+	events      []egretflow.EventName
+}
+
+func (p *platform) RoundTrip(r *http.Request) (*http.Response, error) {
+	return &http.Response{StatusCode: p.status, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(p.body)), Request: r}, nil
+}
+
+func (p *platform) SetUnavailable(servers []egretflow.ServerName) { p.unavailable = servers }
+func (p *platform) Record(e egretflow.Event)                      { p.events = append(p.events, e.Name) }
+
+func entry(kind, name, state string) string {
+	return fmt.Sprintf(`{"targets": ["10.0.0.2:7000"], "labels": {"Kind": %q, "Name": %q, "State": %q, "FailureDomain": "d", "Region": "r"}}`, kind, name, state)
+}
+
+func (p *platform) set(entries ...string) { p.status, p.body = 200, "["+strings.Join(entries, ",")+"]" }
+
+// run starts a tracker in virtual time; wait lets one read of the list pass.
+func run(t *testing.T, f func(t *testing.T, tr *Tracker, p *platform, wait func())) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &platform{}
+		p.set(entry("Instance", "b", "Live"))
+		tr := New(Config{
+			Self: egretflow.Member{Name: "a"}, URL: "http://list/", Client: &http.Client{Transport: p},
+			Clock: time.Now, Rand: rand.New(rand.NewPCG(1, 1)), Recorder: p, State: p,
+		})
+		go func() { _ = tr.Run(t.Context()) }()
+		wait := func() { time.Sleep(1200 * time.Millisecond); synctest.Wait() }
+		wait()
+		f(t, tr, p, wait)
+	})
+}
+
+func names(v *View) string {
+	var list []string
+	for _, m := range v.Members {
+		list = append(list, string(m.Name)+":"+string(m.State)+fmt.Sprintf(":%v", v.Reachable[m.Name]))
+	}
+	return strings.Join(list, " ")
+}
+
+// Guards against members that count as reachable because they are listed, that
+// vanish because the list lags or fails, or that stay after they are gone.
+func TestMembers(t *testing.T) {
+	run(t, func(t *testing.T, tr *Tracker, p *platform, wait func()) {
+		answer := func(incarnation uint64, leaving bool) {
+			tr.Answered(Answer{From: "b", Incarnation: incarnation, Leaving: leaving, At: time.Now()})
+			synctest.Wait()
+		}
+		steps := []struct {
+			name string
+			do   func()
+			want string
+		}{
+			{"listed", func() {}, "a:Live:true b:Live:false"},
+			{"answered", func() { answer(5, false) }, "a:Live:true b:Live:true"},
+			{"answer of an older process", func() { answer(4, true) }, "a:Live:true b:Live:true"},
+			{"dropped from the list but answering", func() { p.set(); wait(); answer(5, false); wait() }, "a:Live:true b:Live:true"},
+			{"list fails", func() { p.status = 500; answer(5, false); wait() }, "a:Live:true b:Live:true"},
+			{"said that it leaves", func() { answer(5, true) }, "a:Live:true b:Leaving:true"},
+			{"restarted", func() { answer(6, false) }, "a:Live:true b:Live:true"},
+			{"silent", func() {
+				p.set(entry("Instance", "b", "Live"), `{"targets": 1}`, entry("Instance", "b c", "Live"))
+				wait()
+				wait()
+			}, "a:Live:true b:Live:false"},
+			{"silent and dropped", func() { p.set(); wait(); wait() }, "a:Live:true"},
+		}
+		for _, step := range steps {
+			step.do()
+			if got := names(tr.View()); got != step.want {
+				t.Errorf("%s: members are %s, want %s", step.name, got, step.want)
+			}
+		}
+		want := []egretflow.EventName{egretflow.EventMemberJoined, egretflow.EventMemberLost, egretflow.EventMemberJoined, egretflow.EventMemberLost}
+		if !slices.Equal(p.events, want) {
+			t.Errorf("events are %v, want %v", p.events, want)
+		}
+	})
+}
+
+// Guards against new work for a server that leaves (I6), and against loss of
+// servers that the list forgets while they report their load.
+func TestUnavailableServers(t *testing.T) {
+	run(t, func(t *testing.T, tr *Tracker, p *platform, wait func()) {
+		load := func(draining bool) {
+			tr.ObserveLoad(egretflow.LoadReport{Server: "s", Draining: draining})
+			synctest.Wait()
+		}
+		live, leaving := entry("BackendServer", "s", "Live"), entry("BackendServer", "s", "Leaving")
+		steps := []struct {
+			name string
+			do   func()
+			want bool
+		}{
+			{"live", func() { p.set(live); wait() }, false},
+			{"leaving", func() { p.set(leaving); wait() }, true},
+			{"live again", func() { p.set(live); wait() }, false},
+			{"draining", func() { load(true) }, true},
+			{"drained no more", func() { load(false) }, false},
+			{"missing once", func() { p.set(); wait() }, false},
+			{"missing but reporting", func() { load(false); wait(); load(false) }, false},
+			{"missing twice", func() { wait(); wait() }, true},
+		}
+		for _, step := range steps {
+			step.do()
+			if got := slices.Contains(p.unavailable, "s"); got != step.want {
+				t.Errorf("%s: unavailable is %v, want %v", step.name, got, step.want)
+			}
+		}
+	})
+}
