--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -42,8 +42,8 @@
 type Relayer struct {
 	cfg    Config
 	client *client
-	// cleanups counts aborts that are not yet acknowledged.
-	cleanups sync.WaitGroup
+	// cleanups counts attempts that are opened or aborted.
+	cleanups background
 	randMu   sync.Mutex
 }
 
@@ -53,7 +53,7 @@
 }
 
 // Close waits until all aborts are acknowledged or have timed out and closes
-// idle connections. No other method may run or be called later.
+// idle connections. Requests that still run are not waited for.
 func (r *Relayer) Close() {
 	r.cleanups.Wait()
 	r.client.close()
