--- a/internal/loadgen/backend.go
+++ b/internal/loadgen/backend.go
@@ -93,7 +93,8 @@
 
 func (b *backends) stop() {
 	for _, be := range b.list {
-		be.http.Close()
+		// Open connections of the load are cut; nothing else can fail.
+		_ = be.http.Close()
 	}
 }
 
--- a/internal/loadgen/fleet.go
+++ b/internal/loadgen/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -39,7 +40,9 @@
 	instances []*assembler.Instance
 	urls      []string
 	cancel    context.CancelFunc
-	ended     chan error
+	// stopErr holds the errors with which instances ended.
+	stopErr error
+	ended   chan error
 }
 
 // startFleet starts the platform's stand-ins and the instances, and returns
@@ -189,7 +192,8 @@
 	deadline := time.After(stopTimeout)
 	for range f.instances {
 		select {
-		case <-f.ended:
+		case err := <-f.ended:
+			f.stopErr = errors.Join(f.stopErr, err)
 		case <-deadline:
 		}
 	}
--- a/internal/loadgen/run.go
+++ b/internal/loadgen/run.go
@@ -43,7 +43,15 @@
 	if err != nil {
 		return nil, fmt.Errorf("start instances: %w", err)
 	}
-	defer f.stop()
+	result, err := runFleet(ctx, cfg, b, f)
+	f.stop()
+	if err == nil && f.stopErr != nil {
+		err = fmt.Errorf("stop instances: %w", f.stopErr)
+	}
+	return result, err
+}
+
+func runFleet(ctx context.Context, cfg Config, b *backends, f *fleet) (*Result, error) {
 	if err := wait(ctx, settleTime); err != nil {
 		return nil, err
 	}
