Measure how long a scheduler takes over changed tables

Cause: docs/CAPACITY.md needs the cost of a change at the target size. Change: BenchmarkApplyTables at 15, 150, 1,500 and 10,000 servers.

--- a/assembler/bench_test.go
+++ b/assembler/bench_test.go
@@ -12,6 +12,9 @@
 	"github.com/egretflow/egretflow"
 	"github.com/egretflow/egretflow/assembler"
 	"github.com/egretflow/egretflow/authenticator"
+	"github.com/egretflow/egretflow/checker"
+	"github.com/egretflow/egretflow/explainer"
+	"github.com/egretflow/egretflow/scheduler"
 	"github.com/egretflow/egretflow/supervisor"
 )
 
@@ -98,3 +101,30 @@
 	runtime.ReadMemStats(&m)
 	return int64(m.HeapAlloc)
 }
+
+// BenchmarkApplyTables measures how long a scheduler needs to take over tables
+// in which one server has changed.
+func BenchmarkApplyTables(b *testing.B) {
+	for _, servers := range []int{15, 150, 1500, 10_000} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			clock := egretflow.SystemClock
+			events := explainer.New(explainer.DefaultEvents, nil)
+			s := scheduler.New(scheduler.Config{
+				Instance: "entry-1", Clock: clock, Rand: rand.New(rand.NewPCG(1, 1)), Recorder: events,
+				Checker: checker.New("entry-1", clock, events, nil), Peers: true,
+			})
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			go func() { _ = s.Run(ctx) }()
+			versions := []*egretflow.Tables{benchTables(servers), benchTables(servers)}
+			versions[1].Pools[0].Servers[0].Drain = true
+			n := 0
+			for b.Loop() {
+				n++
+				s.Apply(versions[n%2])
+				// The scheduler answers only after it has applied the tables.
+				s.Crashes(clock())
+			}
+		})
+	}
+}
