Store large tables compressed and add tables restore

Cause: a document of about 5,500 servers filled the 1 MB that the store takes, and the target is 10,000. A store that came back from an older copy had no command that brought it above the revision of the instances.

Change: documents above 64 KB are stored in gzip format, with a bound of 4 MB on the decompressed size; uncompressed documents are still read. Request.Above and "egretctl tables restore FILE" write above the highest revision that any instance reports.

TestLargeEdits refused 18,000 similar callers for their size. Compressed they fit, so the case is replaced by two that must be refused: 80,000 similar callers exceed the bound before compression, and 45,000 random ones the store's bound.

--- a/cmd/egretctl/egretctl_test.go
+++ b/cmd/egretctl/egretctl_test.go
@@ -42,6 +42,12 @@
 			srv := httptest.NewServer(stub)
 			env.Defer(srv.Close)
 			env.Values["faults"] = stub.Faults
+			env.Values["backup"] = map[string][]byte{}
+			client, err := storeclient.New(storeclient.Config{BaseURL: srv.URL, Client: srv.Client(), Clock: time.Now})
+			if err != nil {
+				return err
+			}
+			env.Values["store"] = client
 			env.Setenv("EGRETFLOW_STORE", srv.URL)
 			env.Setenv("EGRETFLOW_OPERATOR_KEY", operatorKey)
 			env.Setenv("EGRETFLOW_WHO", "amina")
@@ -57,7 +63,9 @@
 			env.Setenv("LIST", list.URL)
 			return nil
 		},
-		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){"fault": setFault},
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"fault": setFault, "backup": backup,
+		},
 	})
 }
 
@@ -73,6 +81,29 @@
 	faults.Add(fault.Fault{Kind: fault.Kind(args[0]), Count: count})
 }
 
+// backup implements "backup take" and "backup restore" of the store's content.
+func backup(ts *testscript.TestScript, _ bool, args []string) {
+	client, kept := ts.Value("store").(*storeclient.Client), ts.Value("backup").(map[string][]byte)
+	entries, err := client.List(context.Background(), "")
+	ts.Check(err)
+	var txn egretflow.StoreTxn
+	for _, e := range entries {
+		if args[0] == "take" {
+			kept[e.Key] = e.Value
+		} else if _, ok := kept[e.Key]; !ok {
+			txn.Writes = append(txn.Writes, egretflow.StoreWrite{Key: e.Key, Delete: true})
+		}
+	}
+	if args[0] == "take" {
+		return
+	}
+	for key, value := range kept {
+		txn.Writes = append(txn.Writes, egretflow.StoreWrite{Key: key, Value: value})
+	}
+	_, err = client.Commit(context.Background(), txn)
+	ts.Check(err)
+}
+
 // startInstances serves the status of real distributors. The first instance
 // also explains request-7.
 func startInstances(env *testscript.Env, storeURL string) []string {
--- a/cmd/egretctl/tables.go
+++ b/cmd/egretctl/tables.go
@@ -13,12 +13,13 @@
 )
 
 type tablesCommand struct {
-	Get    getCommand    `cmd:"" help:"Print the tables or the value at a path."`
-	Set    setCommand    `cmd:"" help:"Set the value at a path."`
-	Delete deleteCommand `cmd:"" help:"Delete the element or field at a path."`
-	Diff   diffCommand   `cmd:"" help:"Show what applying a file would change."`
-	Apply  applyCommand  `cmd:"" help:"Replace the tables by a file."`
-	DryRun dryRunCommand `cmd:"" help:"Check a file as apply does and show its changes."`
+	Get     getCommand     `cmd:"" help:"Print the tables or the value at a path."`
+	Set     setCommand     `cmd:"" help:"Set the value at a path."`
+	Delete  deleteCommand  `cmd:"" help:"Delete the element or field at a path."`
+	Diff    diffCommand    `cmd:"" help:"Show what applying a file would change."`
+	Apply   applyCommand   `cmd:"" help:"Replace the tables by a file."`
+	DryRun  dryRunCommand  `cmd:"" help:"Check a file as apply does and show its changes."`
+	Restore restoreCommand `cmd:"" help:"Replace the tables of a store that came back from an older copy."`
 }
 
 // editFlags are the flags of every command that writes.
@@ -32,12 +33,17 @@
 
 // edit applies steps and prints the changes.
 func (f *editFlags) edit(ctx context.Context, a *app, steps ...editor.Step) error {
+	return f.editAbove(ctx, a, 0, steps...)
+}
+
+// editAbove applies steps at a revision higher than above.
+func (f *editFlags) editAbove(ctx context.Context, a *app, above egretflow.Revision, steps ...editor.Step) error {
 	ed, err := a.editor()
 	if err != nil {
 		return err
 	}
 	r := editor.Request{
-		EditID: f.EditID, Who: f.Who, Reason: f.Reason, Base: f.Base, DryRun: f.DryRun, Steps: steps,
+		EditID: f.EditID, Who: f.Who, Reason: f.Reason, Base: f.Base, Above: above, DryRun: f.DryRun, Steps: steps,
 	}
 	if f.DryRun {
 		// A dry run leaves no entry in the trail.
--- a/distributor/active.go
+++ b/distributor/active.go
@@ -8,13 +8,21 @@
 	"time"
 
 	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/editor"
 )
 
-// document is one revision of the tables with its encoding, which is passed on
-// to peers unchanged.
+// document is one revision of the tables with its encoding: as stored, or the
+// JSON text that a delta led to.
 type document struct {
 	tables *egretflow.Tables
 	data   []byte
+	// stored returns data in its stored form. It compresses at the first call,
+	// because most revisions are passed on as deltas only.
+	stored func() ([]byte, error)
+}
+
+func newDocument(tables *egretflow.Tables, data []byte) document {
+	return document{tables, data, sync.OnceValues(func() ([]byte, error) { return editor.EncodeDocument(data) })}
 }
 
 // delta is the audit entry that led to a revision, as stored.
--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -114,7 +114,10 @@
 		response.Deltas = s.deltasAbove(r.Above)
 	}
 	if response.Deltas == nil {
-		response.Tables = s.data
+		var err error
+		if response.Tables, err = s.stored(); err != nil {
+			return nil, fmt.Errorf("encode tables for a peer: %w", err)
+		}
 	}
 	return response, nil
 }
--- a/distributor/distributor_test.go
+++ b/distributor/distributor_test.go
@@ -6,12 +6,14 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/editor"
 	"github.com/egretflow/egretflow/internal/fakestore"
 )
 
@@ -318,7 +320,7 @@
 // Guards against a chain of deltas with a gap, and against one that costs more
 // than the document.
 func TestDeltasAbove(t *testing.T) {
-	s := &snapshot{document: document{&egretflow.Tables{Revision: 9}, make([]byte, 1000)}}
+	s := &snapshot{document: newDocument(&egretflow.Tables{Revision: 9}, make([]byte, 1000))}
 	for r := egretflow.Revision(7); r <= 9; r++ {
 		s.deltas = extend(s.deltas, &delta{r, make([]byte, 40)})
 	}
@@ -335,3 +337,35 @@
 		t.Error("the chain went on over a whole document")
 	}
 }
+
+// Guards against a peer that cannot read the whole document of tables large
+// enough to be compressed, as read from the store or as made from a delta.
+func TestPullOfCompressedDocument(t *testing.T) {
+	tables := &egretflow.Tables{Revision: 9, Pools: []egretflow.Pool{{Name: "order-desk", Kind: egretflow.PoolKindService}}}
+	for n := range 2000 {
+		tables.Pools[0].Servers = append(tables.Pools[0].Servers, egretflow.Server{
+			Name: egretflow.ServerName(fmt.Sprintf("o%d", n)), Address: netip.MustParseAddrPort("127.0.0.1:9003"),
+			FailureDomain: "domain-0", Role: egretflow.RoleService, Slots: 1,
+		})
+	}
+	plain, err := json.Marshal(tables)
+	if err != nil {
+		t.Fatal(err)
+	}
+	stored, err := editor.EncodeDocument(plain)
+	if err != nil || len(stored) >= len(plain) {
+		t.Fatalf("%d bytes stored of %d, error %v", len(stored), len(plain), err)
+	}
+	for name, data := range map[string][]byte{"from a delta": plain, "from the store": stored} {
+		d := New(Config{Clock: time.Now})
+		d.active.current.Store(&snapshot{document: newDocument(tables, data)})
+		response, err := d.HandlePull(t.Context(), &egretflow.PullRequest{Above: 3, Full: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := decodeDocument(response.Tables)
+		if err != nil || len(response.Tables) != len(stored) || len(got.tables.Pools[0].Servers) != 2000 {
+			t.Errorf("%s: %d bytes pulled, error %v", name, len(response.Tables), err)
+		}
+	}
+}
--- a/distributor/pull.go
+++ b/distributor/pull.go
@@ -3,12 +3,12 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"fmt"
 	"math"
 	"time"
 
 	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/editor"
 )
 
 // pullPurpose says why a peer is asked.
@@ -148,11 +148,11 @@
 }
 
 func decodeDocument(data []byte) (document, error) {
-	var t egretflow.Tables
-	if err := json.Unmarshal(data, &t); err != nil {
+	tables, err := editor.DecodeDocument(data)
+	if err != nil {
 		return document{}, fmt.Errorf("decode tables: %w", err)
 	}
-	return document{&t, data}, nil
+	return newDocument(tables, data), nil
 }
 
 func (t *task) takeResult(ctx context.Context, r pullResult) {
--- a/distributor/store.go
+++ b/distributor/store.go
@@ -84,12 +84,10 @@
 }
 
 func (r *storeRead) decode(data []byte) {
-	var t egretflow.Tables
-	if err := json.Unmarshal(data, &t); err != nil {
-		r.err = fmt.Errorf("decode tables: %w", err)
+	if r.document, r.err = decodeDocument(data); r.err != nil {
 		return
 	}
-	r.document = document{&t, data}
+	t := r.document.tables
 	r.head = egretflow.TablesHead{Revision: t.Revision, EditID: t.EditID}
 }
 
--- a/distributor/task.go
+++ b/distributor/task.go
@@ -146,7 +146,7 @@
 	if err != nil {
 		return false
 	}
-	t.accept(ctx, document{tables, data}, &delta{e.Revision, e.data}, source)
+	t.accept(ctx, newDocument(tables, data), &delta{e.Revision, e.data}, source)
 	return true
 }
 
--- a/editor/audit.go
+++ b/editor/audit.go
@@ -1,13 +1,10 @@
 package editor
 
 import (
-	"bytes"
 	"cmp"
-	"compress/gzip"
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"slices"
 	"time"
 
@@ -21,14 +18,9 @@
 // the prefix Audit/12.
 const auditBlock = 10
 
-// compressAbove is the size in bytes from which an entry is stored in gzip
-// format. Smaller ones stay readable with any client of the store.
-const compressAbove = 64 << 10
-
-// maxEntryBytes bounds a decompressed entry: two documents and their overhead.
-const maxEntryBytes = 4 * egretflow.MaxStoreValueBytes
-
-var gzipMagic = []byte{0x1f, 0x8b}
+// maxEntryBytes bounds a decompressed entry: two documents, the paths of their
+// items and a change of order.
+const maxEntryBytes = 4 * MaxDocumentBytes
 
 // Entry is one accepted edit in the audit trail.
 type Entry struct {
@@ -41,6 +33,9 @@
 	Changes []Change
 	// Checksum is the xxhash64 of the document that the edit wrote.
 	Checksum uint64
+	// base is the revision that the edit started from, one less than Revision
+	// unless a restored store was raised.
+	base egretflow.Revision
 }
 
 // AuditPrefix starts the keys of all entries.
@@ -60,30 +55,17 @@
 	if err != nil {
 		return nil, fmt.Errorf("encode audit entry: %w", err)
 	}
-	if len(data) <= compressAbove {
-		return data, nil
-	}
-	var b bytes.Buffer
-	w := gzip.NewWriter(&b)
-	if _, err := w.Write(data); err != nil {
-		return nil, fmt.Errorf("compress audit entry: %w", err)
-	}
-	if err := w.Close(); err != nil {
-		return nil, fmt.Errorf("compress audit entry: %w", err)
+	if len(data) > maxEntryBytes {
+		return nil, &egretflow.FieldError{Field: "Tables", Reason: fmt.Sprintf("audit entry of %d bytes exceeds %d", len(data), maxEntryBytes)}
 	}
-	return b.Bytes(), nil
+	return compress(data)
 }
 
 // DecodeEntry decodes an entry as stored.
 func DecodeEntry(data []byte) (*Entry, error) {
-	if bytes.HasPrefix(data, gzipMagic) {
-		r, err := gzip.NewReader(bytes.NewReader(data))
-		if err != nil {
-			return nil, fmt.Errorf("decompress audit entry: %w", err)
-		}
-		if data, err = io.ReadAll(io.LimitReader(r, maxEntryBytes)); err != nil {
-			return nil, fmt.Errorf("decompress audit entry: %w", err)
-		}
+	data, err := decompress(data, maxEntryBytes)
+	if err != nil {
+		return nil, fmt.Errorf("decompress audit entry: %w", err)
 	}
 	var n Entry
 	if err := json.Unmarshal(data, &n); err != nil {
--- a/editor/bench_test.go
+++ b/editor/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"testing"
 
@@ -14,11 +15,13 @@
 // Reports the figures of docs/decisions/tables.md: sizes and time of an edit
 // that drains one server.
 func BenchmarkDrain(b *testing.B) {
-	for _, servers := range []int{15, 150, 1500, 4000} {
+	for _, servers := range []int{15, 150, 1500, 5500, 10_000} {
 		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
 			store := &fakestore.Store{}
 			ed := newTestEditor(store)
-			data, err := json.Marshal(largeTables(servers))
+			tables := largeTables(servers)
+			path := "Pools/assistant/Servers/" + string(tables.Pools[0].Servers[1].Name) + "/Drain"
+			data, err := json.Marshal(tables)
 			if err != nil {
 				b.Fatal(err)
 			}
@@ -28,13 +31,16 @@
 			calls := store.Calls()
 			drain := true
 			for b.Loop() {
-				path := "Pools/assistant/Servers/server-00001/Drain"
 				if _, err := ed.Edit(b.Context(), request("amina", path, fmt.Sprint(drain))); err != nil {
 					b.Fatal(err)
 				}
 				drain = !drain
 			}
-			document, err := store.Get(b.Context(), egretflow.TablesDocumentKey)
+			stored, err := store.Get(b.Context(), egretflow.TablesDocumentKey)
+			if err != nil {
+				b.Fatal(err)
+			}
+			document, err := decompress(stored.Value, MaxDocumentBytes)
 			if err != nil {
 				b.Fatal(err)
 			}
@@ -44,7 +50,8 @@
 			}
 			edits := float64(store.Calls()["Commit"] - calls["Commit"])
 			b.ReportMetric(float64(store.Calls()["Get"]-calls["Get"]-2)/edits, "reads/edit")
-			b.ReportMetric(float64(len(document.Value)), "document-bytes")
+			b.ReportMetric(float64(len(document)), "document-bytes")
+			b.ReportMetric(float64(len(stored.Value)), "stored-bytes")
 			b.ReportMetric(float64(len(entry.Value)), "entry-bytes")
 		})
 	}
@@ -53,7 +60,7 @@
 // Compares what a change costs an instance: the new tables made from the entry,
 // as the distributor does, and decoded from the document.
 func BenchmarkActivate(b *testing.B) {
-	for _, servers := range []int{150, 1500, 4000} {
+	for _, servers := range []int{150, 1500, 5500, 10_000} {
 		base, after := largeTables(servers), largeTables(servers)
 		after.Revision, after.Pools[0].Servers[1].Drain = 1, true
 		changes, err := Diff(base, after)
@@ -72,10 +79,20 @@
 				}
 			}
 		})
+		stored, err := EncodeDocument(document)
+		if err != nil {
+			b.Fatal(err)
+		}
 		b.Run(fmt.Sprintf("servers=%d/document", servers), func(b *testing.B) {
 			for b.Loop() {
-				var t egretflow.Tables
-				if err := json.Unmarshal(document, &t); err != nil {
+				if _, err := DecodeDocument(stored); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+		b.Run(fmt.Sprintf("servers=%d/compress", servers), func(b *testing.B) {
+			for b.Loop() {
+				if _, err := EncodeDocument(document); err != nil {
 					b.Fatal(err)
 				}
 			}
@@ -83,18 +100,23 @@
 	}
 }
 
+// largeTables returns a pool whose servers differ in everything that differs in
+// a real fleet, because equal ones would compress too well.
 func largeTables(servers int) *egretflow.Tables {
+	random := rand.New(rand.NewPCG(1, 1))
 	pool := egretflow.Pool{Name: "assistant", Kind: egretflow.PoolKindModel, Model: "assistant-llm"}
 	for n := range servers {
 		role := egretflow.RoleDecode
 		if n%3 == 0 {
 			role = egretflow.RolePrefill
 		}
+		host := random.Uint32()
 		pool.Servers = append(pool.Servers, egretflow.Server{
-			Name:          egretflow.ServerName(fmt.Sprintf("server-%05d", n)),
-			Address:       netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(n >> 8), byte(n)}), 9000),
-			FailureDomain: "mittelland-a", Role: role, Slots: 20, Blocks: 4000,
-			PrefillTokensPerSecond: 16000, LinkBytesPerSecond: 5_000_000_000,
+			Name:          egretflow.ServerName(fmt.Sprintf("server-%08x", host)),
+			Address:       netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(host >> 16), byte(host >> 8), byte(host)}), 9000),
+			FailureDomain: egretflow.FailureDomain(fmt.Sprintf("mittelland-%c", 'a'+random.IntN(15))),
+			Role:          role, Slots: 16 + random.IntN(9), Blocks: 3500 + random.IntN(1000),
+			PrefillTokensPerSecond: 16000 + 500*random.IntN(5), LinkBytesPerSecond: 5_000_000_000,
 		})
 	}
 	return &egretflow.Tables{Pools: []egretflow.Pool{pool}}
--- a/editor/conflict.go
+++ b/editor/conflict.go
@@ -44,7 +44,7 @@
 // resolveConflict finds out whose edit became the revision that entry was
 // meant to be. uncertain says that an earlier try of entry may have won.
 func (e *Editor) resolveConflict(ctx context.Context, entry *Entry, uncertain bool) error {
-	conflict := &ConflictError{Base: entry.Revision - 1, Yours: entry.Changes}
+	conflict := &ConflictError{Base: entry.base, Yours: entry.Changes}
 	winner, err := e.entryAt(ctx, entry.Revision)
 	if err == nil && winner.EditID == entry.EditID {
 		return nil
--- a/editor/doc.go
+++ b/editor/doc.go
@@ -32,7 +32,8 @@
 //     entry of the next revision tells whose edit won (6.3).
 //  4. An edit that changes nothing writes nothing.
 //  5. The audit trail is spread over AuditEntries numbered keys, one entry
-//     each. Revision r overwrites the entry of revision r-AuditEntries. Large
-//     entries are compressed, and an edit that exceeds MaxEditBytes with its
-//     entry is refused.
+//     each. Revision r overwrites the entry of revision r-AuditEntries.
+//  6. Documents and entries above 64 KB are stored in gzip format. An edit that
+//     exceeds MaxEditBytes with its entry, or MaxDocumentBytes before
+//     compression, is refused.
 package editor
--- /dev/null
+++ b/editor/document_test.go
@@ -0,0 +1,95 @@
+package editor
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"errors"
+	"testing"
+	"testing/synctest"
+
+	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/internal/fakestore"
+)
+
+// Guards against tables of the target size (1.5) that do not fit the store, and
+// against documents of earlier versions, or small ones, that become unreadable.
+func TestTablesAtTargetSize(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakestore.Store{}
+		plain, err := json.Marshal(largeTables(400))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := store.Commit(t.Context(), egretflow.StoreTxn{
+			Writes: []egretflow.StoreWrite{{Key: egretflow.TablesDocumentKey, Value: plain}},
+		}); err != nil {
+			t.Fatal(err)
+		}
+		ed := newTestEditor(store)
+		if before, err := ed.Tables(t.Context()); err != nil || len(before.Pools[0].Servers) != 400 {
+			t.Fatalf("uncompressed document: error %v", err)
+		}
+		wanted, err := json.Marshal(largeTables(10_000))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := ed.Edit(t.Context(), request("amina", "", string(wanted))); err != nil {
+			t.Fatal(err)
+		}
+		after, err := ed.Tables(t.Context())
+		if err != nil || after.Revision != 1 || len(after.Pools[0].Servers) != 10_000 {
+			t.Fatalf("error %v", err)
+		}
+		stored, err := store.Get(t.Context(), egretflow.TablesDocumentKey)
+		if err != nil || len(stored.Value) > egretflow.MaxStoreValueBytes {
+			t.Errorf("%d bytes stored, error %v", len(stored.Value), err)
+		}
+	})
+}
+
+// Guards against a damaged value that fills the memory of every instance.
+func TestDecodeBoundsDecompressedSize(t *testing.T) {
+	var b bytes.Buffer
+	w := gzip.NewWriter(&b)
+	if _, err := w.Write(bytes.Repeat([]byte{' '}, MaxDocumentBytes+1)); err != nil {
+		t.Fatal(err)
+	}
+	if err := w.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := decompress(b.Bytes(), MaxDocumentBytes); err == nil {
+		t.Error("a document above the bound was decompressed")
+	}
+	for name, data := range map[string][]byte{"truncated": b.Bytes()[:b.Len()-9], "no body": gzipMagic} {
+		if _, err := DecodeDocument(data); err == nil {
+			t.Errorf("%s: no error", name)
+		}
+	}
+}
+
+// Guards against a restored store whose edits never become active because the
+// instances hold a higher revision, and against one that is written although
+// another edit came first.
+func TestEditAboveRevision(t *testing.T) {
+	withTables(t, func(t *testing.T, _ *fakestore.Store, ed *Editor) {
+		r := request("amina", drainPath, "false")
+		r.Above = 40
+		result, err := ed.Edit(t.Context(), r)
+		if err != nil || !result.Written || result.Revision != 41 {
+			t.Fatalf("result %+v, error %v", result, err)
+		}
+		result, err = ed.Edit(t.Context(), request("amina", drainPath, "true"))
+		if err != nil || result.Revision != 42 {
+			t.Fatalf("result %+v, error %v", result, err)
+		}
+		entries, err := ed.Audit(t.Context(), 10)
+		if err != nil || len(entries) != 3 || entries[1].Revision != 41 || entries[2].Revision != 1 {
+			t.Errorf("entries %+v, error %v", entries, err)
+		}
+		r.Base, r.Above = 41, 60
+		if _, err := ed.Edit(t.Context(), r); !errors.Is(err, egretflow.ErrConflict) {
+			t.Errorf("error %v, want a conflict", err)
+		}
+	})
+}
--- a/editor/editor.go
+++ b/editor/editor.go
@@ -56,7 +56,11 @@
 	Reason string
 	// Base is the revision that the operator looked at; 0 means the one read at
 	// the start of the edit.
-	Base   egretflow.Revision
+	Base egretflow.Revision
+	// Above makes the new revision higher than this one too, and writes it even
+	// if nothing else changes. It brings a store that came back from an older
+	// copy above the instances, which accept only higher revisions (I8).
+	Above  egretflow.Revision
 	DryRun bool
 	Steps  []Step
 }
@@ -107,11 +111,11 @@
 	if err != nil {
 		return snapshot{}, fmt.Errorf("read tables: %w", err)
 	}
-	var t egretflow.Tables
-	if err := json.Unmarshal(entry.Value, &t); err != nil {
+	t, err := DecodeDocument(entry.Value)
+	if err != nil {
 		return snapshot{}, fmt.Errorf("read tables: %w", err)
 	}
-	return snapshot{tables: &t, modRevision: entry.ModRevision}, nil
+	return snapshot{tables: t, modRevision: entry.ModRevision}, nil
 }
 
 // Edit applies a request. Errors: *egretflow.FieldError for a change that is
@@ -142,13 +146,14 @@
 		return result, err
 	}
 	result.Revision = base.tables.Revision
-	if r.DryRun || len(result.Changes) == 0 {
+	if r.DryRun || len(result.Changes) == 0 && r.Above <= base.tables.Revision {
 		return result, nil
 	}
-	next.Revision = base.tables.Revision + 1
+	next.Revision = max(base.tables.Revision, r.Above) + 1
 	next.EditID = result.EditID
 	entry := &Entry{
 		Revision: next.Revision, EditID: next.EditID, Who: r.Who, At: e.clock(), Reason: r.Reason, Changes: result.Changes,
+		base: base.tables.Revision,
 	}
 	txn, err := encodeEdit(base.modRevision, next, entry)
 	if err != nil {
@@ -183,22 +188,31 @@
 	if err != nil {
 		return egretflow.StoreTxn{}, fmt.Errorf("encode head: %w", err)
 	}
+	if len(document) > MaxDocumentBytes {
+		return egretflow.StoreTxn{}, &egretflow.FieldError{
+			Field: "Tables", Reason: fmt.Sprintf("document of %d bytes exceeds %d", len(document), MaxDocumentBytes),
+		}
+	}
 	entry.Checksum = xxhash.Sum64(document)
+	stored, err := EncodeDocument(document)
+	if err != nil {
+		return egretflow.StoreTxn{}, fmt.Errorf("encode tables: %w", err)
+	}
 	audit, err := entry.encode()
 	if err != nil {
 		return egretflow.StoreTxn{}, err
 	}
-	if size := len(document) + len(head) + len(audit); size > MaxEditBytes {
+	if size := len(stored) + len(head) + len(audit); size > MaxEditBytes {
 		return egretflow.StoreTxn{}, &egretflow.FieldError{
 			Field: "Tables",
-			Reason: fmt.Sprintf("document of %d bytes and audit entry of %d bytes exceed %d bytes together",
-				len(document), len(audit), MaxEditBytes),
+			Reason: fmt.Sprintf("stored document of %d bytes and audit entry of %d bytes exceed %d bytes together",
+				len(stored), len(audit), MaxEditBytes),
 		}
 	}
 	return egretflow.StoreTxn{
 		Conditions: []egretflow.StoreCondition{{Key: egretflow.TablesDocumentKey, ModRevision: modRevision}},
 		Writes: []egretflow.StoreWrite{
-			{Key: egretflow.TablesDocumentKey, Value: document},
+			{Key: egretflow.TablesDocumentKey, Value: stored},
 			{Key: egretflow.TablesHeadKey, Value: head},
 			{Key: auditKey(next.Revision), Value: audit},
 		},
--- a/editor/editor_test.go
+++ b/editor/editor_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -210,19 +211,25 @@
 }
 
 // Guards against a large edit whose audit entry alone would exceed what the
-// store takes, and against an error without field when the document does.
+// store takes, and against an error without field when the document exceeds the
+// store's bound or, well compressed, the bound of the decompressed size.
 func TestLargeEdits(t *testing.T) {
 	withTables(t, func(t *testing.T, store *fakestore.Store, ed *Editor) {
-		callers := func(prefix string, count int) string {
+		callers := func(prefix string, count int, suffix func(n int) string) string {
 			names := make([]string, count)
 			for n := range names {
-				names[n] = fmt.Sprintf("%s-caller-%048d", prefix, n)
+				names[n] = prefix + "-caller-" + suffix(n)
 			}
 			data, _ := json.Marshal(names)
 			return string(data)
 		}
+		similar := func(n int) string { return fmt.Sprintf("%048d", n) }
+		random := rand.New(rand.NewPCG(1, 1))
+		different := func(int) string {
+			return fmt.Sprintf("%016x%016x%016x", random.Uint64(), random.Uint64(), random.Uint64())
+		}
 		for _, prefix := range []string{"a", "b"} {
-			if _, err := ed.Edit(t.Context(), request("amina", "Routes/chat/Callers", callers(prefix, 12_000))); err != nil {
+			if _, err := ed.Edit(t.Context(), request("amina", "Routes/chat/Callers", callers(prefix, 12_000, similar))); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -230,10 +237,12 @@
 		if err != nil || len(entries) != 1 || len(entries[0].Changes[0].Before) < 500_000 {
 			t.Errorf("%d entries, error %v", len(entries), err)
 		}
-		_, err = ed.Edit(t.Context(), request("amina", "Routes/chat/Callers", callers("c", 18_000)))
-		var field *egretflow.FieldError
-		if !errors.As(err, &field) || field.Field != "Tables" {
-			t.Errorf("error %v, want the size refused", err)
+		for _, value := range []string{callers("c", 80_000, similar), callers("c", 45_000, different)} {
+			_, err = ed.Edit(t.Context(), request("amina", "Routes/chat/Callers", value))
+			var field *egretflow.FieldError
+			if !errors.As(err, &field) || field.Field != "Tables" {
+				t.Errorf("error %v, want the size of %d bytes refused", err, len(value))
+			}
 		}
 	})
 }
