Let members that join reach their share, and keep within the byte budget

Cause: a ninth instance got 5 of 264 slots because instances that refill their slots at once kept them, and at 64 instances with constantly changing demand one wrote 6,059 B/s of 6,000. Change: slots in use count as wanted in the holder's class and are no longer protected beyond the fair share; remainders follow the baseline share. When the budget is used up, changed demands wait for the second heartbeat. The test of redistribution now measures the time until slots are held; before, it looked at one instant, in which a slot that just moves belongs to nobody, and its verdict changed from run to run. It also checks the joining instance's own share.

--- a/allocator/doc.go
+++ b/allocator/doc.go
@@ -33,12 +33,15 @@
 //     holder has reported it. This needs reports in order, so a request that
 //     was sent before the newest one is not answered, and a holder keeps one
 //     exchange open per owner and drops the response to a cancelled one.
-//  3. Slots of an expired record are withheld until a load report measured
-//     after the expiry shows them free, or until a second TTL has passed.
-//  4. Slots that are not withheld are divided in this order: slots in use; one
-//     slot per holder in each pool and role; wanted slots, more important
-//     classes first, the holder with the fewest slots first; an equal baseline
-//     share; slots that a holder has anyway and nobody wants.
+//  3. Slots of an expired record are withheld until a second TTL has passed. A
+//     load report measured after the expiry frees them earlier as far as the
+//     server runs fewer requests than that, whoever sent them.
+//  4. Slots that are not withheld are divided in this order: one slot per
+//     holder in each pool and role; wanted slots, more important classes first,
+//     where slots in use count as wanted in the holder's most important class;
+//     an equal baseline share; slots that a holder has anyway and nobody wants.
+//     In each step the holder with the fewest slots comes first. A grant below InUse interrupts
+//     nothing: it stops new starts until enough requests have ended.
 //  5. The baseline share of a listed member that does not report to this owner
 //     is withheld. Two owners with the same list that each serve a part of the
 //     holders therefore never grant the same slot.
@@ -52,14 +55,18 @@
 //
 // # Bound on over-commit
 //
-// The slots that holders may use, counted per holder as the larger of its
-// unexpired grant and its running requests, never exceed the slots of the
-// server plus the slots that the current owner does not know of. These are
-// slots granted by another owner and not yet reported. They are zero while all
-// members have the same list and the same owner; after a change of owner they
-// are zero again once the holders have reported or their old grants have
-// expired, which is one TTL after the last instance learned of the change.
-// Requests that were started under an old grant and run longer are covered by
-// load reports; a server without load reports, such as a plain service, may
-// exceed its slots by these requests until they end.
+// Count for each holder the larger of its unexpired grant and its running
+// requests. A grant never makes the sum exceed the slots of the server by more
+// than the slots that the granting owner does not know of:
+//
+//   - Slots granted by another owner that still runs, and not yet reported to
+//     this one. They are known once the holder has reported, or have expired, at
+//     most one TTL after the last instance has learned of the change of owner.
+//     The grants of a dead owner expire while the new one waits (rule 6).
+//   - Requests that run longer than two TTL after their instance has last
+//     reported to this owner, or since before this owner took over. Load reports
+//     show them up to their lag; a plain service has no load reports.
+//
+// While all members have the same list and the same owner there are none, and
+// the sum does not exceed the slots.
 package allocator
--- a/allocator/targets.go
+++ b/allocator/targets.go
@@ -11,9 +11,11 @@
 type target struct {
 	holder egretflow.InstanceName
 	slots  int
-	// held is what the holder has now. Among equals a slot stays with the holder
-	// that has it, so that slots do not wander while all are in use.
-	held int
+	// baseline and held decide among equals: the remainder goes to those whose
+	// baseline share has it, so that it is spread evenly over all servers, and
+	// then to those that have it already.
+	baseline int
+	held     int
 }
 
 // before reports whether t gets a slot before o.
@@ -21,6 +23,9 @@
 	if t.slots != o.slots {
 		return t.slots < o.slots
 	}
+	if short, otherShort := t.slots < t.baseline, o.slots < o.baseline; short != otherShort {
+		return short
+	}
 	return t.slots < t.held && o.slots >= o.held
 }
 
@@ -34,18 +39,18 @@
 func (l *ledger) targets(holders []egretflow.InstanceName, slots int) map[egretflow.InstanceName]int {
 	d := division{free: slots}
 	for _, name := range l.rotated(slices.Sorted(maps.Keys(l.records))) {
-		d.targets = append(d.targets, target{holder: name, held: l.records[name].held})
+		baseline := l.shares.baseline(slices.Index(holders, name))
+		d.targets = append(d.targets, target{holder: name, baseline: baseline, held: l.records[name].held})
 	}
-	d.raise(func(h egretflow.InstanceName) int { return l.records[h].inUse })
 	d.raise(func(h egretflow.InstanceName) int {
 		return l.entitled(h, l.shares.reserved(slices.Index(holders, h)))
 	})
 	for class := range egretflow.Importances {
 		goals := make(map[egretflow.InstanceName]int, len(d.targets))
 		for _, t := range d.targets {
-			goals[t.holder] = t.slots + l.records[t.holder].wantedIn(class)
+			goals[t.holder] = l.records[t.holder].goal(class, t.slots)
 		}
-		d.raise(func(h egretflow.InstanceName) int { return l.entitled(h, goals[h]) })
+		d.raise(func(h egretflow.InstanceName) int { return goals[h] })
 	}
 	d.raise(func(h egretflow.InstanceName) int {
 		return l.entitled(h, l.shares.baseline(slices.Index(holders, h)))
@@ -98,13 +103,34 @@
 	return append(names[start:len(names):len(names)], names[:start]...)
 }
 
-// wantedIn returns the slots wanted beyond those in use in a class. Wanted
-// counts beyond Held, so slots held and not in use belong to the most
-// important class that wants any.
-func (r *record) wantedIn(class int) int {
-	want := r.wanted[class]
-	if want > 0 && !slices.ContainsFunc(r.wanted[:class], func(n int) bool { return n > 0 }) {
-		want += max(0, r.held-r.inUse)
+// goal returns the slots that the holder should have once a class is served,
+// starting from those that it has been given for other reasons and for more
+// important classes.
+//
+// The importance of slots in use is not reported. They count as wanted in the
+// most important class that the holder has queued, or in the first one if it
+// has no queue. They are not protected beyond that: a grant below InUse
+// interrupts nothing, but lets a holder that refills its slots at once fall
+// back to the share of the others, such as of a member that has joined.
+func (r *record) goal(class, slots int) int {
+	switch {
+	case class == r.firstClass() && r.leaving:
+		return max(slots, r.inUse)
+	case r.leaving:
+		return slots
+	case class == r.firstClass():
+		// Wanted counts beyond Held if any is wanted.
+		occupied := r.inUse
+		if r.wanted[class] > 0 {
+			occupied = max(r.inUse, r.held)
+		}
+		slots = max(slots, occupied)
 	}
-	return want
+	return slots + r.wanted[class]
+}
+
+// firstClass returns the most important class that the holder wants slots for,
+// or 0.
+func (r *record) firstClass() int {
+	return max(0, slices.IndexFunc(r.wanted[:], func(n int) bool { return n > 0 }))
 }
--- a/exchanger/doc.go
+++ b/exchanger/doc.go
@@ -19,8 +19,9 @@
 //     can be given to others, or when a crash is to be reported; and only as
 //     long as the byte budget allows it.
 //  2. A message names the servers that its receiver owns and whose demand has
-//     changed, and all others at every second heartbeat. Grants live for four
-//     heartbeats, so one lost message is harmless.
+//     changed, and all others at every second heartbeat. When the byte budget
+//     is used up, changes wait for the second heartbeat too. Grants live for
+//     four heartbeats, so one lost message is harmless.
 //  3. At most one exchange per peer is open. A response counts only for it, and
 //     grants are applied only for servers that the request named and that the
 //     peer still owns (allocator rule 2).
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -59,18 +59,28 @@
 		name string
 		// fault is run after all slots are in use.
 		fault func(c *cluster)
-		// within is the time in which the slots must be in use again.
+		// within is the time in which the slots must be held again.
 		within time.Duration
-		// withheld is the number of members whose share may stay unused.
-		withheld int
+		// held returns the slots that must be held, and the least number of them.
+		held func(c *cluster) (got, want int)
 	}{
-		{"steady", func(*cluster) {}, time.Second, 0},
+		{"steady", func(*cluster) {}, time.Second, all(0)},
 		{"demand moves", func(c *cluster) {
 			for _, n := range c.nodes[1:] {
 				n.setQueued(0)
 			}
-		}, 5 * time.Second, 0},
-		{"join", func(c *cluster) { c.add(8, 1).setQueued(1000) }, 6 * time.Second, 0},
+		}, 5 * time.Second, func(c *cluster) (int, int) {
+			// The others keep one slot each per role.
+			return c.nodes[0].held(), c.slots() - 2*(instances-1)
+		}},
+		{"join", func(c *cluster) { c.add(8, 1).setQueued(1000) }, 6 * time.Second, func(c *cluster) (int, int) {
+			// Its share is even, rounded down, in each of the two roles.
+			bySlots := map[egretflow.Role]int{}
+			for _, s := range c.tables.Pools[0].Servers {
+				bySlots[s.Role] += s.Slots
+			}
+			return c.nodes[8].held(), bySlots[egretflow.RolePrefill]/(instances+1) + bySlots[egretflow.RoleDecode]/(instances+1)
+		}},
 		{"leave", func(c *cluster) {
 			leaver := c.nodes[2]
 			leaver.setQueued(0)
@@ -80,30 +90,30 @@
 			c.unlist(leaver)
 			time.Sleep(2 * serviceTime)
 			leaver.kill()
-		}, 6 * time.Second, 0},
-		{"death", func(c *cluster) { c.nodes[2].kill() }, 7 * time.Second, 1},
-		{"death and unlisted", func(c *cluster) { c.nodes[2].kill(); c.unlist(c.nodes[2]) }, 9 * time.Second, 0},
+		}, 6 * time.Second, all(0)},
+		{"death", func(c *cluster) { c.nodes[2].kill() }, 7 * time.Second, all(1)},
+		{"death and unlisted", func(c *cluster) { c.nodes[2].kill(); c.unlist(c.nodes[2]) }, 9 * time.Second, all(0)},
 		{"pause", func(c *cluster) {
 			c.nodes[2].pause()
 			c.advance(5 * time.Second)
 			c.nodes[2].resume()
-		}, 8 * time.Second, 0},
-		{"connections stop delivering", func(c *cluster) { c.network.Silence(c.nodes[2].member.Address.Addr()) }, 5 * time.Second, 0},
+		}, 8 * time.Second, all(0)},
+		{"connections stop delivering", func(c *cluster) { c.network.Silence(c.nodes[2].member.Address.Addr()) }, 5 * time.Second, all(0)},
 		{"restart", func(c *cluster) {
 			c.nodes[2].kill()
 			c.network.Restore(c.nodes[2].member.Address.Addr())
 			c.add(2, 2).setQueued(1000)
-		}, 9 * time.Second, 0},
+		}, 9 * time.Second, all(0)},
 		{"two parted", func(c *cluster) {
 			c.network.Partition(c.nodes[2].member.Address.Addr(), c.nodes[5].member.Address.Addr())
-		}, 9 * time.Second, 2},
+		}, 9 * time.Second, all(2)},
 		{"four parted from four", func(c *cluster) {
 			for _, a := range c.nodes[:4] {
 				for _, b := range c.nodes[4:] {
 					c.network.Partition(a.member.Address.Addr(), b.member.Address.Addr())
 				}
 			}
-		}, 9 * time.Second, 0},
+		}, 9 * time.Second, all(0)},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -118,15 +128,17 @@
 					t.Errorf("over-commit of %d slots at the start", c.excess)
 				}
 				test.fault(c)
-				c.advance(test.within)
-				held := 0
-				for _, n := range c.nodes {
-					held += n.held()
+				faultAt := time.Now()
+				got, want := test.held(c)
+				for ; got < want && time.Since(faultAt) < test.within; got, want = test.held(c) {
+					c.advance(100 * time.Millisecond)
 				}
-				t.Logf("after %v %d of %d slots are held; over-commit %d slots for %v", test.within, held, c.slots(), c.excess, c.lasted)
-				if want := c.slots() * (instances - test.withheld) / instances; held < want {
-					t.Errorf("after %v %d of %d slots are held, want at least %d", test.within, held, c.slots(), want)
+				t.Logf("%d of %d slots are held after %v", got, c.slots(), time.Since(faultAt))
+				if got < want {
+					t.Errorf("after %v %d slots are held, want at least %d", test.within, got, want)
 				}
+				c.advance(5 * time.Second)
+				t.Logf("over-commit %d slots for %v", c.excess, c.lasted)
 				if c.lasted > allocator.TTL {
 					t.Errorf("over-commit lasted %v, want at most one lifetime of a grant", c.lasted)
 				}
@@ -139,6 +151,19 @@
 	}
 }
 
+// all wants all slots but the shares of some members to be held. A slot that is
+// just moving from one holder to another is held by neither, so this is asked
+// until it is so.
+func all(withheldMembers int) func(*cluster) (int, int) {
+	return func(c *cluster) (int, int) {
+		held := 0
+		for _, n := range c.allNodes() {
+			held += n.held()
+		}
+		return held, c.slots() * (8 - withheldMembers) / 8
+	}
+}
+
 // Guards against messages that grow with the fleet or exceed the budget of
 // 6 KB/s per instance (1.5), idle and under a demand that changes all the time.
 func TestByteBudget(t *testing.T) {
--- a/exchanger/peer.go
+++ b/exchanger/peer.go
@@ -85,11 +85,12 @@
 	}
 	named, urgent := t.changedDemands(p.member.Name, demands, now)
 	reports := p.newCrashes(crashes, now)
-	if now.Before(p.nextAt) {
-		cost := messageBytes + demandBytes*len(named)
-		if p.failed || !urgent && len(reports) == 0 || !t.cfg.Budget.Allows(cost) {
-			return
-		}
+	affordable := t.cfg.Budget.Allows(messageBytes + demandBytes*len(named))
+	if now.Before(p.nextAt) && (p.failed || !urgent && len(reports) == 0 || !affordable) {
+		return
+	}
+	if !affordable {
+		named = t.dueDemands(p.member.Name, named, now)
 	}
 	request := t.request(named, now)
 	request.Crashes = reports
@@ -153,6 +154,14 @@
 	return changed, urgent
 }
 
+// dueDemands leaves out the demands that can wait for the next heartbeat.
+func (t *task) dueDemands(to egretflow.InstanceName, demands []egretflow.Demand, now time.Time) []egretflow.Demand {
+	return slices.DeleteFunc(demands, func(d egretflow.Demand) bool {
+		last := t.sent[d.Server]
+		return last.to == to && now.Sub(last.at) < renewAfter
+	})
+}
+
 func total(wanted [4]int) int { return wanted[0] + wanted[1] + wanted[2] + wanted[3] }
 
 // newCrashes returns the reports that the peer has not been sent.
--- a/messenger/meter.go
+++ b/messenger/meter.go
@@ -13,10 +13,10 @@
 // BudgetBytesPerSecond is what one instance may write to its peers (1.5).
 const BudgetBytesPerSecond = 6000
 
-// plannedShare is the part of the budget, in percent, that early messages may
-// use up. The rest covers what follows from them, such as responses to peers
-// and frames of HTTP/2, and saved-up tokens.
-const plannedShare = 85
+// plannedShare is the part of the budget, in percent, up to which early messages
+// and early changes are sent. The rest is for responses to those of peers, which
+// are not limited: with 85% one of 64 instances wrote 6,059 B/s.
+const plannedShare = 70
 
 // Meter counts the bytes on the sockets between instances and charges the
 // written ones to a budget. It is safe for concurrent use.
