Follow the cache events of prefill servers

Cause: the picker takes cache events, but nothing sent any, so an instance knew only what its own requests stored and what cached_tokens showed.

Change: package cachefollower follows GET /kv_events of the prefill servers in the slice, at most 32 streams and 6 KB/s by default, resumes with Last-Event-ID, backs off, and passes one observation per server and 100 ms to the scheduler. Sequence numbers reach the picker unchanged, which lowers its trust at a gap. A restart of an engine becomes a clear. Observation.Cache is now a list. The reader of server-sent events moved from relayer to internal/sse. The picker no longer takes a stored event for a fresh placement of its own: a removal in the same batch was ignored. The stand-in engine honours Last-Event-ID and counts from 1 after a crash.

At the target size the engines of a slice send more than 6 KB/s, so only some servers can be followed there.

--- a/assembler/config.go
+++ b/assembler/config.go
@@ -65,6 +65,9 @@
 	EngineCommands bool
 	// ServerTLS is used towards servers of pools with ServerTLS.
 	ServerTLS *tls.Config
+	// CacheEventBytesPerSecond bounds what is read of the engines' cache events;
+	// 0 means the default of package cachefollower.
+	CacheEventBytesPerSecond int
 	// WrapScheduler and WrapClaimer, if set, replace what the request path uses
 	// of the scheduler and the claimer. Tests plant faults with them.
 	WrapScheduler func(egretflow.Scheduler) egretflow.Scheduler
@@ -108,6 +111,13 @@
 	}
 }
 
+// streamClient returns a client whose responses may go on without end.
+func (c *Config) streamClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext: c.Dial, TLSClientConfig: c.ServerTLS, ResponseHeaderTimeout: platformTimeout, DisableKeepAlives: true,
+	}}
+}
+
 // tablesSource is what an instance needs of the holder of the tables.
 type tablesSource interface {
 	egretflow.TablesHolder
--- a/assembler/fleet.go
+++ b/assembler/fleet.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/cachefollower"
 	"github.com/egretflow/egretflow/claimer"
 	"github.com/egretflow/egretflow/commander"
 	"github.com/egretflow/egretflow/distributor"
@@ -16,6 +17,7 @@
 	"github.com/egretflow/egretflow/messenger"
 	"github.com/egretflow/egretflow/poller"
 	"github.com/egretflow/egretflow/scheduler"
+	"github.com/egretflow/egretflow/slicer"
 	"github.com/egretflow/egretflow/supervisor"
 	"github.com/egretflow/egretflow/tracker"
 )
@@ -31,6 +33,7 @@
 	distributor *distributor.Distributor
 	exchanger   *exchanger.Exchanger
 	poller      *poller.Poller
+	follower    *cachefollower.Follower
 	claimer     *claimer.Claimer
 	// commander is nil unless the instance commands engines.
 	commander *commander.Commander
@@ -79,9 +82,14 @@
 		Self: cfg.Self, Store: cfg.Store, Peers: f.client, Clock: cfg.Clock, Rand: cfg.newRand(),
 		Recorder: i.Explainer, Checker: i.Checker,
 	})
+	f.follower = cachefollower.New(cachefollower.Config{
+		Client: cfg.streamClient(), Clock: cfg.Clock, Rand: cfg.newRand(), Sink: i.Scheduler.Observe, TLS: f.poolUsesTLS,
+		BytesPerSecond: cfg.CacheEventBytesPerSecond,
+	})
 	f.exchanger = exchanger.New(exchanger.Config{
 		Self: cfg.Self, Incarnation: cfg.Incarnation, Clock: cfg.Clock, Rand: cfg.newRand(), Recorder: i.Explainer,
 		Peers: f.client, State: i.Scheduler, Tables: f.distributor, Members: f.tracker, Hints: f.distributor, Budget: f.meter,
+		OnPlan: func(p slicer.Plan) { f.follower.SetServers(p.Servers) },
 	})
 	f.poller = poller.New(f.pollerConfig(i))
 	var err error
@@ -176,6 +184,7 @@
 		{Name: "peers", Run: f.servePeers},
 		{Name: "exchanger", Run: f.exchange},
 		{Name: "poller", Run: f.poller.Run},
+		{Name: "cache events", Run: f.follower.Run},
 	}
 	if f.commander != nil {
 		tasks = append(tasks, supervisor.Task{Name: "commander", Run: f.commander.Run})
--- a/decision.go
+++ b/decision.go
@@ -99,8 +99,8 @@
 	CachedTokens int
 	// Load is set for ObservationLoad.
 	Load *LoadReport
-	// Cache is set for ObservationCache.
-	Cache *CacheEvent
+	// Cache is set for ObservationCache, in the order of the events.
+	Cache []CacheEvent
 }
 
 // CacheEventType says what an engine did with cached prompt blocks.
--- a/relayer/events.go
+++ b/internal/sse/reader.go
@@ -1,4 +1,13 @@
-package relayer
+// Package sse reads server-sent events (HTML standard, section 9.2).
+//
+// # Usage
+//
+//	events := sse.NewReader(response.Body)
+//	for {
+//		id, data, err := events.Next()
+//		...
+//	}
+package sse
 
 import (
 	"bufio"
@@ -13,12 +22,12 @@
 	maxEventBytes    = 1 << 20
 )
 
-var errEventTooLong = errors.New("event is too long")
+// ErrTooLong means that an event exceeds 1 MB.
+var ErrTooLong = errors.New("event is too long")
 
-// eventReader reads server-sent events (HTML standard, section 9.2). It reads
-// without a goroutine, coroutine or allocation per event, which the targets for
-// processor time and memory per stream need (section 14).
-type eventReader struct {
+// Reader reads events without a goroutine, coroutine or allocation per event,
+// which the targets for processor time and memory per stream need (section 14).
+type Reader struct {
 	r *bufio.Reader
 	// id and data are those of the event that is being read.
 	id   []byte
@@ -27,14 +36,15 @@
 	line []byte
 }
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{r: bufio.NewReaderSize(r, eventBufferBytes)}
+// NewReader returns a Reader of r.
+func NewReader(r io.Reader) *Reader {
+	return &Reader{r: bufio.NewReaderSize(r, eventBufferBytes)}
 }
 
-// next returns the last id that was sent and the data of the next event, both
+// Next returns the last id that was sent and the data of the next event, both
 // valid until the following call. An event that is cut by the end of the input
 // is not returned.
-func (e *eventReader) next() (id, data []byte, err error) {
+func (e *Reader) Next() (id, data []byte, err error) {
 	e.data = e.data[:0]
 	for {
 		line, err := e.readLine()
@@ -56,13 +66,16 @@
 			e.data = append(append(e.data, value...), '\n')
 		}
 		if len(e.data) > maxEventBytes {
-			return nil, nil, errEventTooLong
+			return nil, nil, ErrTooLong
 		}
 	}
 }
 
+// Buffered reports whether more bytes have arrived than were returned.
+func (e *Reader) Buffered() bool { return e.r.Buffered() > 0 }
+
 // readLine returns the next line without its end.
-func (e *eventReader) readLine() ([]byte, error) {
+func (e *Reader) readLine() ([]byte, error) {
 	line, err := e.r.ReadSlice('\n')
 	if errors.Is(err, bufio.ErrBufferFull) {
 		e.line = append(e.line[:0], line...)
@@ -73,7 +86,7 @@
 		line = e.line
 	}
 	if len(line) > maxEventBytes {
-		return nil, errEventTooLong
+		return nil, ErrTooLong
 	}
 	if err != nil {
 		return nil, fmt.Errorf("read event: %w", err)
--- a/internal/stub/engine/engine.go
+++ b/internal/stub/engine/engine.go
@@ -155,6 +155,7 @@
 	}
 	e.clearMemory()
 	e.reset()
+	e.restartEvents()
 	e.incarnation++
 	e.downUntil = until
 	if e.cfg.OnCrash != nil {
--- a/internal/stub/engine/events.go
+++ b/internal/stub/engine/events.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 	"time"
 )
 
@@ -69,12 +70,24 @@
 	return ready, next, changed
 }
 
-// serveEvents streams the kept cache events and then the new ones.
+// restartEvents starts the numbers anew with a clear, as a new process does.
+func (e *Engine) restartEvents() {
+	e.events.seq, e.events.events = 0, nil
+	e.recordEvent(eventCleared, nil)
+}
+
+// serveEvents streams the kept cache events after Last-Event-ID and then the new
+// ones. A number that the engine has not reached is from before a restart.
 func (e *Engine) serveEvents(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
 	flusher, _ := w.(http.Flusher)
-	seq := 0
+	seq, _ := strconv.Atoi(r.Header.Get("Last-Event-ID"))
+	e.do(func(time.Time) {
+		if seq > e.events.seq {
+			seq = 0
+		}
+	})
 	for {
 		ready, next, changed := e.eventsAfter(seq)
 		for _, ev := range ready {
--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -129,6 +129,14 @@
 		{"late removal of a fresh placement", []egretflow.CacheEvent{{Sequence: 1, Type: egretflow.CacheEventRemoved, Hashes: []egretflow.PrefixHash{2}}}, start, 512},
 		{"cleared", []egretflow.CacheEvent{{Sequence: 1, Type: egretflow.CacheEventCleared}}, later, 0},
 		{"stored by another instance", []egretflow.CacheEvent{{Sequence: 1, Type: egretflow.CacheEventStored, Hashes: []egretflow.PrefixHash{3}}}, later, 768},
+		{"stored and removed in one batch", []egretflow.CacheEvent{
+			{Sequence: 1, Type: egretflow.CacheEventStored, Hashes: []egretflow.PrefixHash{3}},
+			{Sequence: 2, Type: egretflow.CacheEventRemoved, Hashes: []egretflow.PrefixHash{3}},
+		}, later, 512},
+		{"stored after an own placement, then a late removal", []egretflow.CacheEvent{
+			{Sequence: 1, Type: egretflow.CacheEventStored, Hashes: []egretflow.PrefixHash{2}},
+			{Sequence: 2, Type: egretflow.CacheEventRemoved, Hashes: []egretflow.PrefixHash{2}},
+		}, start, 512},
 		{"gap lowers trust", []egretflow.CacheEvent{{Sequence: 1, Type: egretflow.CacheEventStored}, {Sequence: 5, Type: egretflow.CacheEventStored}}, later, 409},
 	}
 	for _, test := range tests {
--- a/picker/prefix.go
+++ b/picker/prefix.go
@@ -85,8 +85,8 @@
 	x.young[h] = e
 }
 
-// place notes that s holds the chunks.
-func (x *prefixIndex) place(s *Server, prefix []egretflow.PrefixHash, now time.Time) {
+// place notes that s holds the chunks since a time.
+func (x *prefixIndex) place(s *Server, prefix []egretflow.PrefixHash, since time.Time) {
 	for _, h := range prefix {
 		e, _ := x.get(h)
 		slot, known := 0, false
@@ -102,7 +102,11 @@
 		if !known {
 			s.cache.stored++
 		}
-		e[slot] = holder{server: s, stamp: s.cache.stored, at: now.UnixMilli()}
+		at := since.UnixMilli()
+		if known {
+			at = max(at, e[slot].at)
+		}
+		e[slot] = holder{server: s, stamp: s.cache.stored, at: at}
 		x.put(h, e)
 	}
 }
@@ -180,7 +184,8 @@
 	c.sequence = e.Sequence
 	switch e.Type {
 	case egretflow.CacheEventStored:
-		p.prefixes.place(s, e.Hashes, now)
+		// Older than confirmFor, so that a removal in the same batch counts.
+		p.prefixes.place(s, e.Hashes, now.Add(-confirmFor-time.Millisecond))
 	case egretflow.CacheEventRemoved:
 		for _, h := range e.Hashes {
 			p.prefixes.remove(s, h, now)
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -11,6 +11,7 @@
 
 	"github.com/egretflow/egretflow"
 	"github.com/egretflow/egretflow/internal/openai"
+	"github.com/egretflow/egretflow/internal/sse"
 )
 
 const (
@@ -60,7 +61,7 @@
 	cancel context.CancelCauseFunc
 	watch  *stallWatch
 	body   io.ReadCloser
-	events *eventReader
+	events *sse.Reader
 }
 
 func newStream(r *Relayer, job *Job, server *egretflow.Server, id egretflow.AttemptID) *stream {
@@ -109,7 +110,7 @@
 	s.body = resp.Body
 	s.known = true
 	reader := &watchedReader{stream: s, body: resp.Body}
-	s.events = newEventReader(reader)
+	s.events = sse.NewReader(reader)
 	return nil
 }
 
@@ -173,7 +174,7 @@
 		return c, nil
 	}
 	for {
-		id, data, err := s.events.next()
+		id, data, err := s.events.Next()
 		if err == nil && string(data) == doneEvent {
 			return nil, s.end()
 		}
--- a/scheduler/observe.go
+++ b/scheduler/observe.go
@@ -49,8 +49,8 @@
 			t.dispatch(p)
 		}
 	case egretflow.ObservationCache:
-		if o.Cache != nil {
-			p.picker.CacheEvent(s, o.Cache, t.now)
+		for n := range o.Cache {
+			p.picker.CacheEvent(s, &o.Cache[n], t.now)
 		}
 	}
 }
