Measure an idle service again when its expected response is too late

Cause: the expected response time of a service is the mean of earlier calls. After a stall of all its servers it exceeded the first-token target, every call was refused as Overload, and without calls the mean never fell: the instance refused the route for good, although the service was idle. Change: a call may start when none runs in the pool.

--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -134,13 +134,20 @@
 		return false
 	}
 	pl, ok := p.picker.Pick(w.work, picker.Options{}, t.now)
-	if !ok || (!pl.Probe && t.late(w.work, pl.FirstTokenAt)) {
+	if !ok || (!pl.Probe && !remeasures(p) && t.late(w.work, pl.FirstTokenAt)) {
 		return false
 	}
 	t.start(w, pl)
 	return true
 }
 
+// remeasures reports whether a call may start although its response is expected
+// too late. The expected time is the mean of earlier calls. When a fault has
+// raised it above the target and no call runs, only a new one can correct it.
+func remeasures(p *pool) bool {
+	return p.picker.Kind() == egretflow.PoolKindService && p.running == 0
+}
+
 // isolate queues a crash suspect apart from other requests, which it must not
 // hold up while it waits for a server without suspects (5.6).
 func (t *task) isolate(w *waiter) {
--- a/scheduler/attempt_test.go
+++ b/scheduler/attempt_test.go
@@ -239,3 +239,39 @@
 		t.Errorf("%d of %d requests rejected, want only the one that crashes servers", rejected, requests)
 	}
 }
+
+// Guards against a service that is refused for good after a fault: the mean
+// response time then exceeds the target, and only another call can correct it.
+func TestServiceIsMeasuredAgain(t *testing.T) {
+	d := newDriver(t, 1, 1)
+	d.task.handle(tablesMessage{tables: &egretflow.Tables{Revision: 2,
+		Routes: []egretflow.Route{{Name: "r", Pool: "desk", Idempotent: true, RetryPercent: 50, MaxStreams: 50}},
+		Pools: []egretflow.Pool{{Name: "desk", Kind: egretflow.PoolKindService, Servers: []egretflow.Server{
+			{Name: "s", Role: egretflow.RoleService, Slots: 4},
+		}}},
+	}})
+	call := func(took time.Duration) bool {
+		w := d.acquire(func(w *egretflow.Work) {
+			w.Pool, w.PromptTokens, w.MaxTokens, w.FirstTokenBy = "desk", 0, 0, d.now.Add(time.Second)
+		})
+		if w.assignment == nil {
+			return false
+		}
+		started := d.now
+		d.now = d.now.Add(took)
+		d.task.now = d.now
+		d.task.handle(observeMessage{observation: egretflow.Observation{
+			Kind: egretflow.ObservationServed, Server: "s", Attempt: w.assignment.Attempt, StartedAt: started, EndedAt: d.now,
+		}})
+		d.release(w.assignment)
+		return true
+	}
+	for range 20 {
+		call(10 * time.Second)
+	}
+	for n := range 20 {
+		if !call(10 * time.Millisecond) {
+			t.Fatalf("call %d after the fault was refused", n)
+		}
+	}
+}
