Share prefill work between instances beyond grants

Cause: with 8 instances a request waits for a place while others hold idle ones; prompts of other instances make servers look like stragglers and prefills look stalled; an instance does not see the work of others.

--- a/admitter/capacity.go
+++ b/admitter/capacity.go
@@ -13,6 +13,9 @@
 type Capacity struct {
 	// Prefill tells when prompts can be computed; nil for a service pool.
 	Prefill *Prefill
+	// Ahead counts the prompt tokens that wait at other instances and are served
+	// before an item, by rank of its importance.
+	Ahead [4]float64
 	// FreeSlots is the number of decode slots that are free now.
 	FreeSlots int
 	// SlotsPerSecond is the rate at which decode slots become free.
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -53,6 +53,24 @@
 	return slots, items
 }
 
+// WaitingBefore reports whether an item waits that is as important as w or more.
+func (q *Queue) WaitingBefore(w *egretflow.Work) bool {
+	for n := range w.Importance.Rank() + 1 {
+		if q.classes[n].length > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Tokens returns the prompt tokens that wait, by rank of importance.
+func (q *Queue) Tokens() (tokens [4]int) {
+	for n := range q.classes {
+		tokens[n] = int(q.classes[n].tokens)
+	}
+	return tokens
+}
+
 // Offer queues item if it can still meet its target.
 func (q *Queue) Offer(item *Item, capacity Capacity, now time.Time) Verdict {
 	rank := item.Work.Importance.Rank()
@@ -65,7 +83,7 @@
 		tokens += q.classes[n].tokens
 		slots += q.classes[n].slots
 	}
-	wait := capacity.wait(tokens, slots+float64(item.Slots))
+	wait := capacity.wait(tokens+capacity.Ahead[rank], slots+float64(item.Slots))
 	v := Verdict{Admitted: true, Wait: wait, FirstTokenAt: now.Add(wait + item.Service)}
 	switch {
 	case item.late(v.FirstTokenAt):
@@ -127,7 +145,7 @@
 	var tokens, slots float64
 	q.batch = q.batch[:0]
 	q.walk(func(item *Item) bool {
-		wait := capacity.wait(tokens, slots+float64(item.Slots))
+		wait := capacity.wait(tokens+capacity.Ahead[item.Work.Importance.Rank()], slots+float64(item.Slots))
 		if item.late(now.Add(wait + item.Service)) {
 			q.batch = append(q.batch, item)
 			return true
--- a/allocator/doc.go
+++ b/allocator/doc.go
@@ -59,6 +59,10 @@
 // members have the same list and the same owner; after a change of owner they
 // are zero again once the holders have reported or their old grants have
 // expired, which is one TTL after the last instance learned of the change.
+// Holders may start a bounded number of requests beyond their grants (picker rule
+// 7): on each server at most one per holder at a time. They are part of the
+// reported use, so the owner does not grant their slots to others.
+//
 // Requests that were started under an old grant and run longer are covered by
 // load reports; a server without load reports, such as a plain service, may
 // exceed its slots by these requests until they end.
--- a/event.go
+++ b/event.go
@@ -16,6 +16,7 @@
 	EventCancelled         EventName = "Cancelled"
 	EventRetried           EventName = "Retried"
 	EventHedged            EventName = "Hedged"
+	EventHedgeRefused      EventName = "HedgeRefused"
 	EventResumed           EventName = "Resumed"
 	EventAttemptFailed     EventName = "AttemptFailed"
 	EventSilentConnection  EventName = "SilentConnection"
--- a/exchanger/cluster_test.go
+++ b/exchanger/cluster_test.go
@@ -293,6 +293,10 @@
 	return n.holder.Demands(now)
 }
 
+func (n *node) PrefillLoad(time.Time) egretflow.PrefillLoad { return egretflow.PrefillLoad{} }
+
+func (n *node) ApplyPrefillLoad(egretflow.InstanceName, egretflow.PrefillLoad) {}
+
 func (n *node) ApplyGrants(grants []egretflow.Grant) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/exchanger/doc.go
+++ b/exchanger/doc.go
@@ -21,6 +21,9 @@
 //  2. A message names the servers that its receiver owns and whose demand has
 //     changed, and all others at every second heartbeat. Grants live for four
 //     heartbeats, so one lost message is harmless.
+//     Requests and responses also carry the sender's whole prefill work, on
+//     servers and in queues, so a peer's view of it is at most one heartbeat old
+//     and half of that on the average.
 //  3. At most one exchange per peer is open. A response counts only for it, and
 //     grants are applied only for servers that the request named and that the
 //     peer still owns (allocator rule 2).
--- a/exchanger/handle.go
+++ b/exchanger/handle.go
@@ -28,6 +28,7 @@
 	now := t.cfg.Clock()
 	if r.From != t.cfg.Self.Name {
 		t.learn(r.From, r.Revision, r.Slices, r.Crashes)
+		t.cfg.State.ApplyPrefillLoad(r.From, r.Prefill)
 		if p := t.peers[r.From]; p != nil && !t.view.Reachable[r.From] {
 			// It is up again; verify it without waiting for the interval.
 			p.nextAt = now
@@ -40,6 +41,7 @@
 		Leaving:     len(t.leaving) > 0,
 		Slices:      t.plan.Slices,
 		Grants:      t.owner.Answer(r, now),
+		Prefill:     t.cfg.State.PrefillLoad(now),
 	}
 }
 
@@ -63,6 +65,7 @@
 		At:          t.cfg.Clock(),
 	})
 	t.learn(m.to, m.response.Revision, m.response.Slices, m.response.Crashes)
+	t.cfg.State.ApplyPrefillLoad(m.to, m.response.Prefill)
 	t.applyGrants(m.to, m.request, m.response.Grants)
 }
 
--- a/exchanger/peer.go
+++ b/exchanger/peer.go
@@ -92,7 +92,7 @@
 		}
 	}
 	request := t.request(named, now)
-	request.Crashes = reports
+	request.Crashes, request.Prefill = reports, t.cfg.State.PrefillLoad(now)
 	p.open, p.sentAt, p.nextAt = request, now, now.Add(HeartbeatInterval)
 	for _, d := range named {
 		t.sent[d.Server] = sentDemand{d, p.member.Name, now}
--- a/fleet.go
+++ b/fleet.go
@@ -13,6 +13,10 @@
 	// ApplyGrants replaces the grants of the named servers. Servers not named
 	// keep theirs until they expire.
 	ApplyGrants(grants []Grant)
+	// PrefillLoad returns the own prefill work, ApplyPrefillLoad replaces that of
+	// a peer (5.2).
+	PrefillLoad(now time.Time) PrefillLoad
+	ApplyPrefillLoad(from InstanceName, load PrefillLoad)
 	// SetUnavailable names the servers that must get no new work: leaving,
 	// draining or gone (9.2).
 	SetUnavailable(servers []ServerName)
--- a/messenger/check.go
+++ b/messenger/check.go
@@ -46,6 +46,9 @@
 			}
 		}
 	}
+	if err := checkPrefill(&r.Prefill); err != nil {
+		return err
+	}
 	return checkCrashes(r.Crashes)
 }
 
@@ -65,9 +68,49 @@
 			return err
 		}
 	}
+	if err := checkPrefill(&r.Prefill); err != nil {
+		return err
+	}
 	return checkCrashes(r.Crashes)
 }
 
+func checkPrefill(l *egretflow.PrefillLoad) error {
+	if err := checkLength("Prefill.Backlogs", len(l.Backlogs), MaxDemands); err != nil {
+		return err
+	}
+	for n, b := range l.Backlogs {
+		field := fmt.Sprintf("Prefill.Backlogs[%d]", n)
+		if err := egretflow.CheckName(field+".Server", string(b.Server)); err != nil {
+			return err
+		}
+		if err := checkTokens(field, b.Tokens); err != nil {
+			return err
+		}
+	}
+	if err := checkLength("Prefill.Queues", len(l.Queues), MaxDemands); err != nil {
+		return err
+	}
+	for n, q := range l.Queues {
+		field := fmt.Sprintf("Prefill.Queues[%d]", n)
+		if err := egretflow.CheckName(field+".Pool", string(q.Pool)); err != nil {
+			return err
+		}
+		for _, tokens := range q.Tokens {
+			if err := checkTokens(field, tokens); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func checkTokens(field string, tokens int) error {
+	if tokens < 0 || tokens > MaxBacklogTokens {
+		return &egretflow.FieldError{Field: field + ".Tokens", Reason: fmt.Sprintf("%d is not within 0 and %d", tokens, MaxBacklogTokens)}
+	}
+	return nil
+}
+
 func checkCrashes(reports []egretflow.CrashReport) error {
 	if err := checkLength("Crashes", len(reports), MaxCrashes); err != nil {
 		return err
--- a/messenger/codec.go
+++ b/messenger/codec.go
@@ -18,6 +18,8 @@
 	MaxCrashServers = 16
 	// MaxSlots bounds every count of slots.
 	MaxSlots = 1 << 20
+	// MaxBacklogTokens bounds the prefill work of one instance on one server.
+	MaxBacklogTokens = 1 << 30
 	// MaxClaims bounds the claims in one Commit.
 	MaxClaims = 1024
 	// MaxTextBytes bounds a token, key or content type in a claim.
--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -28,6 +28,25 @@
 	Early uint32
 }
 
+type wireBacklog struct {
+	_      struct{} `cbor:",toarray"`
+	Server any
+	Tokens uint32
+}
+
+type wireQueue struct {
+	_    struct{} `cbor:",toarray"`
+	Pool string
+	// Tokens omits trailing zeros.
+	Tokens []uint32
+}
+
+type wirePrefill struct {
+	_        struct{} `cbor:",toarray"`
+	Backlogs []wireBacklog
+	Queues   []wireQueue
+}
+
 type wireCrash struct {
 	_           struct{} `cbor:",toarray"`
 	Fingerprint uint64
@@ -45,6 +64,7 @@
 	Slices      uint32
 	Demands     []wireDemand
 	Crashes     []wireCrash
+	Prefill     wirePrefill
 }
 
 type wireResponse struct {
@@ -57,6 +77,7 @@
 	ExpiresAt   int64
 	Grants      []wireGrant
 	Crashes     []wireCrash
+	Prefill     wirePrefill
 }
 
 func (n *Names) wireRequest(r *egretflow.ExchangeRequest) *wireRequest {
@@ -69,6 +90,7 @@
 		Slices:      uint32(r.Slices),
 		Demands:     make([]wireDemand, len(r.Demands)),
 		Crashes:     wireCrashes(r.Crashes),
+		Prefill:     n.wirePrefill(r.Prefill),
 	}
 	for i, d := range r.Demands {
 		w.Demands[i] = wireDemand{
@@ -95,6 +117,35 @@
 	return short
 }
 
+func (n *Names) wirePrefill(l egretflow.PrefillLoad) wirePrefill {
+	w := wirePrefill{Backlogs: make([]wireBacklog, len(l.Backlogs)), Queues: make([]wireQueue, len(l.Queues))}
+	for i, b := range l.Backlogs {
+		w.Backlogs[i] = wireBacklog{Server: n.encode(b.Server), Tokens: uint32(b.Tokens)}
+	}
+	for i, q := range l.Queues {
+		w.Queues[i] = wireQueue{Pool: string(q.Pool), Tokens: wireWanted(q.Tokens)}
+	}
+	return w
+}
+
+// prefillLoad ignores classes beyond the known ones.
+func (n *Names) prefillLoad(w wirePrefill) egretflow.PrefillLoad {
+	var l egretflow.PrefillLoad
+	for _, b := range w.Backlogs {
+		if server, ok := n.decode(b.Server); ok {
+			l.Backlogs = append(l.Backlogs, egretflow.Backlog{Server: server, Tokens: int(b.Tokens)})
+		}
+	}
+	for _, queue := range w.Queues {
+		q := egretflow.Queue{Pool: egretflow.PoolName(queue.Pool)}
+		for class, tokens := range queue.Tokens[:min(len(queue.Tokens), len(q.Tokens))] {
+			q.Tokens[class] = int(tokens)
+		}
+		l.Queues = append(l.Queues, q)
+	}
+	return l
+}
+
 func wireCrashes(reports []egretflow.CrashReport) []wireCrash {
 	crashes := make([]wireCrash, len(reports))
 	for i, c := range reports {
@@ -115,6 +166,7 @@
 		Slices:      uint32(r.Slices),
 		Grants:      make([]wireGrant, len(r.Grants)),
 		Crashes:     wireCrashes(r.Crashes),
+		Prefill:     n.wirePrefill(r.Prefill),
 	}
 	for _, g := range r.Grants {
 		w.ExpiresAt = max(w.ExpiresAt, g.ExpiresAt.UnixMicro())
@@ -138,6 +190,7 @@
 		Leaving:     w.Leaving,
 		Slices:      int(w.Slices),
 		Crashes:     crashReports(w.Crashes),
+		Prefill:     n.prefillLoad(w.Prefill),
 	}
 	for i, d := range w.Demands {
 		if len(d.Wanted) > len(egretflow.Importances) {
@@ -164,6 +217,7 @@
 		Leaving:     w.Leaving,
 		Slices:      int(w.Slices),
 		Crashes:     crashReports(w.Crashes),
+		Prefill:     n.prefillLoad(w.Prefill),
 	}
 	for _, g := range w.Grants {
 		if server, ok := n.decode(g.Server); ok {
--- a/peer.go
+++ b/peer.go
@@ -28,6 +28,31 @@
 	Wanted [4]int
 }
 
+// Backlog is the prefill work that the sender has placed on one server and that
+// is not computed yet.
+type Backlog struct {
+	_      struct{} `cbor:",toarray"`
+	Server ServerName
+	// Tokens is an estimate in prompt tokens.
+	Tokens int
+}
+
+// Queue is the prefill work that waits at the sender for one pool.
+type Queue struct {
+	_    struct{} `cbor:",toarray"`
+	Pool PoolName
+	// Tokens counts prompt tokens by rank of importance.
+	Tokens [4]int
+}
+
+// PrefillLoad is the prefill work of one instance that is not computed yet.
+// Servers and pools not named have none.
+type PrefillLoad struct {
+	_        struct{} `cbor:",toarray"`
+	Backlogs []Backlog
+	Queues   []Queue
+}
+
 // Grant gives a holder slots of one server until a deadline.
 type Grant struct {
 	_      struct{} `cbor:",toarray"`
@@ -57,6 +82,7 @@
 	Slices  int
 	Demands []Demand
 	Crashes []CrashReport
+	Prefill PrefillLoad
 }
 
 // ExchangeResponse answers an ExchangeRequest.
@@ -70,6 +96,7 @@
 	Slices  int
 	Grants  []Grant
 	Crashes []CrashReport
+	Prefill PrefillLoad
 }
 
 // PullRequest asks for tables above a revision and tells the receiver which
--- a/picker/baseline.go
+++ b/picker/baseline.go
@@ -21,12 +21,18 @@
 // Policies lists all policies.
 var Policies = []Policy{PolicyJoint, PolicyRoundRobin, PolicyLeastLoaded, PolicyPowerOfTwo}
 
+// baselineStage is the expected time of a stage when the work has no target.
+const baselineStage = time.Second
+
 // PickBaseline chooses each server on its own by a baseline policy. It ignores
-// slots and grants.
+// slots and grants. Without an estimate, the prefill is expected within the
+// first-token target; the request path derives its timeouts from it, and an
+// earlier time would cancel each prefill that queues at its engine.
 func (p *Pool) PickBaseline(policy Policy, w *egretflow.Work, o Options, now time.Time) (Placement, bool) {
+	by := now.Add(max(baselineStage, w.FirstTokenBy.Sub(w.ArrivedAt)))
 	pl := Placement{
 		Decode: o.Decode, Slots: 1, Candidates: 1, startedAt: now,
-		PrefillBy: now, TransferBy: now, FirstTokenAt: now,
+		PrefillBy: by, TransferBy: by, FirstTokenAt: by.Add(by.Sub(now)),
 	}
 	if pl.Decode == nil {
 		pl.Decode = p.pickOne(policy, p.decode, w)
--- a/picker/doc.go
+++ b/picker/doc.go
@@ -29,6 +29,16 @@
 //     falls when cache events are missing.
 //  5. A prompt whose tokens need more than one slot's share of the engine's
 //     blocks occupies several slots.
-//  6. The baseline policies choose from lagging load reports, reserve nothing
+//  6. With peers, the backlog of a prefill server includes the prompt tokens that
+//     they named last, less what the server can have computed since. Prompts that
+//     no peer has named yet count as slack: they are no evidence that a server is
+//     slow, and they extend the time until a prefill counts as stalled.
+//  7. With peers, an instance may exceed its unexpired grants, which may be of no
+//     slots, by one prefill per server, for a critical request or on a server
+//     without a known backlog, and by one critical request on one decode server.
+//     It starts nothing else there until it is within the grant again. So a
+//     server has at most one prefill, or one critical request, per instance more
+//     than its slots; the engine queues it by priority.
+//  8. The baseline policies choose from lagging load reports, reserve nothing
 //     and know no grants. They exist for comparison.
 package picker
--- a/picker/pick.go
+++ b/picker/pick.go
@@ -66,7 +66,10 @@
 	tokens    float64
 	// backlog is the time in seconds until the prefill was expected to start.
 	backlog float64
-	bytes   int64
+	// slack is the time in seconds that a prompt of another instance may take
+	// before this one without being known.
+	slack float64
+	bytes int64
 	// What is still reserved: the prefill slot, the prompt tokens, the decode
 	// link and the prefill link.
 	heldPrefill  bool
@@ -109,7 +112,8 @@
 		return Placement{}, false
 	}
 	pl := p.bestPair(w, o, prefills, decodes, now)
-	return pl, o.Healthy || !pl.Prefill.deep(now)
+	urgent := p.peers && w.Importance == egretflow.ImportanceCritical
+	return pl, o.Healthy || urgent || !pl.Prefill.deep(now)
 }
 
 func (p *Pool) bestPair(w *egretflow.Work, o Options, prefills, decodes []candidate, now time.Time) Placement {
@@ -136,7 +140,10 @@
 		startedAt: now, isolated: o.Isolate, matched: a.matched, bytes: bytes,
 		tokens: float64(w.PromptTokens - a.cached), backlog: a.server.backlog(now),
 	}
-	pl.PrefillBy = now.Add(toDuration(a.seconds))
+	if p.peers {
+		pl.slack = p.perPrefill / a.server.prefillRate()
+	}
+	pl.PrefillBy = now.Add(toDuration(a.seconds + pl.slack))
 	pl.TransferBy = now.Add(toDuration(bestStart + bestTransfer))
 	pl.FirstTokenAt = pl.TransferBy.Add(toDuration(b.seconds))
 	return pl
@@ -201,10 +208,33 @@
 		}
 		n++
 	}
+	if p.peers && len(list) == 0 {
+		list = p.decodeReserve(list, w, o, now)
+	}
 	p.candidates[0] = list
 	return list
 }
 
+// decodeReserve lists servers on which w may start beyond the grant, unless the
+// instance already exceeds one (rule 7).
+func (p *Pool) decodeReserve(list []candidate, w *egretflow.Work, o Options, now time.Time) []candidate {
+	all := p.decode.all
+	if w.Importance != egretflow.ImportanceCritical || len(all) == 0 {
+		return list
+	}
+	from := p.rand.IntN(len(all))
+	for n := range min(len(all), fallbackSize) {
+		s := all[(from+n)%len(all)]
+		if s.inUse > s.limit {
+			return list[:0]
+		}
+		if s.inUse+s.SlotsFor(w) <= s.Ceiling(w, now) && usable(s, w, o, now) {
+			list = append(list, p.decodeCandidate(s, w, now))
+		}
+	}
+	return list
+}
+
 // Widest returns the decode server with the most free slots, among at most
 // fallbackSize; nil when none is free.
 func (p *Pool) Widest(now time.Time) *Server {
@@ -283,7 +313,7 @@
 	var buffer [maxMatches]match
 	matches := p.prefixes.find(w.Prefix, buffer[:0])
 	for _, m := range matches {
-		if m.server.role == p.prefill.role && m.server.free(now) > 0 && usable(m.server, w, o, now) {
+		if m.server.role == p.prefill.role && m.server.InUse() < m.server.Ceiling(w, now) && usable(m.server, w, o, now) {
 			list = append(list, p.prefillCandidate(m.server, w, m.chunks, now))
 		}
 	}
@@ -300,10 +330,30 @@
 		}
 		n++
 	}
+	if p.peers {
+		list = p.addReserve(list, matches, w, o, now)
+	}
 	p.candidates[1] = list
 	return list
 }
 
+// addReserve adds servers on which w may start beyond the grant (rule 7).
+func (p *Pool) addReserve(list []candidate, matches []match, w *egretflow.Work, o Options, now time.Time) []candidate {
+	all := p.prefill.all
+	if len(all) == 0 {
+		return list
+	}
+	from, added := p.rand.IntN(len(all)), 0
+	for n := 0; n < len(all) && n < fallbackSize && added < SampleSize; n++ {
+		s := all[(from+n)%len(all)]
+		if s.free(now) <= 0 && s.InUse() < s.Ceiling(w, now) && !contains(matches, s) && usable(s, w, o, now) {
+			list = append(list, p.prefillCandidate(s, w, 0, now))
+			added++
+		}
+	}
+	return list
+}
+
 func (p *Pool) prefillCandidate(s *Server, w *egretflow.Work, chunks int, now time.Time) candidate {
 	c := p.linkTerms(s)
 	c.matched = min(chunks*chunkTokens, max(0, w.PromptTokens-1))
--- a/picker/pool.go
+++ b/picker/pool.go
@@ -9,6 +9,7 @@
 
 // Pool holds the servers of one pool. It is not safe for concurrent use.
 type Pool struct {
+	name     egretflow.PoolName
 	kind     egretflow.PoolKind
 	kvBytes  int64
 	gap      time.Duration
@@ -26,9 +27,11 @@
 	// outstanding is the sum over all servers.
 	outstanding float64
 	tableSlots  int
-	totals      Totals
-	nextTotal   int
-	nextLane    int
+	// heardAt is when a peer last named its prefill work.
+	heardAt   time.Time
+	totals    Totals
+	nextTotal int
+	nextLane  int
 	// candidates are reused between choices.
 	candidates [2][]candidate
 }
@@ -48,6 +51,9 @@
 // Kind returns the kind of the pool.
 func (p *Pool) Kind() egretflow.PoolKind { return p.kind }
 
+// Name returns the name of the pool.
+func (p *Pool) Name() egretflow.PoolName { return p.name }
+
 // Gap returns the nominal time between tokens.
 func (p *Pool) Gap() time.Duration { return p.gap }
 
@@ -69,6 +75,7 @@
 // Apply takes the pool of new tables. Servers keep their accounting; those that
 // are no longer listed are forgotten when their last attempt ends.
 func (p *Pool) Apply(table *egretflow.Pool, now time.Time) {
+	p.name = table.Name
 	p.kind, p.kvBytes, p.gap = table.Kind, table.KVBytesPerToken, time.Duration(table.TokenGap)
 	if p.gap == 0 {
 		p.gap = defaultGap
@@ -159,7 +166,7 @@
 // one it can serve, whatever the tables say (8.3).
 func (p *Pool) Report(s *Server, load *egretflow.LoadReport, now time.Time) {
 	tokens := 0.0
-	if p.peers {
+	if p.peers && now.Sub(p.heardAt) > peerLifetime {
 		tokens = p.perPrefill
 	}
 	s.report(load, tokens, now)
@@ -200,8 +207,12 @@
 func (p *Pool) Used() int { return p.decode.used }
 
 // Full reports whether no server of a role that the pool needs has a free slot.
+// With peers a request may still start beyond the grants (rule 7).
 func (p *Pool) Full() bool {
-	return len(p.decode.open) == 0 || (p.kind == egretflow.PoolKindModel && len(p.prefill.open) == 0)
+	if p.kind != egretflow.PoolKindModel {
+		return len(p.decode.open) == 0
+	}
+	return !p.peers && (len(p.decode.open) == 0 || len(p.prefill.open) == 0)
 }
 
 // Median returns the median ratios of prefill and decode servers.
--- a/picker/reserve.go
+++ b/picker/reserve.go
@@ -68,7 +68,7 @@
 		pl.Decode.transfers += pl.bytes
 	}
 	pl.Prefill, pl.CachedTokens, pl.matched = next.Prefill, next.CachedTokens, next.matched
-	pl.tokens, pl.backlog, pl.startedAt = next.tokens, next.backlog, next.startedAt
+	pl.tokens, pl.backlog, pl.slack, pl.startedAt = next.tokens, next.backlog, next.slack, next.startedAt
 	pl.PrefillBy, pl.TransferBy, pl.FirstTokenAt = next.PrefillBy, next.TransferBy, next.FirstTokenAt
 	p.reservePrefill(pl, w, now)
 }
@@ -157,21 +157,33 @@
 func (pl *Placement) Computing() bool { return pl.computing }
 
 // PrefillRatio compares an observed prefill time with the nominal time for
-// tokens computed behind the backlog at the start.
+// tokens computed behind the backlog at the start. With peers the slack is no
+// evidence: a short prompt behind a long one of another instance would make its
+// server look many times too slow.
 func (pl *Placement) PrefillRatio(took time.Duration, tokens int) (ratio float64, ok bool) {
+	return pl.prefillRatio(took, tokens, pl.slack)
+}
+
+func (pl *Placement) prefillRatio(took time.Duration, tokens int, slack float64) (ratio float64, ok bool) {
 	nominal := pl.backlog + float64(tokens)/pl.Prefill.prefillRate()
 	if nominal <= 0 || took <= 0 {
 		return 0, false
 	}
-	return took.Seconds() / nominal, true
+	excess := took.Seconds() - nominal
+	if slack == 0 || excess <= 0 {
+		return took.Seconds() / nominal, true
+	}
+	return 1 + max(0, excess-slack)/max(nominal, slack), true
 }
 
 // OverdueRatio compares the time since the start with the nominal prefill time.
+// Work that peers have on the server now explains a longer wait.
 func (pl *Placement) OverdueRatio(now time.Time) (ratio float64, ok bool) {
 	if !pl.computing {
 		return 0, false
 	}
-	return pl.PrefillRatio(now.Sub(pl.startedAt), int(pl.tokens))
+	slack := max(pl.slack, pl.Prefill.peerTokensAt(now)/pl.Prefill.prefillRate())
+	return pl.prefillRatio(now.Sub(pl.startedAt), int(pl.tokens), slack)
 }
 
 // TransferRatio compares the observed time from the end of the prefill to the
--- a/picker/server.go
+++ b/picker/server.go
@@ -19,6 +19,9 @@
 	defaultGap         = 25 * time.Millisecond
 	// maxForeign bounds the backlog that a lagging report can add.
 	maxForeign = 500 * time.Millisecond
+	// reservePrefills is the number of prefills that one instance may run on a
+	// server beyond its grant (rule 7).
+	reservePrefills = 1
 	// maxBacklog is the own prefill work on a server above which requests wait
 	// in the queue instead, where a more important one can still pass them. It
 	// keeps an engine busy over a dispatch and a tick of the scheduler.
@@ -51,6 +54,11 @@
 	outstanding float64
 	others      float64
 	busyUntil   time.Time
+	// peers lists the prefill work that peers have named, peerTokens its sum and
+	// peersAt the mean time of it.
+	peers      []peerBacklog
+	peerTokens float64
+	peersAt    time.Time
 	// transfers counts KV bytes reserved here and not transferred yet.
 	transfers int64
 	// isolated counts running requests that are suspected of crashing servers.
@@ -73,12 +81,40 @@
 
 // Limit returns the slots that may be used at now, by grant or by table.
 func (s *Server) Limit(now time.Time) int {
-	if s.unavailable || s.draining || s.gone || s.Spec.Drain || s.expired(now) {
+	if s.blocked() || s.expired(now) {
 		return 0
 	}
 	return s.limit
 }
 
+// Ceiling returns the slots that may be in use at now when w takes one place:
+// those of the grant, and the place itself if w may exceed it (rule 7).
+func (s *Server) Ceiling(w *egretflow.Work, now time.Time) int {
+	limit := s.Limit(now)
+	if !s.mayExceed(w, now) {
+		return limit
+	}
+	if s.role == egretflow.RolePrefill {
+		return limit + reservePrefills
+	}
+	return limit + s.SlotsFor(w)
+}
+
+// mayExceed reports whether w may start beyond the grant. A grant of no slots
+// that has not expired still shows that an owner counts this instance.
+func (s *Server) mayExceed(w *egretflow.Work, now time.Time) bool {
+	switch {
+	case s.expiresAt.IsZero() || s.expired(now) || s.blocked() || s.inUse > s.limit:
+		return false
+	case w.Importance == egretflow.ImportanceCritical:
+		return s.role != egretflow.RoleService
+	}
+	return s.role == egretflow.RolePrefill && s.inUse == 0 && s.backlog(now) == 0
+}
+
+// blocked reports whether the server takes no new work whatever is granted.
+func (s *Server) blocked() bool { return s.unavailable || s.draining || s.gone || s.Spec.Drain }
+
 // Held returns the slots that are granted at now, usable or not.
 func (s *Server) Held(now time.Time) int {
 	if s.expired(now) {
@@ -142,10 +178,10 @@
 
 // foreign returns the prompt tokens that other instances have placed.
 func (s *Server) foreign(now time.Time) float64 {
-	if s.loadAge(now) > loadLifetime {
-		return 0
+	if tokens := s.peerTokensAt(now); tokens > 0 || s.loadAge(now) > loadLifetime {
+		return tokens
 	}
-	return s.others
+	return min(s.others, maxForeign.Seconds()*s.prefillRate())
 }
 
 // backlog returns the seconds until own work and that of other instances is
@@ -158,12 +194,12 @@
 			own = now.Sub(s.busyUntil).Seconds()
 		}
 	}
-	return own + min(s.foreign(now)/s.prefillRate()*s.Speed.Factor(), maxForeign.Seconds())
+	return own + s.foreign(now)/s.prefillRate()*s.Speed.Factor()
 }
 
 // deep reports whether new prefills should wait in the queue.
 func (s *Server) deep(now time.Time) bool {
-	return s.busyUntil.Sub(now) > maxBacklog || (s.outstanding > 0 && now.Sub(s.busyUntil) > maxBacklog)
+	return s.backlog(now) > maxBacklog.Seconds() && s.peerTokensAt(now) > 0 || s.busyUntil.Sub(now) > maxBacklog || (s.outstanding > 0 && now.Sub(s.busyUntil) > maxBacklog)
 }
 
 // group holds the servers of one role.
@@ -186,7 +222,7 @@
 }
 
 func (g *group) enter(s *Server) {
-	if s.openAt >= 0 || s.role != g.role || s.limit <= s.inUse || s.unavailable || s.draining || s.gone || s.Spec.Drain {
+	if s.openAt >= 0 || s.role != g.role || s.limit <= s.inUse || s.blocked() {
 		return
 	}
 	s.openAt = len(g.open)
--- /dev/null
+++ b/picker/sharing_test.go
@@ -0,0 +1,121 @@
+package picker
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/egretflow/egretflow"
+)
+
+// sharedPool returns a pool whose slots come from grants: all slots of d0 and
+// the given ones of the prefill servers.
+func sharedPool(granted ...int) *Pool {
+	_, table := testPool(len(granted), 1, nil)
+	p := NewPool(rand.New(rand.NewPCG(1, 2)), true)
+	p.Apply(table, start)
+	expires := start.Add(2 * time.Second)
+	p.Grant(egretflow.Grant{Server: "d0", Slots: 20, ExpiresAt: expires}, start)
+	for n, slots := range granted {
+		p.Grant(egretflow.Grant{Server: table.Servers[n].Name, Slots: slots, ExpiresAt: expires}, start)
+	}
+	return p
+}
+
+// Without a bound on the reserve, instances together overload a prefill server;
+// without the reserve, an important request waits for the next exchange.
+func TestReserveBeyondGrant(t *testing.T) {
+	busy := []egretflow.Backlog{{Server: "p0", Tokens: 3000}}
+	tests := []struct {
+		name       string
+		importance egretflow.Importance
+		after      time.Duration
+		prepare    func(p *Pool)
+		want       int
+	}{
+		{"critical beyond a grant of none", egretflow.ImportanceCritical, 0, func(p *Pool) { p.ApplyBacklogs("b", busy, start) }, 1},
+		{"high on a busy server", egretflow.ImportanceHigh, 0, func(p *Pool) { p.ApplyBacklogs("b", busy, start) }, 0},
+		{"low on an idle server", egretflow.ImportanceLow, 0, nil, 1},
+		{"expired grant", egretflow.ImportanceCritical, 3 * time.Second, nil, 0},
+		{"draining server", egretflow.ImportanceCritical, 0, func(p *Pool) {
+			p.Report(p.servers["p0"], &egretflow.LoadReport{MeasuredAt: start, Draining: true}, start)
+		}, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p := sharedPool(0)
+			if test.prepare != nil {
+				test.prepare(p)
+			}
+			w, now := testWork(300), start.Add(test.after)
+			w.Importance = test.importance
+			started := 0
+			for range 3 {
+				pl, ok := p.Pick(w, Options{}, now)
+				if !ok {
+					break
+				}
+				p.Reserve(&pl, w, now)
+				started++
+			}
+			if started != test.want {
+				t.Errorf("%d prefills started, want %d", started, test.want)
+			}
+		})
+	}
+}
+
+// A choice that ignores the prefills of other instances queues a prompt behind
+// them while another server is idle.
+func TestPeerBacklogCounts(t *testing.T) {
+	tests := []struct {
+		name    string
+		prepare func(p *Pool)
+		after   time.Duration
+		want    float64
+	}{
+		{"sum of two peers", func(p *Pool) {
+			p.ApplyBacklogs("b", []egretflow.Backlog{{Server: "p0", Tokens: 2000}}, start)
+			p.ApplyBacklogs("c", []egretflow.Backlog{{Server: "p0", Tokens: 1000}}, start)
+		}, 0, 0.3},
+		{"computed meanwhile", func(p *Pool) {
+			p.ApplyBacklogs("b", []egretflow.Backlog{{Server: "p0", Tokens: 2000}}, start)
+		}, 50 * time.Millisecond, 0.15},
+		{"replaced by the next message", func(p *Pool) {
+			p.ApplyBacklogs("b", []egretflow.Backlog{{Server: "p0", Tokens: 2000}}, start)
+			p.ApplyBacklogs("b", nil, start)
+		}, 0, 0},
+		{"peer that is no longer heard", func(p *Pool) {
+			p.ApplyBacklogs("b", []egretflow.Backlog{{Server: "p0", Tokens: 20000}}, start)
+		}, 1100 * time.Millisecond, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p := sharedPool(2, 2)
+			test.prepare(p)
+			now := start.Add(test.after)
+			if got := p.servers["p0"].backlog(now); got < test.want-0.001 || got > test.want+0.001 {
+				t.Errorf("backlog %v s, want %v", got, test.want)
+			}
+			if pl, ok := p.Pick(testWork(300), Options{}, now); test.want > 0 && (!ok || pl.Prefill.Spec.Name != "p1") {
+				t.Errorf("picked %v, want the server without a backlog", pl.Prefill)
+			}
+		})
+	}
+}
+
+// Servers that are taken for stragglers because another instance was first lose
+// their capacity for a second or more.
+func TestPromptOfAnotherInstanceIsNoEvidence(t *testing.T) {
+	p := sharedPool(2)
+	p.perPrefill = 3000
+	w := testWork(3000)
+	pl := mustPick(t, p, w, Options{})
+	p.Reserve(&pl, w, start)
+	for _, test := range []struct{ took, want float64 }{{0.3, 1}, {0.6, 1}, {1.2, 3}} {
+		got, ok := pl.PrefillRatio(toDuration(test.took), 3000)
+		if !ok || got < test.want-0.01 || got > test.want+0.01 {
+			t.Errorf("ratio of %v s = %v, want %v", test.took, got, test.want)
+		}
+	}
+}
--- a/picker/totals.go
+++ b/picker/totals.go
@@ -64,6 +64,12 @@
 	}
 }
 
+// counts reports whether the server may be used, or may be granted within the
+// next exchange: an owner has answered for it with no slots.
+func (s *Server) counts(now time.Time) bool {
+	return s.Limit(now) > 0 || !s.expiresAt.IsZero() && !s.expired(now) && !s.blocked()
+}
+
 func (p *Pool) addLanes(now time.Time, suspect bool, add func(ready, rate float64)) int {
 	all := p.prefill.all
 	count := min(len(all), maxLanes)
@@ -72,7 +78,7 @@
 	p.nextLane += count
 	for n := range count {
 		s := all[(p.nextLane+n)%len(all)]
-		if s.Limit(now) > 0 && s.Speed.Suspect() == suspect {
+		if s.counts(now) && s.Speed.Suspect() == suspect {
 			add(s.backlog(now), scale*s.prefillRate()/s.Speed.Factor())
 			added++
 		}
--- a/scheduler/accounting_test.go
+++ b/scheduler/accounting_test.go
@@ -83,6 +83,33 @@
 		if g := m.grants[name]; !m.now.Before(g.ExpiresAt) || a.GrantExpiresAt.After(g.ExpiresAt) {
 			t.Fatalf("work started on %s under grant %+v at %v, GrantExpiresAt %v", name, g, m.now, a.GrantExpiresAt)
 		}
+		m.checkUse(t, a, name)
+	}
+}
+
+// checkUse allows one prefill per server beyond the grant, and one critical
+// request on a single decode server of the instance.
+func (m *model) checkUse(t *rapid.T, a *egretflow.Assignment, name egretflow.ServerName) {
+	limit := m.grants[name].Slots
+	switch {
+	case name == a.Prefill.Name:
+		limit++
+	case a.Work.Importance == egretflow.ImportanceCritical:
+		limit += a.Slots
+	}
+	exceeded, critical := 0, a.Work.Importance == egretflow.ImportanceCritical
+	m.task.pools["letters"].picker.Servers(func(s *picker.Server) {
+		over := s.InUse() > m.grants[s.Spec.Name].Slots
+		if s.Spec.Name == name && s.InUse() > limit {
+			t.Fatalf("%d slots in use on %s, want at most %d", s.InUse(), name, limit)
+		}
+		if over && s.Role() == egretflow.RoleDecode {
+			exceeded++
+		}
+	})
+	s, ok := m.task.pools["letters"].picker.Server(name)
+	if ok && critical && s.Role() == egretflow.RoleDecode && s.InUse() > m.grants[name].Slots && exceeded > 1 {
+		t.Fatalf("work started on %s beyond the grant while %d decode servers exceed theirs", name, exceeded)
 	}
 }
 
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -130,7 +130,7 @@
 // saves the estimate of the wait for most requests of a pool that is not full.
 func (t *task) startAtOnce(w *waiter) bool {
 	p := w.pool
-	if p.queue.Len() > 0 || p.picker.Full() {
+	if p.queue.WaitingBefore(w.work) || p.picker.Full() {
 		return false
 	}
 	pl, ok := p.picker.Pick(w.work, picker.Options{}, t.now)
--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -66,9 +66,9 @@
 }
 
 func (t *task) checkGrant(work *egretflow.Work, s *picker.Server, slots int) {
-	if s.InUse()+slots > s.Limit(t.now) {
+	if limit := s.Ceiling(work, t.now); s.InUse()+slots > limit {
 		t.cfg.Checker.Check(egretflow.InvariantWithinGrant, false, work.Request,
-			fmt.Sprintf("server %s: %d of %d slots in use, %d more taken", s.Spec.Name, s.InUse(), s.Limit(t.now), slots))
+			fmt.Sprintf("server %s: %d of %d slots in use, %d more taken", s.Spec.Name, s.InUse(), limit, slots))
 	}
 }
 
--- a/scheduler/message.go
+++ b/scheduler/message.go
@@ -58,6 +58,14 @@
 		now   time.Time
 		reply chan []egretflow.Demand
 	}
+	prefillLoadMessage struct {
+		now   time.Time
+		reply chan egretflow.PrefillLoad
+	}
+	peerLoadMessage struct {
+		from egretflow.InstanceName
+		load egretflow.PrefillLoad
+	}
 	crashesMessage struct {
 		now   time.Time
 		reply chan []egretflow.CrashReport
@@ -74,3 +82,5 @@
 func (mergeMessage) isMessage()       {}
 func (demandsMessage) isMessage()     {}
 func (crashesMessage) isMessage()     {}
+func (prefillLoadMessage) isMessage() {}
+func (peerLoadMessage) isMessage()    {}
--- a/scheduler/rates.go
+++ b/scheduler/rates.go
@@ -157,6 +157,7 @@
 		p.picker.Lanes(t.now, p.prefill.Add)
 		p.prefill.Prepare(1 - p.rates.trust(served.prefills, t.now)*p.shortfall(served.tokens/rateWindow.Seconds()))
 		c.Prefill = &p.prefill
+		c.Ahead = p.waitingAtPeers(t.now)
 	}
 	return c
 }
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -111,7 +111,7 @@
 	})
 }
 
-// recordRefusal explains a refusal: the reason and by how much the target would
+// recordRefusal explains the refusal of a request or of a hedge: the reason and by how much the target would
 // be missed.
 func (t *task) recordRefusal(work *egretflow.Work, r *egretflow.Refusal, v admitter.Verdict) {
 	fields := []egretflow.EventField{
@@ -129,5 +129,10 @@
 			egretflow.EventField{Key: "FirstTokenMs", Value: x.field(s, 0)},
 			egretflow.EventField{Key: "TargetMs", Value: x.field(s, 1)})
 	}
-	t.record(egretflow.EventRefused, work, nil, fields)
+	name := egretflow.EventRefused
+	if work.Hedge {
+		// The first attempt of the request still runs.
+		name = egretflow.EventHedgeRefused
+	}
+	t.record(name, work, nil, fields)
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -152,6 +152,17 @@
 // ApplyGrants implements egretflow.ExchangeState.
 func (s *Scheduler) ApplyGrants(grants []egretflow.Grant) { s.send(grantsMessage{grants: grants}) }
 
+// PrefillLoad implements egretflow.ExchangeState.
+func (s *Scheduler) PrefillLoad(now time.Time) egretflow.PrefillLoad {
+	m := prefillLoadMessage{now: now, reply: make(chan egretflow.PrefillLoad, 1)}
+	return ask(s, m, m.reply)
+}
+
+// ApplyPrefillLoad implements egretflow.ExchangeState.
+func (s *Scheduler) ApplyPrefillLoad(from egretflow.InstanceName, load egretflow.PrefillLoad) {
+	s.send(peerLoadMessage{from: from, load: load})
+}
+
 // SetUnavailable implements egretflow.ExchangeState. It replaces the set.
 func (s *Scheduler) SetUnavailable(servers []egretflow.ServerName) {
 	s.send(unavailableMessage{servers: servers})
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -34,6 +34,8 @@
 	totals   picker.Totals
 	totalsAt time.Time
 	prefill  admitter.Prefill
+	// peerQueues holds the queues that peers have named.
+	peerQueues map[egretflow.InstanceName]peerQueue
 	// blocked is the head of the queue that did not fit last.
 	blocked *waiter
 	// lastRank is the rank of importance of the last request.
@@ -117,6 +119,10 @@
 		t.setUnavailable(m.servers)
 	case demandsMessage:
 		m.reply <- t.demands(m.now)
+	case prefillLoadMessage:
+		m.reply <- t.prefillLoad(m.now)
+	case peerLoadMessage:
+		t.applyPrefillLoad(m.from, &m.load)
 	case crashesMessage:
 		m.reply <- t.crashes.Reports(m.now)
 	case mergeMessage:
@@ -147,7 +153,10 @@
 		table := &tables.Pools[n]
 		p, ok := previous[table.Name]
 		if !ok {
-			p = &pool{picker: picker.NewPool(t.cfg.Rand, t.cfg.Peers && t.joint()), queue: admitter.NewQueue()}
+			p = &pool{
+				picker: picker.NewPool(t.cfg.Rand, t.cfg.Peers && t.joint()), queue: admitter.NewQueue(),
+				peerQueues: map[egretflow.InstanceName]peerQueue{},
+			}
 		}
 		p.picker.Apply(table, t.now)
 		p.totalsAt = time.Time{}
