Test the exchange of prefill work and the event of a refused hedge

Cause: the new fields of the messages, the count of the work that waits at peers and the event of a refused hedge had no test.

--- a/scheduler/attempt_test.go
+++ b/scheduler/attempt_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -239,3 +240,40 @@
 		t.Errorf("%d of %d requests rejected, want only the one that crashes servers", rejected, requests)
 	}
 }
+
+// eventNames keeps the names of the recorded events.
+type eventNames struct{ list []egretflow.EventName }
+
+func (r *eventNames) Record(e egretflow.Event) { r.list = append(r.list, e.Name) }
+
+// A refused hedge that is recorded as a refused request shows operators an
+// outage that no caller sees.
+func TestRefusedHedgeHasItsOwnEvent(t *testing.T) {
+	for _, hedge := range []bool{false, true} {
+		d, events := newDriver(t, 1, 1), &eventNames{}
+		d.task.cfg.Recorder = events
+		d.acquire(func(w *egretflow.Work) { w.Hedge, w.FirstTokenBy = hedge, d.now.Add(time.Millisecond) })
+		want := egretflow.EventRefused
+		if hedge {
+			want = egretflow.EventHedgeRefused
+		}
+		if !slices.Equal(events.list, []egretflow.EventName{want}) {
+			t.Errorf("hedge %t: events %v, want only %s", hedge, events.list, want)
+		}
+	}
+}
+
+// Work that waits at peers and is not counted admits requests that the peers'
+// more important ones will make late.
+func TestWorkWaitingAtPeersCountsByClass(t *testing.T) {
+	d := newDriver(t, 1, 1)
+	p := d.task.pools["letters"]
+	d.task.handle(peerLoadMessage{from: "b", load: egretflow.PrefillLoad{Queues: []egretflow.Queue{{Pool: "letters", Tokens: [4]int{100, 200, 0, 400}}}}})
+	if got, want := p.waitingAtPeers(d.now), [4]float64{50, 200, 300, 500}; got != want {
+		t.Errorf("ahead %v, want %v", got, want)
+	}
+	d.now = d.now.Add(2 * queueLifetime)
+	if got := p.waitingAtPeers(d.now); got != [4]float64{} {
+		t.Errorf("ahead %v of a peer that is no longer heard, want none", got)
+	}
+}
