Allow for a prompt of another instance in the first-token estimate

Cause: a less important prefill is passed at its engine by more important ones of other instances; its hedge started too early and its prefill was computed twice.

--- a/picker/pick.go
+++ b/picker/pick.go
@@ -146,6 +146,9 @@
 	pl.PrefillBy = now.Add(toDuration(a.seconds + pl.slack))
 	pl.TransferBy = now.Add(toDuration(bestStart + bestTransfer))
 	pl.FirstTokenAt = pl.TransferBy.Add(toDuration(b.seconds))
+	if w.Importance != egretflow.ImportanceCritical {
+		pl.FirstTokenAt = pl.FirstTokenAt.Add(toDuration(pl.slack))
+	}
 	return pl
 }
 
