--- a/picker/doc.go
+++ b/picker/doc.go
@@ -39,6 +39,8 @@
 //     It starts nothing else there until it is within the grant again. So a
 //     server has at most one prefill, or one critical request, per instance more
 //     than its slots; the engine queues it by priority.
-//  8. The baseline policies choose from lagging load reports, reserve nothing
+//  8. Normal and Low leave the last prefill slot free, and a few slots of one
+//     decode server, so that an important request does not wait for them.
+//  9. The baseline policies choose from lagging load reports, reserve nothing
 //     and know no grants. They exist for comparison.
 package picker
--- a/picker/pick.go
+++ b/picker/pick.go
@@ -15,6 +15,14 @@
 	SampleSize = 12
 	// fallbackSize bounds the search for a server with several free slots.
 	fallbackSize = 64
+	// minSlotsToKeep is the number of prefill slots from which on one is kept
+	// from requests of rank firstRankToWait and less important ones.
+	minSlotsToKeep  = 4
+	firstRankToWait = 2
+	// cushionSlots are kept on one decode server when an instance has at least
+	// minSlotsForCushion.
+	cushionSlots       = 2
+	minSlotsForCushion = 16
 	// suspectPenalty in seconds ranks suspect servers behind all others.
 	suspectPenalty = 1e6
 	// probeCost is the time of a probe that fails, in nominal times: three until
@@ -94,7 +102,8 @@
 
 // Pick chooses the servers with the earliest expected first token. It finds
 // none when the best prefill server still has work to do: the request then does
-// better to wait for it than to run elsewhere.
+// better to wait for it than to run elsewhere. The most important class does
+// not wait, because nothing can pass it and the engine lets it pass others.
 func (p *Pool) Pick(w *egretflow.Work, o Options, now time.Time) (Placement, bool) {
 	decodes := p.decodeCandidates(w, o, now)
 	if len(decodes) == 0 {
@@ -107,13 +116,23 @@
 		pl.PrefillBy, pl.TransferBy = now, now
 		return pl, true
 	}
+	if p.keptFree(w) {
+		return Placement{}, false
+	}
 	prefills := p.prefillCandidates(w, o, now)
 	if len(prefills) == 0 {
 		return Placement{}, false
 	}
 	pl := p.bestPair(w, o, prefills, decodes, now)
-	urgent := p.peers && w.Importance == egretflow.ImportanceCritical
-	return pl, o.Healthy || urgent || !pl.Prefill.deep(now)
+	return pl, o.Healthy || w.Importance.Rank() == 0 || !pl.Prefill.deep(now)
+}
+
+// keptFree reports whether the last free prefill slot is kept from w, so that a
+// more important request does not have to wait for an own prefill to end. With
+// few slots that would cost too much capacity.
+func (p *Pool) keptFree(w *egretflow.Work) bool {
+	slots := p.totals.PrefillSlots
+	return slots >= minSlotsToKeep && w.Importance.Rank() >= firstRankToWait && slots-p.prefill.used <= 1
 }
 
 func (p *Pool) bestPair(w *egretflow.Work, o Options, prefills, decodes []candidate, now time.Time) Placement {
@@ -199,6 +218,7 @@
 		return list
 	}
 	g := p.decode
+	kept := p.cushion(w, now)
 	for n := 0; n < len(g.open) && n < fallbackSize && len(list) < SampleSize; {
 		s := p.draw(g, n)
 		free := s.free(now)
@@ -206,7 +226,11 @@
 			g.leave(s)
 			continue
 		}
-		if s != o.Keep && free >= s.SlotsFor(w) && usable(s, w, o, now) {
+		slots := s.SlotsFor(w)
+		if s == kept && slots <= cushionSlots {
+			free -= cushionSlots
+		}
+		if s != o.Keep && free >= slots && usable(s, w, o, now) {
 			list = append(list, p.decodeCandidate(s, w, now))
 		}
 		n++
@@ -218,24 +242,15 @@
 	return list
 }
 
-// decodeReserve lists servers on which w may start beyond the grant, unless the
-// instance already exceeds one (rule 7).
-func (p *Pool) decodeReserve(list []candidate, w *egretflow.Work, o Options, now time.Time) []candidate {
-	all := p.decode.all
-	if w.Importance != egretflow.ImportanceCritical || len(all) == 0 {
-		return list
-	}
-	from := p.rand.IntN(len(all))
-	for n := range min(len(all), fallbackSize) {
-		s := all[(from+n)%len(all)]
-		if s.inUse > s.limit {
-			return list[:0]
-		}
-		if s.inUse+s.SlotsFor(w) <= s.Ceiling(w, now) && usable(s, w, o, now) {
-			list = append(list, p.decodeCandidate(s, w, now))
-		}
+// cushion returns the decode server on which cushionSlots are kept from w, or
+// nil. A long prompt of an important request needs several slots of one server,
+// and waiting for them there takes longer than its target allows. Requests that
+// need more than the cushion are not held back by it, or they might never fit.
+func (p *Pool) cushion(w *egretflow.Work, now time.Time) *Server {
+	if w.Importance.Rank() < firstRankToWait || p.totals.Slots < minSlotsForCushion || p.kind != egretflow.PoolKindModel {
+		return nil
 	}
-	return list
+	return p.Widest(now)
 }
 
 // Widest returns the decode server with the most free slots, among at most
@@ -340,23 +355,6 @@
 	return list
 }
 
-// addReserve adds servers on which w may start beyond the grant (rule 7).
-func (p *Pool) addReserve(list []candidate, matches []match, w *egretflow.Work, o Options, now time.Time) []candidate {
-	all := p.prefill.all
-	if len(all) == 0 {
-		return list
-	}
-	from, added := p.rand.IntN(len(all)), 0
-	for n := 0; n < len(all) && n < fallbackSize && added < SampleSize; n++ {
-		s := all[(from+n)%len(all)]
-		if s.free(now) <= 0 && s.InUse() < s.Ceiling(w, now) && !contains(matches, s) && usable(s, w, o, now) {
-			list = append(list, p.prefillCandidate(s, w, 0, now))
-			added++
-		}
-	}
-	return list
-}
-
 func (p *Pool) prefillCandidate(s *Server, w *egretflow.Work, chunks int, now time.Time) candidate {
 	c := p.linkTerms(s)
 	c.matched = min(chunks*chunkTokens, max(0, w.PromptTokens-1))
--- a/picker/server.go
+++ b/picker/server.go
@@ -199,7 +199,10 @@
 
 // deep reports whether new prefills should wait in the queue.
 func (s *Server) deep(now time.Time) bool {
-	return s.backlog(now) > maxBacklog.Seconds() && s.peerTokensAt(now) > 0 || s.busyUntil.Sub(now) > maxBacklog || (s.outstanding > 0 && now.Sub(s.busyUntil) > maxBacklog)
+	if s.peerTokensAt(now) > 0 && s.backlog(now) > maxBacklog.Seconds() {
+		return true
+	}
+	return s.busyUntil.Sub(now) > maxBacklog || (s.outstanding > 0 && now.Sub(s.busyUntil) > maxBacklog)
 }
 
 // group holds the servers of one role.
