--- a/assembler/config.go
+++ b/assembler/config.go
@@ -60,8 +60,15 @@
 	// Store holds tables and claims; Tables is used if it is nil.
 	Store  egretflow.Store
 	Tables *egretflow.Tables
+	// EngineCommands lets the instance take part in commanding engines, such as
+	// changes of their role (8).
+	EngineCommands bool
 	// ServerTLS is used towards servers of pools with ServerTLS.
 	ServerTLS *tls.Config
+	// WrapScheduler and WrapClaimer, if set, replace what the request path uses
+	// of the scheduler and the claimer. Tests plant faults with them.
+	WrapScheduler func(egretflow.Scheduler) egretflow.Scheduler
+	WrapClaimer   func(egretflow.Claimer) egretflow.Claimer
 }
 
 func (c *Config) check() error {
--- a/assembler/instance.go
+++ b/assembler/instance.go
@@ -92,16 +92,23 @@
 	if i.fleet == nil {
 		return nil
 	}
+	if wrap := i.cfg.WrapClaimer; wrap != nil {
+		return wrap(i.fleet.claimer)
+	}
 	return i.fleet.claimer
 }
 
 // tap returns the scheduler as the request path sees it: load reports that ride
 // on answers also reach the fleet's parts.
 func (i *Instance) tap() egretflow.Scheduler {
-	if i.fleet == nil {
-		return i.Scheduler
+	var tapped egretflow.Scheduler = i.Scheduler
+	if i.fleet != nil {
+		tapped = &loadTap{Scheduler: i.Scheduler, fleet: i.fleet}
 	}
-	return &loadTap{Scheduler: i.Scheduler, fleet: i.fleet}
+	if wrap := i.cfg.WrapScheduler; wrap != nil {
+		return wrap(tapped)
+	}
+	return tapped
 }
 
 func (i *Instance) operatorHandlers() map[string]http.Handler {
@@ -111,10 +118,14 @@
 	return map[string]http.Handler{egretflow.StatusPath: i.fleet.distributor.StatusHandler()}
 }
 
-// Ready reports whether the instance takes new work: it has tables and does not
-// shut down.
+// Ready reports whether the instance takes new work: it has tables and, after
+// its start, capacity, and does not shut down.
 func (i *Instance) Ready() bool {
-	return i.currentTables() != nil && i.frontend.Ready()
+	tables := i.currentTables()
+	if tables == nil || !i.frontend.Ready() {
+		return false
+	}
+	return i.fleet == nil || i.fleet.warm(tables, i.Scheduler)
 }
 
 // Tasks returns the tasks of the instance in their start order.
--- a/picker/reserve.go
+++ b/picker/reserve.go
@@ -156,6 +156,11 @@
 // Computing reports whether the prefill is still running.
 func (pl *Placement) Computing() bool { return pl.computing }
 
+// callOverhead is the time in seconds that a call takes besides the prefill.
+// Without it a prompt of a few tokens, whose prefill takes less than a
+// millisecond, makes any server look slow.
+const callOverhead = 0.010
+
 // PrefillRatio compares an observed prefill time with the nominal time for
 // tokens computed behind the backlog at the start. With peers the slack is no
 // evidence: a short prompt behind a long one of another instance would make its
@@ -165,7 +170,7 @@
 }
 
 func (pl *Placement) prefillRatio(took time.Duration, tokens int, slack float64) (ratio float64, ok bool) {
-	nominal := pl.backlog + float64(tokens)/pl.Prefill.prefillRate()
+	nominal := pl.backlog + float64(tokens)/pl.Prefill.prefillRate() + callOverhead
 	if nominal <= 0 || took <= 0 {
 		return 0, false
 	}
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -123,6 +123,8 @@
 		m.reply <- t.prefillLoad(m.now)
 	case peerLoadMessage:
 		t.applyPrefillLoad(m.from, &m.load)
+	case roleUseMessage:
+		m.reply <- t.roleUse(m.pool)
 	case crashesMessage:
 		m.reply <- t.crashes.Reports(m.now)
 	case mergeMessage:
