--- a/allocator/doc.go
+++ b/allocator/doc.go
@@ -73,4 +73,8 @@
 //
 // While all members have the same list and the same owner there are none, and
 // the sum does not exceed the slots.
+//
+// Holders may start a bounded number of requests beyond their grants (picker
+// rule 7): on each server at most one per holder at a time. They are part of the
+// reported use, so the owner does not grant their slots to others.
 package allocator
--- a/exchanger/doc.go
+++ b/exchanger/doc.go
@@ -22,6 +22,9 @@
 //     changed, and all others at every second heartbeat. When the byte budget
 //     is used up, changes wait for the second heartbeat too. Grants live for
 //     four heartbeats, so one lost message is harmless.
+//     Requests and responses also carry the sender's whole prefill work, on
+//     servers and in queues, so a peer's view of it is at most one heartbeat old
+//     and half of that on the average.
 //  3. At most one exchange per peer is open. A response counts only for it, and
 //     grants are applied only for servers that the request named and that the
 //     peer still owns (allocator rule 2).
--- a/messenger/fuzz_test.go
+++ b/messenger/fuzz_test.go
@@ -46,7 +46,7 @@
 }
 
 func FuzzCommitRequest(f *testing.F) {
-	fuzzDecode(f, &egretflow.CommitRequest{From: "self", Claims: []egretflow.Claim{{
+	fuzzDecode(f, &egretflow.CommitRequest{From: "self", Documents: []string{"d"}, Claims: []egretflow.Claim{{
 		KeyHash: "k", Holder: "self", State: egretflow.ClaimStateDone, ExpiresAt: sentAt,
 		Outcome: &egretflow.Outcome{Status: 200, Body: []byte("done")},
 	}}})
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -119,7 +119,7 @@
 			t.Error("bytes on the connection are not counted")
 		}
 		claim := egretflow.Claim{KeyHash: "k", Holder: "self", State: egretflow.ClaimStateClaimed, ExpiresAt: sentAt.UTC()}
-		committed, err := c.CommitClaims(t.Context(), peerMember, &egretflow.CommitRequest{From: "self", Claims: []egretflow.Claim{claim}})
+		committed, err := c.CommitClaims(t.Context(), peerMember, &egretflow.CommitRequest{From: "self", Claims: []egretflow.Claim{claim}, Documents: []string{"Claims/1/2"}})
 		if err != nil || !reflect.DeepEqual(committed.Results[0].Claim, claim) {
 			t.Errorf("commit returned %+v, %v, want %+v", committed, err, claim)
 		}
@@ -171,9 +171,9 @@
 		{"Crashes", &egretflow.ExchangeRequest{From: "a", Crashes: make([]egretflow.CrashReport, MaxCrashes+1)}},
 		{"Crashes[0].Servers", &egretflow.ExchangeResponse{From: "a", Crashes: []egretflow.CrashReport{{Servers: make([]egretflow.ServerName, MaxCrashServers+1)}}}},
 		{"Grants[0]", &egretflow.ExchangeResponse{From: "a", Grants: []egretflow.Grant{{Server: "x", Slots: MaxSlots + 1}}}},
-		{"Claims[0].KeyHash", &egretflow.CommitRequest{From: "a", Claims: []egretflow.Claim{{}}}},
-		{"Claims[0].State", &egretflow.CommitRequest{From: "a", Claims: []egretflow.Claim{{KeyHash: "k", Holder: "a", State: "Odd"}}}},
-		{"Claims[0].Token", &egretflow.CommitRequest{From: "a", Claims: []egretflow.Claim{{KeyHash: "k", Token: strings.Repeat("x", MaxTextBytes+1)}}}},
+		{"Claims[0].KeyHash", &egretflow.CommitRequest{From: "a", Documents: []string{"d"}, Claims: []egretflow.Claim{{}}}},
+		{"Claims[0].State", &egretflow.CommitRequest{From: "a", Documents: []string{"d"}, Claims: []egretflow.Claim{{KeyHash: "k", Holder: "a", State: "Odd"}}}},
+		{"Claims[0].Token", &egretflow.CommitRequest{From: "a", Documents: []string{"d"}, Claims: []egretflow.Claim{{KeyHash: "k", Token: strings.Repeat("x", MaxTextBytes+1)}}}},
 		{"Results[0].Error", &egretflow.CommitResponse{Results: []egretflow.CommitResult{{Error: "Odd"}}}},
 	}
 	c, err := newCodec(NewNames())
--- a/picker/pick.go
+++ b/picker/pick.go
@@ -74,8 +74,8 @@
 	tokens    float64
 	// backlog is the time in seconds until the prefill was expected to start.
 	backlog float64
-	// slack is the further time in seconds by which other instances may delay
-	// the prefill.
+	// slack is the time in seconds that a prompt of another instance may take
+	// before this one without being known.
 	slack float64
 	bytes int64
 	// What is still reserved: the prefill slot, the prompt tokens, the decode
@@ -90,8 +90,6 @@
 type candidate struct {
 	server  *Server
 	seconds float64
-	// wait is the part of seconds until a prefill starts.
-	wait    float64
 	cached  int
 	matched int
 	// drain is the time until pending transfers on the link are done, perByte
@@ -159,14 +157,17 @@
 		Prefill: a.server, Decode: b.server, Slots: b.server.SlotsFor(w), CachedTokens: a.cached,
 		Suspect: a.suspect || b.suspect, Probe: a.probe || b.probe, Candidates: len(prefills) * len(decodes),
 		startedAt: now, isolated: o.Isolate, matched: a.matched, bytes: bytes,
-		tokens: float64(w.PromptTokens - a.cached), backlog: a.wait,
+		tokens: float64(w.PromptTokens - a.cached), backlog: a.server.backlog(now),
 	}
 	if p.peers {
-		pl.slack = a.server.foreignSlack(p.perPrefill, now)
+		pl.slack = p.perPrefill / a.server.prefillRate()
 	}
-	pl.PrefillBy = now.Add(toDuration(a.seconds))
+	pl.PrefillBy = now.Add(toDuration(a.seconds + pl.slack))
 	pl.TransferBy = now.Add(toDuration(bestStart + bestTransfer))
 	pl.FirstTokenAt = pl.TransferBy.Add(toDuration(b.seconds))
+	if w.Importance != egretflow.ImportanceCritical {
+		pl.FirstTokenAt = pl.FirstTokenAt.Add(toDuration(pl.slack))
+	}
 	return pl
 }
 
@@ -234,6 +235,9 @@
 		}
 		n++
 	}
+	if p.peers && len(list) == 0 {
+		list = p.decodeReserve(list, w, o, now)
+	}
 	p.candidates[0] = list
 	return list
 }
@@ -327,7 +331,7 @@
 	var buffer [maxMatches]match
 	matches := p.prefixes.find(w.Prefix, buffer[:0])
 	for _, m := range matches {
-		if m.server.role == p.prefill.role && m.server.free(now) > 0 && usable(m.server, w, o, now) {
+		if m.server.role == p.prefill.role && m.server.InUse() < m.server.Ceiling(w, now) && usable(m.server, w, o, now) {
 			list = append(list, p.prefillCandidate(m.server, w, m.chunks, now))
 		}
 	}
@@ -344,6 +348,9 @@
 		}
 		n++
 	}
+	if p.peers {
+		list = p.addReserve(list, matches, w, o, now)
+	}
 	p.candidates[1] = list
 	return list
 }
@@ -355,11 +362,20 @@
 	nominal := float64(w.PromptTokens-c.cached) / s.prefillRate()
 	c.suspect = s.Speed.Suspect()
 	c.probe = c.suspect && mayProbe(s, w, nominal, now)
-	c.wait = s.backlog(now) + s.foreignBacklog(w.Importance.Rank(), p.perPrefill, now)
-	c.seconds = c.wait + nominal*c.factor()
+	c.seconds = p.wait(s, w, now) + nominal*c.factor()
 	return c
 }
 
+// wait returns the seconds until s begins with w. With peers a critical request
+// waits for one prompt at most, because the engine takes it before the others.
+func (p *Pool) wait(s *Server, w *egretflow.Work, now time.Time) float64 {
+	backlog := s.backlog(now)
+	if p.peers && w.Importance == egretflow.ImportanceCritical {
+		return min(backlog, p.perPrefill/s.prefillRate()*s.Speed.Factor())
+	}
+	return backlog
+}
+
 func toDuration(seconds float64) time.Duration {
 	return time.Duration(seconds * float64(time.Second))
 }
