--- a/assembler/config.go
+++ b/assembler/config.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/explainer"
 	"github.com/egretflow/egretflow/frontend"
 	"github.com/egretflow/egretflow/messenger"
 	"github.com/egretflow/egretflow/picker"
@@ -36,6 +37,8 @@
 	Incarnation uint64
 	Clock       egretflow.Clock
 	Rand        *rand.Rand
+	// Explainer gets all events; by default one that logs to Logger.
+	Explainer *explainer.Explainer
 	// Logger gets one line per event; nil writes none.
 	Logger *logrus.Logger
 	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
@@ -43,7 +46,9 @@
 
 	Callers        frontend.Identifier
 	CallerListener net.Listener
-	Limits         frontend.Limits
+	// CallerTLS, if set, serves callers over TLS.
+	CallerTLS *tls.Config
+	Limits    frontend.Limits
 
 	Operators        frontend.Identifier
 	OperatorListener net.Listener
@@ -55,6 +60,9 @@
 	// Store holds tables and claims; Tables is used if it is nil.
 	Store  egretflow.Store
 	Tables *egretflow.Tables
+	// EngineCommands lets the instance take part in commanding engines, such as
+	// changes of their role (8).
+	EngineCommands bool
 	// ServerTLS is used towards servers of pools with ServerTLS.
 	ServerTLS *tls.Config
 	// WrapScheduler and WrapClaimer, if set, replace what the request path uses
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -123,7 +123,6 @@
 	defer ticker.Stop()
 	for {
 		t.tick(ctx)
-		// The task changes its own variable while others read the published one.
 		owned := t.owned
 		e.owned.Store(&owned)
 		if err := t.receive(ctx, ticker.C); err != nil {
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"math/rand/v2"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/egretflow/egretflow"
@@ -91,6 +91,8 @@
 	Clock    egretflow.Clock
 	Rand     *rand.Rand
 	Limits   Limits
+	// TLS serves callers over TLS; nil for none.
+	TLS *tls.Config
 }
 
 // Frontend serves callers.
@@ -101,8 +103,7 @@
 	streams streamCounter
 	randMu  sync.Mutex
 
-	draining atomic.Bool
-	open     sync.WaitGroup
+	open *openRequests
 	// handover ends when open answers must end after the current event.
 	handover      context.Context
 	startHandover context.CancelFunc
@@ -111,7 +112,7 @@
 // New returns a Frontend.
 func New(cfg Config) *Frontend {
 	cfg.Limits = cfg.Limits.withDefaults()
-	f := &Frontend{cfg: cfg, bodies: semaphore.NewWeighted(cfg.Limits.MaxTotalBodyBytes), streams: newStreamCounter()}
+	f := &Frontend{cfg: cfg, bodies: semaphore.NewWeighted(cfg.Limits.MaxTotalBodyBytes), streams: newStreamCounter(), open: newOpenRequests()}
 	f.handover, f.startHandover = context.WithCancel(context.Background())
 	f.handler = f.routes()
 	return f
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -23,7 +24,11 @@
 func (f *Frontend) Serve(ctx context.Context, ln net.Listener) error {
 	server := f.newServer()
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(newListener(netutil.LimitListener(ln, f.cfg.Limits.MaxConnections))) }()
+	ln = newListener(netutil.LimitListener(ln, f.cfg.Limits.MaxConnections))
+	if f.cfg.TLS != nil {
+		ln = tls.NewListener(ln, f.cfg.TLS)
+	}
+	go func() { failed <- server.Serve(ln) }()
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serve callers: %w", err)
@@ -52,17 +57,12 @@
 }
 
 // Ready reports whether the instance takes new work.
-func (f *Frontend) Ready() bool { return !f.draining.Load() && f.cfg.Tables() != nil }
+func (f *Frontend) Ready() bool { return !f.open.draining() && f.cfg.Tables() != nil }
 
 // drain rejects new work and waits for open requests.
 func (f *Frontend) drain() {
-	f.draining.Store(true)
+	done := f.open.drain()
 	f.record(egretflow.EventShutdownStarted, "")
-	done := make(chan struct{})
-	go func() {
-		f.open.Wait()
-		close(done)
-	}()
 	timer := time.NewTimer(f.cfg.Limits.DrainTimeout)
 	defer timer.Stop()
 	select {
--- a/internal/loadgen/fleet.go
+++ b/internal/loadgen/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -39,7 +40,9 @@
 	instances []*assembler.Instance
 	urls      []string
 	cancel    context.CancelFunc
-	ended     chan error
+	// stopErr holds the errors with which instances ended.
+	stopErr error
+	ended   chan error
 }
 
 // startFleet starts the platform's stand-ins and the instances, and returns
@@ -173,13 +176,24 @@
 	return nil
 }
 
+// peerBytes returns the bytes that all instances have written to their peers.
+func (f *fleet) peerBytes() int64 {
+	var sum int64
+	for _, inst := range f.instances {
+		written, _ := inst.Bytes()
+		sum += written
+	}
+	return sum
+}
+
 // stop ends the instances and the platform.
 func (f *fleet) stop() {
 	f.cancel()
 	deadline := time.After(stopTimeout)
 	for range f.instances {
 		select {
-		case <-f.ended:
+		case err := <-f.ended:
+			f.stopErr = errors.Join(f.stopErr, err)
 		case <-deadline:
 		}
 	}
--- a/internal/loadgen/run.go
+++ b/internal/loadgen/run.go
@@ -43,7 +43,15 @@
 	if err != nil {
 		return nil, fmt.Errorf("start instances: %w", err)
 	}
-	defer f.stop()
+	result, err := runFleet(ctx, cfg, b, f)
+	f.stop()
+	if err == nil && f.stopErr != nil {
+		err = fmt.Errorf("stop instances: %w", f.stopErr)
+	}
+	return result, err
+}
+
+func runFleet(ctx context.Context, cfg Config, b *backends, f *fleet) (*Result, error) {
 	if err := wait(ctx, settleTime); err != nil {
 		return nil, err
 	}
@@ -74,7 +82,7 @@
 	}
 	finished := make(chan finishedRequest, len(arrivals))
 	var wg sync.WaitGroup
-	start := cfg.Clock()
+	start, written := cfg.Clock(), f.peerBytes()
 	for n := range arrivals {
 		a := &arrivals[n]
 		if err := wait(ctx, start.Add(a.After).Sub(cfg.Clock())); err != nil {
@@ -85,9 +93,13 @@
 			finished <- finishedRequest{a, sentAt, client.Send(ctx, f.urls[a.Instance], a)}
 		})
 	}
+	written = f.peerBytes() - written
+	elapsed := cfg.Clock().Sub(start)
 	wg.Wait()
 	close(finished)
-	return collect(cfg, b, finished), nil
+	r := collect(cfg, b, finished)
+	r.PeerBytesPerSecond = float64(written) / float64(cfg.Instances) / elapsed.Seconds()
+	return r, nil
 }
 
 func collect(cfg Config, b *backends, finished <-chan finishedRequest) *Result {
--- a/relayer/background.go
+++ b/relayer/background.go
@@ -2,25 +2,20 @@
 
 import "sync"
 
-// background runs functions on goroutines of their own. Unlike a
-// sync.WaitGroup, it allows that Go is called during Wait: at shutdown a request
-// whose caller does not read can outlast the server.
+// background counts goroutines that outlive the requests that started them.
+// Unlike with a WaitGroup, a request that is cut at shutdown may start one while
+// Wait runs; Wait returns at the first moment without any.
 type background struct {
-	mu      sync.Mutex
-	running int
-	ended   *sync.Cond
+	mu    sync.Mutex
+	count int
+	// idle is closed when count becomes 0; nil while nobody waits.
+	idle chan struct{}
 }
 
-func newBackground() *background {
-	b := &background{}
-	b.ended = sync.NewCond(&b.mu)
-	return b
-}
-
-// Go runs f.
+// Go runs f on its own goroutine.
 func (b *background) Go(f func()) {
 	b.mu.Lock()
-	b.running++
+	b.count++
 	b.mu.Unlock()
 	go func() {
 		defer b.done()
@@ -31,15 +26,24 @@
 func (b *background) done() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.running--
-	b.ended.Broadcast()
+	b.count--
+	if b.count == 0 && b.idle != nil {
+		close(b.idle)
+		b.idle = nil
+	}
 }
 
-// Wait returns when nothing runs.
+// Wait waits for all goroutines.
 func (b *background) Wait() {
 	b.mu.Lock()
-	defer b.mu.Unlock()
-	for b.running > 0 {
-		b.ended.Wait()
+	if b.count == 0 {
+		b.mu.Unlock()
+		return
+	}
+	if b.idle == nil {
+		b.idle = make(chan struct{})
 	}
+	idle := b.idle
+	b.mu.Unlock()
+	<-idle
 }
--- a/relayer/complete.go
+++ b/relayer/complete.go
@@ -37,7 +37,6 @@
 	// whole text and can continue it on another server.
 	if err := s.start(ctx, s.get); err != nil {
 		s.disconnect()
-		s.finish(context.Canceled)
 		return p.result, gone(err)
 	}
 	return p.run(ctx, s, nil)
@@ -138,9 +137,12 @@
 	}
 	var f *failure
 	if errors.As(err, &f) && f.kind == failureRejected {
+		// The engine does not state that nothing ran.
+		if state == egretflow.RunStateNotRun {
+			state = egretflow.RunStateMayHaveRun
+		}
 		return &egretflow.Refusal{
-			Status: f.status, Reason: egretflow.RefusalBadRequest, RunState: egretflow.RunStateMayHaveRun,
-			Message: f.message, Err: err,
+			Status: f.status, Reason: egretflow.RefusalBadRequest, RunState: state, Message: f.message, Err: err,
 		}
 	}
 	return &egretflow.Refusal{
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -42,18 +42,18 @@
 type Relayer struct {
 	cfg    Config
 	client *client
-	// cleanups counts aborts that are not yet acknowledged.
-	cleanups *background
+	// cleanups counts attempts that are opened or aborted.
+	cleanups background
 	randMu   sync.Mutex
 }
 
 // New returns a Relayer.
 func New(cfg Config) *Relayer {
-	return &Relayer{cfg: cfg, client: newClient(cfg.Dial, cfg.TLS), cleanups: newBackground()}
+	return &Relayer{cfg: cfg, client: newClient(cfg.Dial, cfg.TLS)}
 }
 
 // Close waits until all aborts are acknowledged or have timed out and closes
-// idle connections. No other method may run or be called later.
+// idle connections. Requests that still run are not waited for.
 func (r *Relayer) Close() {
 	r.cleanups.Wait()
 	r.client.close()
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -5,14 +5,12 @@
 	"errors"
 	"fmt"
 	"io"
-	"iter"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/egretflow/egretflow"
 	"github.com/egretflow/egretflow/internal/openai"
-	"github.com/tmaxmax/go-sse"
 )
 
 const (
@@ -20,9 +18,10 @@
 	// (4.9).
 	stallFactor = 10
 	// maxResumes bounds resumes of a stream without progress in between.
-	maxResumes    = 3
-	maxEventBytes = 1 << 20
-	doneEvent     = "[DONE]"
+	maxResumes = 3
+	doneEvent  = "[DONE]"
+	// streamKept is how long an engine keeps a disconnected stream (4.6).
+	streamKept = 3 * time.Second
 )
 
 // stream reads the events of one attempt at one decode server and resumes over
@@ -40,23 +39,28 @@
 	offset   int
 	finished bool
 	usage    bool
-	resumes  int
+	// known says that the engine has answered, and brokeAt is when the connection
+	// failed after the last progress.
+	known   bool
+	brokeAt time.Time
+	resumes int
 	// patience is the time without an event after which the stream is stalled.
 	patience time.Duration
 	// pending holds the chunks that start has read, until next returns them.
 	pending []*openai.Chunk
+	// chunk is the one that next returned last.
+	chunk openai.Chunk
 	// idle is called before a read that may block.
 	idle func() error
 
 	ctx context.Context
-	// finish ends ctx.
-	finish context.CancelCauseFunc
-	// cancel closes the current connection; nil when there is none.
+	// conn is the context of the current connection and cancel closes it; cancel
+	// is nil when there is none.
+	conn   context.Context
 	cancel context.CancelCauseFunc
-	timer  *time.Timer
+	watch  *stallWatch
 	body   io.ReadCloser
-	events func() (sse.Event, error, bool)
-	stop   func()
+	events *eventReader
 }
 
 func newStream(r *Relayer, job *Job, server *egretflow.Server, id egretflow.AttemptID) *stream {
@@ -66,7 +70,7 @@
 // start opens the stream with send and reads up to its first token. Only one
 // resume is allowed before it, so that a stalled KV transfer is given up soon.
 func (s *stream) start(ctx context.Context, send func(context.Context) (*http.Response, error)) error {
-	s.ctx, s.finish = context.WithCancelCause(ctx)
+	s.ctx = ctx
 	s.resumes = maxResumes - 1
 	if err := s.connect(send); err != nil {
 		if !resumable(err) {
@@ -82,11 +86,12 @@
 		if err != nil {
 			return err
 		}
-		read = append(read, c)
+		read = append(read, c.Clone())
 	}
 	s.pending = read
 	s.resumes = 0
 	s.patience = max(minPatience, stallFactor*time.Duration(s.job.Pool.TokenGap))
+	s.watch.setPatience(s.patience)
 	return nil
 }
 
@@ -94,16 +99,17 @@
 func (s *stream) connect(send func(context.Context) (*http.Response, error)) error {
 	s.disconnect()
 	ctx, cancel := context.WithCancelCause(s.ctx)
-	s.cancel = cancel
-	s.timer = time.AfterFunc(s.patience, func() { cancel(errStalled) })
+	s.conn, s.cancel = ctx, cancel
+	s.watch = newStallWatch(s.r.cfg.Clock, s.patience, func() { cancel(errStalled) })
 	resp, err := send(ctx)
 	if err != nil {
 		s.disconnect()
 		return err
 	}
 	s.body = resp.Body
+	s.known = true
 	reader := &watchedReader{stream: s, body: resp.Body}
-	s.events, s.stop = iter.Pull2(iter.Seq2[sse.Event, error](sse.Read(reader, &sse.ReadConfig{MaxEventSize: maxEventBytes})))
+	s.events = newEventReader(reader)
 	return nil
 }
 
@@ -111,7 +117,6 @@
 // it is handed over, the engine keeps it for the instance that resumes it.
 func (s *stream) close(err error) {
 	s.disconnect()
-	s.finish(context.Canceled)
 	ended := err == nil || errors.Is(err, ErrHandedOver)
 	switch {
 	case s.attempt == nil && !ended:
@@ -130,17 +135,17 @@
 	if s.cancel == nil {
 		return
 	}
-	s.timer.Stop()
+	s.watch.stop()
 	s.cancel(context.Canceled)
 	if s.body != nil {
 		s.body.Close()
-		s.stop()
 		s.body = nil
 	}
 	s.cancel = nil
 }
 
-// watchedReader restarts the stall timer at each read of the connection.
+// watchedReader watches for a stall during each read of the connection. It does
+// not watch while the answer is written to a slow caller.
 type watchedReader struct {
 	stream *stream
 	body   io.Reader
@@ -153,8 +158,10 @@
 			return 0, err
 		}
 	}
-	s.timer.Reset(s.patience)
-	return w.body.Read(p)
+	s.watch.begin()
+	n, err := w.body.Read(p)
+	s.watch.end()
+	return n, err //nolint:wrapcheck // io.Reader
 }
 
 // next returns the next chunk, or errComplete after a complete answer. The chunk is
@@ -166,15 +173,12 @@
 		return c, nil
 	}
 	for {
-		event, err, ok := s.events()
-		if !ok {
-			err = errIncomplete
-		}
-		if err == nil && event.Data == doneEvent {
+		id, data, err := s.events.next()
+		if err == nil && string(data) == doneEvent {
 			return nil, s.end()
 		}
 		if err == nil {
-			c, err := s.check(&event)
+			c, err := s.check(id, data)
 			if c != nil || err != nil {
 				return c, err
 			}
@@ -196,8 +200,8 @@
 
 // check returns the chunk of an event if it is the next one, nil if it was
 // read before, or a failure (4.7).
-func (s *stream) check(event *sse.Event) (*openai.Chunk, error) {
-	c, err := openai.ScanChunk([]byte(event.Data))
+func (s *stream) check(id, data []byte) (*openai.Chunk, error) {
+	c, err := openai.ScanChunk(data)
 	if err != nil {
 		return nil, s.mismatch(err.Error())
 	}
@@ -205,8 +209,8 @@
 		return nil, s.mismatch("chunk of another attempt")
 	}
 	offset := s.offset
-	if event.LastEventID != "" {
-		if offset, err = strconv.Atoi(event.LastEventID); err != nil {
+	if len(id) > 0 {
+		if offset, err = strconv.Atoi(string(id)); err != nil {
 			return nil, s.mismatch("event id is not an offset")
 		}
 	}
@@ -222,7 +226,8 @@
 	s.offset = offset
 	s.finished = s.finished || c.Finish() != ""
 	s.usage = s.usage || c.HasUsage()
-	return &c, nil
+	s.chunk = c
+	return &s.chunk, nil
 }
 
 // repeats reports whether a chunk at the current offset was read before. A
