Fuzz what is decoded from outside

Cause: only tables and peer messages had fuzz targets. Callers, engines, the platform's list, the store and key files also send bytes that may be wrong.

Faults found, by running the targets or by a seed written for them, and fixed: - an audit entry with an empty path stopped the process, in Apply and in revert; - a body with both "model" and "MODEL" (or "n" and "N") made the engine run another request than the one that was checked: it is refused with 400; - a decode without kv_transfer_params got a malformed body, and the caller's own kv_transfer_params would have reached the engine; - negative counts in usage and in the load header were taken; - a claim without state was read, and its document could not be read again; - a head without revision was taken as revision 0; - the changes of an edit that left out a list did not reproduce the checksum.

Members inside messages are not checked for spelling yet.

--- a/claimer/document.go
+++ b/claimer/document.go
@@ -66,6 +66,10 @@
 	}
 	d := newDocument()
 	for _, c := range stored.Claims {
+		if c.KeyHash == "" || c.State == "" {
+			// Leaving the record out would let its request run again (7.4).
+			return nil, errors.New("decode claim document: claim without key or state")
+		}
 		if now.After(c.ExpiresAt.Add(KeepMargin)) {
 			continue
 		}
--- a/distributor/store.go
+++ b/distributor/store.go
@@ -169,9 +169,7 @@
 	case err != nil:
 		r.err = fmt.Errorf("read head: %w", err)
 	default:
-		if err := json.Unmarshal(entry.Value, &r.head); err != nil {
-			r.err = fmt.Errorf("decode head: %w", err)
-		}
+		r.head, r.err = decodeHead(entry.Value)
 	}
 	f.sendRead(ctx, r)
 	if r.head.Revision > f.seen {
@@ -180,6 +178,17 @@
 	return nil
 }
 
+func decodeHead(data []byte) (egretflow.TablesHead, error) {
+	var head egretflow.TablesHead
+	if err := json.Unmarshal(data, &head); err != nil {
+		return head, fmt.Errorf("decode head: %w", err)
+	}
+	if head.Revision == 0 {
+		return head, errors.New("decode head: no revision")
+	}
+	return head, nil
+}
+
 func (f *storeFollower) backoff(failures int) time.Duration {
 	wait := maxStoreBackoff
 	if shift := failures - 1; shift < 8 {
--- a/editor/apply.go
+++ b/editor/apply.go
@@ -41,6 +41,7 @@
 func Apply(base *egretflow.Tables, changes []Change) (*egretflow.Tables, error) {
 	next := *base
 	next.Routes, next.Pools = slices.Clone(base.Routes), slices.Clone(base.Pools)
+	withLists(&next)
 	owned := map[egretflow.PoolName]bool{}
 	for _, c := range changes {
 		if err := c.applyTo(&next, owned); err != nil {
@@ -50,6 +51,17 @@
 	return &next, nil
 }
 
+// withLists makes missing lists empty ones, because a change does not tell them
+// apart and their encodings, and so the checksums, differ.
+func withLists(t *egretflow.Tables) {
+	if t.Routes == nil {
+		t.Routes = []egretflow.Route{}
+	}
+	if t.Pools == nil {
+		t.Pools = []egretflow.Pool{}
+	}
+}
+
 func routeName(r *egretflow.Route) string   { return string(r.Name) }
 func poolName(p *egretflow.Pool) string     { return string(p.Name) }
 func serverName(s *egretflow.Server) string { return string(s.Name) }
@@ -58,6 +70,8 @@
 func (c *Change) applyTo(t *egretflow.Tables, owned map[egretflow.PoolName]bool) error {
 	segments := splitPath(c.Path)
 	switch {
+	case len(segments) == 0:
+		return ErrNotReproduced
 	case segments[0] == "Routes" && len(segments) <= 2:
 		return changeList(&t.Routes, segments[1:], c.After, routeName)
 	case segments[0] != "Pools":
--- a/editor/path.go
+++ b/editor/path.go
@@ -47,7 +47,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("encode tables: %w", err)
 	}
-	return DecodeTables(data)
+	next, err := DecodeTables(data)
+	if err != nil {
+		return nil, err
+	}
+	withLists(next)
+	return next, nil
 }
 
 func (s *Step) apply(root any) (any, error) {
--- a/editor/revert.go
+++ b/editor/revert.go
@@ -28,6 +28,10 @@
 }
 
 func (c *Change) undo(root any) (any, error) {
+	segments := splitPath(c.Path)
+	if len(segments) == 0 {
+		return nil, ErrNotReproduced
+	}
 	if c.Before == nil {
 		s := Step{Operation: OperationDelete, Path: c.Path}
 		return s.apply(root)
@@ -36,7 +40,6 @@
 	if err != nil {
 		return nil, err
 	}
-	segments := splitPath(c.Path)
 	keepServers(root, segments, before)
 	return change(root, segments, 0, func(parent any, name, at string) (any, error) {
 		return put(parent, name, at, before)
@@ -57,7 +60,9 @@
 	if err != nil {
 		return
 	}
-	if attributes, ok := before.(map[string]any); ok && attributes["Servers"] == nil {
-		attributes["Servers"] = pool.(map[string]any)["Servers"]
+	attributes, ok := before.(map[string]any)
+	present, isPool := pool.(map[string]any)
+	if ok && isPool && attributes["Servers"] == nil {
+		attributes["Servers"] = present["Servers"]
 	}
 }
--- a/internal/openai/body.go
+++ b/internal/openai/body.go
@@ -44,7 +44,11 @@
 	if r.MaxTokens > 0 {
 		fields[r.tokensField] = json.RawMessage(strconv.Itoa(r.MaxTokens - v.SentTokens))
 	}
-	fields["kv_transfer_params"] = v.Transfer
+	// The caller's own member must not reach an engine either.
+	delete(fields, "kv_transfer_params")
+	if len(v.Transfer) > 0 {
+		fields["kv_transfer_params"] = v.Transfer
+	}
 	return join(fields)
 }
 
--- a/internal/openai/chunk.go
+++ b/internal/openai/chunk.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"time"
 )
@@ -157,6 +158,21 @@
 	CachedTokens int `json:"cached_tokens"`
 }
 
+// UnmarshalJSON refuses negative counts, which would lower the sums that they
+// are added to.
+func (u *Usage) UnmarshalJSON(data []byte) error {
+	type plain Usage
+	var p plain
+	if err := json.Unmarshal(data, &p); err != nil {
+		return err
+	}
+	if p.PromptTokens < 0 || p.CompletionTokens < 0 || p.TotalTokens < 0 || Usage(p).Cached() < 0 {
+		return errors.New("negative number of tokens")
+	}
+	*u = Usage(p)
+	return nil
+}
+
 // Cached returns the cached prompt tokens, 0 when not reported.
 func (u Usage) Cached() int {
 	if u.PromptDetails == nil {
--- a/internal/openai/request.go
+++ b/internal/openai/request.go
@@ -89,6 +89,9 @@
 	if err := json.Unmarshal(body, &r.fields); err != nil {
 		return nil, fieldError(err)
 	}
+	if err := checkSpelling(r.fields); err != nil {
+		return nil, err
+	}
 	r.IncludeUsage = f.StreamOptions != nil && f.StreamOptions.IncludeUsage
 	if err := r.setTokens(&f); err != nil {
 		return nil, err
@@ -96,6 +99,25 @@
 	return r, r.setPrompt(&f)
 }
 
+// members are those that egretflow reads.
+var members = []string{
+	"model", "messages", "prompt", "stream", "n", "max_tokens", "max_completion_tokens", "stream_options",
+}
+
+// checkSpelling refuses members that encoding/json takes for one of those that
+// egretflow reads and an engine does not. With both spellings in a body, an
+// engine would run another request than the one that was checked.
+func checkSpelling(fields map[string]json.RawMessage) error {
+	for key := range fields {
+		for _, name := range members {
+			if key != name && strings.EqualFold(key, name) {
+				return &egretflow.FieldError{Field: key, Reason: "must be written " + name}
+			}
+		}
+	}
+	return nil
+}
+
 // fieldError names the member that has a wrong type, or the whole body.
 func fieldError(err error) error {
 	var wrongType *json.UnmarshalTypeError
--- a/relayer/client.go
+++ b/relayer/client.go
@@ -100,10 +100,24 @@
 
 // observeLoad passes on the load report that a server adds to its answers.
 func (r *Relayer) observeLoad(server *egretflow.Server, resp *http.Response) {
-	text, ok := strings.CutPrefix(resp.Header.Get(loadHeader), "JSON ")
+	report, ok := decodeLoadHeader(resp.Header.Get(loadHeader), server)
 	if !ok {
 		return
 	}
+	now := r.now()
+	report.MeasuredAt = now
+	r.cfg.Scheduler.Observe(egretflow.Observation{
+		Kind: egretflow.ObservationLoad, Server: server.Name, StartedAt: now, EndedAt: now, Load: report,
+	})
+}
+
+// decodeLoadHeader reads the ORCA load report of a server without its time. It
+// reports false if there is none or it makes no sense.
+func decodeLoadHeader(header string, server *egretflow.Server) (*egretflow.LoadReport, bool) {
+	text, ok := strings.CutPrefix(header, "JSON ")
+	if !ok {
+		return nil, false
+	}
 	var report struct {
 		Metrics struct {
 			Running    int `json:"running"`
@@ -112,14 +126,13 @@
 		} `json:"named_metrics"`
 	}
 	if json.Unmarshal([]byte(text), &report) != nil {
-		return
+		return nil, false
 	}
-	now := r.now()
-	r.cfg.Scheduler.Observe(egretflow.Observation{
-		Kind: egretflow.ObservationLoad, Server: server.Name, StartedAt: now, EndedAt: now,
-		Load: &egretflow.LoadReport{
-			Server: server.Name, MeasuredAt: now, Running: report.Metrics.Running, Waiting: report.Metrics.Waiting,
-			FreeBlocks: report.Metrics.FreeBlocks, Role: server.Role,
-		},
-	})
+	m := report.Metrics
+	if m.Running < 0 || m.Waiting < 0 || m.FreeBlocks < 0 {
+		return nil, false
+	}
+	return &egretflow.LoadReport{
+		Server: server.Name, Running: m.Running, Waiting: m.Waiting, FreeBlocks: m.FreeBlocks, Role: server.Role,
+	}, true
 }
--- /dev/null
+++ b/tracker/fuzz_test.go
@@ -0,0 +1,31 @@
+package tracker
+
+import (
+	"testing"
+
+	"github.com/egretflow/egretflow"
+)
+
+// Fuzzes the platform's list: each entry is used or counted as skipped, and what
+// is used has a name, a state and an address.
+func FuzzDecodeList(f *testing.F) {
+	f.Add([]byte(`[{"targets":["10.0.0.1:7001"],"labels":{"Name":"entry-1","FailureDomain":"moshi-lab","Region":"tz-north","Kind":"Instance","State":"Live"}},
+		{"targets":["10.0.0.2:9001"],"labels":{"Name":"o1","Kind":"BackendServer","State":"Leaving"}}, 7]`))
+	f.Add([]byte(`[{"targets":["host:1"],"labels":{"Name":"entry-1","Kind":"Instance","State":"Live"}}, null]`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		l, err := decodeList(data)
+		if err != nil {
+			return
+		}
+		for _, m := range l.members {
+			if egretflow.CheckName("Name", string(m.Name)) != nil || !m.Address.IsValid() || m.State == "" {
+				t.Fatalf("member %+v", m)
+			}
+		}
+		for name, state := range l.servers {
+			if egretflow.CheckName("Name", string(name)) != nil || state == "" {
+				t.Fatalf("server %q is %q", name, state)
+			}
+		}
+	})
+}
