Guard the observations in the tests of the cache follower

Cause: the race detector found that a test emptied the list of observations while the follower's goroutine read it. Change: a mutex, and one function that takes the list. Run: go test -race -count=3 ./cachefollower passes; before, TestBusiestServerRests failed under -race.

--- a/cachefollower/cachefollower_test.go
+++ b/cachefollower/cachefollower_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,6 +26,7 @@
 	hosts    *stubtest.Hosts
 	engines  []*engine.Engine
 	follower *Follower
+	mu       sync.Mutex
 	observed []egretflow.Observation
 }
 
@@ -46,7 +48,11 @@
 		}
 		w.follower = New(Config{
 			Client: w.hosts.Client("10.0.0.9"), Clock: time.Now, Rand: rand.New(rand.NewPCG(1, 1)),
-			Sink: func(o egretflow.Observation) { w.observed = append(w.observed, o) },
+			Sink: func(o egretflow.Observation) {
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				w.observed = append(w.observed, o)
+			},
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan struct{})
@@ -71,16 +77,24 @@
 	}
 }
 
+// takeObserved returns what the sink got since the last call.
+func (w *world) takeObserved() []egretflow.Observation {
+	synctest.Wait()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	observed := w.observed
+	w.observed = nil
+	return observed
+}
+
 // events waits for late events and returns what the sink got since the last
 // call.
 func (w *world) events() []egretflow.CacheEvent {
 	time.Sleep(2*engine.DefaultReportLag + IdleTimeout)
-	synctest.Wait()
 	var events []egretflow.CacheEvent
-	for _, o := range w.observed {
+	for _, o := range w.takeObserved() {
 		events = append(events, o.Cache...)
 	}
-	w.observed = nil
 	return events
 }
 
@@ -101,15 +115,15 @@
 	withWorld(t, 2, -1, func(w *world) {
 		w.prompts(0, 0, 20)
 		time.Sleep(engine.DefaultReportLag / 2)
-		if len(w.observed) != 0 {
-			t.Errorf("%d observations before the lag", len(w.observed))
+		if early := w.takeObserved(); len(early) != 0 {
+			t.Errorf("%d observations before the lag", len(early))
 		}
 		time.Sleep(engine.DefaultReportLag)
-		synctest.Wait()
-		if len(w.observed) != 1 || w.observed[0].Server != "p0" || w.observed[0].Kind != egretflow.ObservationCache || len(w.observed[0].Cache) != 20 {
-			t.Fatalf("observations %+v", w.observed)
+		observed := w.takeObserved()
+		if len(observed) != 1 || observed[0].Server != "p0" || observed[0].Kind != egretflow.ObservationCache || len(observed[0].Cache) != 20 {
+			t.Fatalf("observations %+v", observed)
 		}
-		if e := w.observed[0].Cache[0]; e.Type != egretflow.CacheEventStored || len(e.Hashes) != 1 {
+		if e := observed[0].Cache[0]; e.Type != egretflow.CacheEventStored || len(e.Hashes) != 1 {
 			t.Errorf("event %+v", e)
 		}
 	})
