Follow the slow interval of the poller in its test

Cause: SlowInterval went from 2 s to 1.25 s so that a draining server is noticed in time, and the test still expected 5 readings in 10 s. Change: the expected number follows from the constant; it stays exact.

--- a/poller/poller_test.go
+++ b/poller/poller_test.go
@@ -33,7 +33,7 @@
 	}{
 		{"owned", egretflow.PoolKindModel, false, false, 10},
 		{"grants wait", egretflow.PoolKindModel, true, true, 20},
-		{"traffic carries the load", egretflow.PoolKindModel, false, true, 5},
+		{"traffic carries the load", egretflow.PoolKindModel, false, true, int(10 * time.Second / SlowInterval)},
 		{"plain service", egretflow.PoolKindService, true, false, 0},
 	}
 	for _, test := range tests {
