--- a/cachefollower/task.go
+++ b/cachefollower/task.go
@@ -216,7 +216,7 @@
 	t.streams.Go(func() {
 		err := c.read(streamCtx)
 		select {
-		case t.messages <- endMessage{s.share.Server.Name, err}:
+		case t.messages <- endMessage{c.share.Server.Name, err}:
 		case <-ctx.Done():
 			cancel()
 		}
--- a/exchanger/cluster_test.go
+++ b/exchanger/cluster_test.go
@@ -137,7 +137,7 @@
 		Rand: rand.New(rand.NewPCG(1, incarnation)), Recorder: n, State: n,
 	})
 	n.exchanger = exchanger.New(exchanger.Config{
-		Self: n.member, Incarnation: incarnation, Clock: clock, Rand: n.rand, Recorder: n,
+		Self: n.member, Incarnation: incarnation, Clock: clock, Rand: rand.New(rand.NewPCG(2, incarnation)), Recorder: n,
 		Peers: client, State: n, Tables: n, Members: n.tracker, Hints: n, Budget: n.meter, OnPlan: n.usePlan,
 	})
 	loads := poller.New(poller.Config{
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,6 +17,8 @@
 
 // platform serves a list that a test changes, and takes what the tracker says.
 type platform struct {
+	// mu orders the changes of a test before the reads of the list.
+	mu          sync.Mutex
 	body        string
 	status      int
 	unavailable []egretflow.ServerName
@@ -23,6 +26,8 @@
 }
 
 func (p *platform) RoundTrip(r *http.Request) (*http.Response, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	return &http.Response{StatusCode: p.status, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(p.body)), Request: r}, nil
 }
 
@@ -33,7 +38,13 @@
 	return fmt.Sprintf(`{"targets": ["10.0.0.2:7000"], "labels": {"Kind": %q, "Name": %q, "State": %q, "FailureDomain": "d", "Region": "r"}}`, kind, name, state)
 }
 
-func (p *platform) set(entries ...string) { p.status, p.body = 200, "["+strings.Join(entries, ",")+"]" }
+func (p *platform) set(entries ...string) { p.answer(200, "["+strings.Join(entries, ",")+"]") }
+
+func (p *platform) answer(status int, body string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.status, p.body = status, body
+}
 
 // run starts a tracker in virtual time; wait lets one read of the list pass.
 func run(t *testing.T, f func(t *testing.T, tr *Tracker, p *platform, wait func())) {
@@ -76,7 +87,7 @@
 			{"answered", func() { answer(5, false) }, "a:Live:true b:Live:true"},
 			{"answer of an older process", func() { answer(4, true) }, "a:Live:true b:Live:true"},
 			{"dropped from the list but answering", func() { p.set(); wait(); answer(5, false); wait() }, "a:Live:true b:Live:true"},
-			{"list fails", func() { p.status = 500; answer(5, false); wait() }, "a:Live:true b:Live:true"},
+			{"list fails", func() { p.answer(500, ""); answer(5, false); wait() }, "a:Live:true b:Live:true"},
 			{"said that it leaves", func() { answer(5, true) }, "a:Live:true b:Leaving:true"},
 			{"restarted", func() { answer(6, false) }, "a:Live:true b:Live:true"},
 			{"silent", func() {
