Lock the platform of the tracker tests

Cause: the test read what the tracker's goroutine had written without order, as the race detector reported.

--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -31,8 +31,29 @@
 	return &http.Response{StatusCode: p.status, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(p.body)), Request: r}, nil
 }
 
-func (p *platform) SetUnavailable(servers []egretflow.ServerName) { p.unavailable = servers }
-func (p *platform) Record(e egretflow.Event)                      { p.events = append(p.events, e.Name) }
+func (p *platform) SetUnavailable(servers []egretflow.ServerName) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unavailable = servers
+}
+
+func (p *platform) isUnavailable(server egretflow.ServerName) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Contains(p.unavailable, server)
+}
+
+func (p *platform) Record(e egretflow.Event) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.events = append(p.events, e.Name)
+}
+
+func (p *platform) recorded() []egretflow.EventName {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.events)
+}
 
 func entry(kind, name, state string) string {
 	return fmt.Sprintf(`{"targets": ["10.0.0.2:7000"], "labels": {"Kind": %q, "Name": %q, "State": %q, "FailureDomain": "d", "Region": "r"}}`, kind, name, state)
@@ -104,8 +125,8 @@
 			}
 		}
 		want := []egretflow.EventName{egretflow.EventMemberJoined, egretflow.EventMemberLost, egretflow.EventMemberJoined, egretflow.EventMemberLost}
-		if !slices.Equal(p.events, want) {
-			t.Errorf("events are %v, want %v", p.events, want)
+		if got := p.recorded(); !slices.Equal(got, want) {
+			t.Errorf("events are %v, want %v", got, want)
 		}
 	})
 }
@@ -135,7 +156,7 @@
 		}
 		for _, step := range steps {
 			step.do()
-			if got := slices.Contains(p.unavailable, "s"); got != step.want {
+			if got := p.isUnavailable("s"); got != step.want {
 				t.Errorf("%s: unavailable is %v, want %v", step.name, got, step.want)
 			}
 		}
