--- a/assembler/fleet.go
+++ b/assembler/fleet.go
@@ -34,6 +34,7 @@
 	exchanger   *exchanger.Exchanger
 	poller      *poller.Poller
 	follower    *cachefollower.Follower
+	slice       *sliceFollower
 	claimer     *claimer.Claimer
 	// commander is nil unless the instance commands engines.
 	commander *commander.Commander
@@ -69,7 +70,7 @@
 
 func newFleet(i *Instance) (*fleet, error) {
 	cfg := &i.cfg
-	f := &fleet{cfg: cfg, meter: messenger.NewMeter(messenger.BudgetBytesPerSecond, cfg.Clock), names: messenger.NewNames()}
+	f := &fleet{cfg: cfg, meter: messenger.NewMeter(messenger.BudgetBytesPerSecond, cfg.Clock), names: messenger.NewNames(), slice: newSliceFollower()}
 	f.warmBy = cfg.Clock().Add(warmTimeout)
 	if err := f.addMessenger(i); err != nil {
 		return nil, err
@@ -89,7 +90,10 @@
 	f.exchanger = exchanger.New(exchanger.Config{
 		Self: cfg.Self, Incarnation: cfg.Incarnation, Clock: cfg.Clock, Rand: cfg.newRand(), Recorder: i.Explainer,
 		Peers: f.client, State: i.Scheduler, Tables: f.distributor, Members: f.tracker, Hints: f.distributor, Budget: f.meter,
-		OnPlan: func(p slicer.Plan) { f.follower.SetServers(p.Servers) },
+		OnPlan: func(p slicer.Plan) {
+			f.follower.SetServers(p.Servers)
+			f.slice.setPlan(p)
+		},
 	})
 	f.poller = poller.New(f.pollerConfig(i))
 	var err error
--- a/assembler/instance.go
+++ b/assembler/instance.go
@@ -149,8 +149,13 @@
 	}})
 }
 
-// followTables applies each revision to the scheduler.
+// followTables applies each revision to the scheduler, in a fleet only what
+// belongs to the own slice.
 func (i *Instance) followTables(ctx context.Context) error {
+	if i.fleet != nil {
+		i.tables.Subscribe(i.fleet.slice.setTables)
+		return i.fleet.slice.run(ctx, i.Scheduler.Apply)
+	}
 	i.tables.Subscribe(i.Scheduler.Apply)
 	<-ctx.Done()
 	return nil
