--- a/cmd/egretload/main.go
+++ b/cmd/egretload/main.go
@@ -35,6 +35,7 @@
 	Seed       uint64          `help:"Seed of the first run." default:"1"`
 	Runs       int             `help:"Number of runs with successive seeds." default:"1"`
 	JSON       bool            `help:"Print one JSON object per result in place of a table."`
+	Results    string          `help:"Read the results of earlier runs from this file of JSON objects in place of running." type:"existingfile"`
 	Plot       string          `help:"Write a plot of the goodput to this SVG or PNG file."`
 	Log        bool            `help:"Write the events of the instances to standard error."`
 }
@@ -49,7 +50,11 @@
 }
 
 func (f *flags) run(ctx context.Context) error {
-	results, err := f.results(ctx)
+	measure := f.results
+	if f.Results != "" {
+		measure = f.read
+	}
+	results, err := measure(ctx)
 	if err != nil {
 		return err
 	}
@@ -64,6 +69,16 @@
 	return loadgen.WriteTable(os.Stdout, results)
 }
 
+// read returns the results of earlier runs.
+func (f *flags) read(context.Context) ([]*loadgen.Result, error) {
+	file, err := os.Open(f.Results)
+	if err != nil {
+		return nil, fmt.Errorf("open results: %w", err)
+	}
+	defer file.Close()
+	return loadgen.ReadJSON(file)
+}
+
 // results runs every shape, seed and policy one after the other, so that runs
 // do not compete for processors.
 func (f *flags) results(ctx context.Context) ([]*loadgen.Result, error) {
--- a/internal/loadgen/report.go
+++ b/internal/loadgen/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -38,6 +39,22 @@
 	return nil
 }
 
+// ReadJSON reads what WriteJSON wrote.
+func ReadJSON(r io.Reader) ([]*Result, error) {
+	var results []*Result
+	for dec := json.NewDecoder(r); ; {
+		var result Result
+		err := dec.Decode(&result)
+		if errors.Is(err, io.EOF) {
+			return results, nil
+		}
+		if err != nil {
+			return nil, fmt.Errorf("decode result: %w", err)
+		}
+		results = append(results, &result)
+	}
+}
+
 // Spread is the mean of a measure over runs with its lowest and highest value.
 type Spread struct {
 	Mean, Lowest, Highest float64
