--- a/assembler/fleet.go
+++ b/assembler/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"sync/atomic"
@@ -20,6 +19,7 @@
 	"github.com/egretflow/egretflow/slicer"
 	"github.com/egretflow/egretflow/supervisor"
 	"github.com/egretflow/egretflow/tracker"
+	"github.com/pkg/errors"
 )
 
 // fleet is the part of an instance that works with other instances.
--- a/cachefollower/stream.go
+++ b/cachefollower/stream.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -12,6 +11,7 @@
 	"github.com/egretflow/egretflow"
 	"github.com/egretflow/egretflow/internal/sse"
 	"github.com/egretflow/egretflow/slicer"
+	"github.com/pkg/errors"
 )
 
 // maxBatch bounds the events read together.
--- a/cachefollower/task.go
+++ b/cachefollower/task.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"sync"
 	"syscall"
@@ -10,6 +9,7 @@
 
 	"github.com/egretflow/egretflow"
 	"github.com/egretflow/egretflow/slicer"
+	"github.com/pkg/errors"
 )
 
 // followed is the state of one server.
--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"strconv"
 	"sync"
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/pkg/errors"
 
 	"github.com/egretflow/egretflow"
 )
--- a/claimer/committer.go
+++ b/claimer/committer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"slices"
 	"strconv"
@@ -11,6 +10,7 @@
 
 	"github.com/egretflow/egretflow"
 	"github.com/egretflow/egretflow/internal/rendezvous"
+	"github.com/pkg/errors"
 )
 
 // committersPerShard is how many members are asked to commit before an
--- a/claimer/document.go
+++ b/claimer/document.go
@@ -2,11 +2,11 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"time"
 
 	"github.com/egretflow/egretflow"
+	"github.com/pkg/errors"
 )
 
 const (
--- a/claimer/sweep.go
+++ b/claimer/sweep.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 
 	"github.com/egretflow/egretflow"
+	"github.com/pkg/errors"
 )
 
 // sweepMark is the last bucket of a shard whose document was deleted. It is
--- a/claimer/writer.go
+++ b/claimer/writer.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"slices"
 	"time"
 
 	"github.com/egretflow/egretflow"
+	"github.com/pkg/errors"
 )
 
 // operation is one claim or update that waits for a document.
--- a/cmd/egretctl/main.go
+++ b/cmd/egretctl/main.go
@@ -25,7 +25,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -34,6 +33,7 @@
 
 	"github.com/alecthomas/kong"
 	"github.com/egretflow/egretflow"
+	"github.com/pkg/errors"
 )
 
 // The exit statuses.
--- a/cmd/egretctl/tables.go
+++ b/cmd/egretctl/tables.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"os"
 
 	"github.com/egretflow/egretflow"
 	"github.com/egretflow/egretflow/editor"
+	"github.com/pkg/errors"
 )
 
 type tablesCommand struct {
--- a/cmd/egretload/main.go
+++ b/cmd/egretload/main.go
@@ -75,7 +75,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("open results: %w", err)
 	}
-	defer file.Close()
+	defer func() { _ = file.Close() }()
 	return loadgen.ReadJSON(file)
 }
 
--- a/cmd/egretstub/main.go
+++ b/cmd/egretstub/main.go
@@ -14,7 +14,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"net/netip"
@@ -23,6 +22,7 @@
 	"time"
 
 	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/egretflow/egretflow/internal/stub/fault"
--- a/commander/command.go
+++ b/commander/command.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"strconv"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/egretflow/egretflow"
--- a/commander/engine.go
+++ b/commander/engine.go
@@ -4,12 +4,12 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
 
 	"github.com/egretflow/egretflow"
+	"github.com/pkg/errors"
 )
 
 // errStale means that an engine has obeyed a higher fencing token.
--- a/commander/lease.go
+++ b/commander/lease.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/pkg/errors"
 
 	"github.com/egretflow/egretflow"
 )
--- a/commander/pool.go
+++ b/commander/pool.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"strconv"
 	"sync"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/egretflow/egretflow"
--- a/distributor/store.go
+++ b/distributor/store.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -11,6 +10,7 @@
 
 	"github.com/egretflow/egretflow"
 	"github.com/egretflow/egretflow/editor"
+	"github.com/pkg/errors"
 )
 
 // errSilentWatch means that the head was ahead of the watch.
--- a/editor/apply.go
+++ b/editor/apply.go
@@ -2,13 +2,13 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"slices"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/egretflow/egretflow"
+	"github.com/pkg/errors"
 )
 
 // ErrNotReproduced means that the changes of an entry do not lead to the
--- a/editor/decode.go
+++ b/editor/decode.go
@@ -3,13 +3,13 @@
 import (
 	"encoding"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"maps"
 	"reflect"
 	"slices"
 
 	"github.com/egretflow/egretflow"
+	"github.com/pkg/errors"
 )
 
 // DecodeTables decodes tables and names the exact field in its error, which
--- a/editor/editor.go
+++ b/editor/editor.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/cespare/xxhash/v2"
 	"github.com/egretflow/egretflow"
+	"github.com/pkg/errors"
 )
 
 // Bounds of the texts that an operator gives.
--- a/errors.go
+++ b/errors.go
@@ -1,9 +1,10 @@
 package egretflow
 
 import (
-	"errors"
 	"fmt"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Errors that callers of this module test for with errors.Is.
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync/atomic"
@@ -11,6 +10,7 @@
 	"github.com/egretflow/egretflow"
 	"github.com/egretflow/egretflow/slicer"
 	"github.com/egretflow/egretflow/tracker"
+	"github.com/pkg/errors"
 )
 
 const (
--- a/frontend/answer.go
+++ b/frontend/answer.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -11,6 +10,7 @@
 	"github.com/egretflow/egretflow/internal/openai"
 	"github.com/egretflow/egretflow/relayer"
 	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
 )
 
 // answer writes the chunks of a relayer to a caller.
--- a/frontend/completion.go
+++ b/frontend/completion.go
@@ -1,7 +1,6 @@
 package frontend
 
 import (
-	"errors"
 	"net/http"
 	"time"
 
@@ -11,6 +10,7 @@
 	"github.com/egretflow/egretflow/recorder"
 	"github.com/egretflow/egretflow/relayer"
 	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
 )
 
 // assumedTokens is the estimate of the answer's length when the caller sets no
--- a/frontend/limits.go
+++ b/frontend/limits.go
@@ -1,7 +1,6 @@
 package frontend
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -11,6 +10,7 @@
 
 	"github.com/egretflow/egretflow"
 	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
 )
 
 // streamCounter counts the open requests of each caller.
--- a/frontend/listener.go
+++ b/frontend/listener.go
@@ -1,11 +1,12 @@
 package frontend
 
 import (
-	"errors"
 	"net"
 	"os"
 	"sync/atomic"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // errSlow replaces the timeout of a read. net/http closes a connection whose
--- a/frontend/refusal.go
+++ b/frontend/refusal.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math"
 	"net/http"
 	"strconv"
@@ -10,6 +9,7 @@
 
 	"github.com/egretflow/egretflow"
 	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
 )
 
 // Response headers (4.2).
--- a/frontend/request.go
+++ b/frontend/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"regexp"
@@ -13,6 +12,7 @@
 	"github.com/egretflow/egretflow/authenticator"
 	"github.com/egretflow/egretflow/explainer"
 	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
 )
 
 // request is what is known of an HTTP request before its body.
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -1,7 +1,6 @@
 package frontend
 
 import (
-	"errors"
 	"net/http"
 	"slices"
 	"strings"
@@ -9,6 +8,7 @@
 	"github.com/egretflow/egretflow"
 	"github.com/egretflow/egretflow/relayer"
 	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
 )
 
 // maxKeyBytes bounds an Idempotency-Key.
--- a/internal/fakestore/fakestore.go
+++ b/internal/fakestore/fakestore.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -14,6 +13,7 @@
 	"time"
 
 	"github.com/egretflow/egretflow"
+	"github.com/pkg/errors"
 )
 
 // Faults are the faults in force.
--- a/internal/faultrun/caller.go
+++ b/internal/faultrun/caller.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -14,6 +13,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 
 	"github.com/egretflow/egretflow"
 	"github.com/egretflow/egretflow/internal/stub/engine"
--- a/internal/faultrun/edits.go
+++ b/internal/faultrun/edits.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"strconv"
@@ -11,6 +10,7 @@
 
 	"github.com/egretflow/egretflow"
 	"github.com/egretflow/egretflow/editor"
+	"github.com/pkg/errors"
 )
 
 // acceptedEdit is an edit that its operator knows to be accepted.
--- a/internal/faultrun/instance.go
+++ b/internal/faultrun/instance.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -20,6 +19,7 @@
 	"github.com/egretflow/egretflow/internal/stub/lister"
 	"github.com/egretflow/egretflow/messenger"
 	"github.com/egretflow/egretflow/supervisor"
+	"github.com/pkg/errors"
 )
 
 const (
--- a/internal/loadgen/backend.go
+++ b/internal/loadgen/backend.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -12,6 +11,7 @@
 
 	"github.com/egretflow/egretflow"
 	"github.com/egretflow/egretflow/internal/stub/engine"
+	"github.com/pkg/errors"
 )
 
 const poolName egretflow.PoolName = "engines"
--- a/internal/loadgen/report.go
+++ b/internal/loadgen/report.go
@@ -2,13 +2,13 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"math"
 	"text/tabwriter"
 
 	"github.com/egretflow/egretflow"
+	"github.com/pkg/errors"
 )
 
 // WriteTable prints one line per result.
--- a/internal/openai/chunk.go
+++ b/internal/openai/chunk.go
@@ -3,9 +3,10 @@
 import (
 	"bytes"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Chunk is what egretflow reads of one data event of a stream. The slices point
--- a/internal/openai/request.go
+++ b/internal/openai/request.go
@@ -2,11 +2,11 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"strings"
 
 	"github.com/egretflow/egretflow"
+	"github.com/pkg/errors"
 )
 
 // Endpoint is one of the two completion endpoints.
--- a/internal/openai/scan.go
+++ b/internal/openai/scan.go
@@ -3,7 +3,8 @@
 import (
 	"bytes"
 	"encoding/json"
-	"errors"
+
+	"github.com/pkg/errors"
 )
 
 // errSyntax means that a chunk is not a JSON value of the expected shape.
--- a/internal/pipenet/conn.go
+++ b/internal/pipenet/conn.go
@@ -1,7 +1,6 @@
 package pipenet
 
 import (
-	"errors"
 	"io"
 	"net"
 	"net/netip"
@@ -9,6 +8,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // listener is a net.Listener of a network.
--- a/internal/pipenet/network.go
+++ b/internal/pipenet/network.go
@@ -28,7 +28,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/netip"
@@ -38,6 +37,7 @@
 	"time"
 
 	"github.com/egretflow/egretflow"
+	"github.com/pkg/errors"
 )
 
 const (
--- a/internal/sse/reader.go
+++ b/internal/sse/reader.go
@@ -12,9 +12,10 @@
 import (
 	"bufio"
 	"bytes"
-	"errors"
 	"fmt"
 	"io"
+
+	"github.com/pkg/errors"
 )
 
 const (
--- a/messenger/client.go
+++ b/messenger/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"fmt"
 	"net"
 	"net/netip"
@@ -11,6 +10,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/pkg/errors"
 
 	"github.com/egretflow/egretflow"
 )
--- a/messenger/server.go
+++ b/messenger/server.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/pkg/errors"
 
 	"github.com/egretflow/egretflow"
 )
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -13,6 +12,7 @@
 
 	"github.com/egretflow/egretflow"
 	"github.com/egretflow/egretflow/internal/openai"
+	"github.com/pkg/errors"
 )
 
 const (
--- a/relayer/call.go
+++ b/relayer/call.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -13,6 +12,7 @@
 	"time"
 
 	"github.com/egretflow/egretflow"
+	"github.com/pkg/errors"
 )
 
 const (
--- a/relayer/client.go
+++ b/relayer/client.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -16,6 +15,7 @@
 	"time"
 
 	"github.com/egretflow/egretflow"
+	"github.com/pkg/errors"
 )
 
 const (
--- a/relayer/complete.go
+++ b/relayer/complete.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/egretflow/egretflow"
+	"github.com/pkg/errors"
 )
 
 // Complete runs a model request and passes its answer to job.Sink.
--- a/relayer/failure.go
+++ b/relayer/failure.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
 
 	"github.com/egretflow/egretflow"
+	"github.com/pkg/errors"
 )
 
 // failureKind says why an attempt failed.
--- a/relayer/once.go
+++ b/relayer/once.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"time"
 
 	"github.com/egretflow/egretflow"
+	"github.com/pkg/errors"
 )
 
 const (
--- a/relayer/progress.go
+++ b/relayer/progress.go
@@ -1,13 +1,13 @@
 package relayer
 
 import (
-	"errors"
 	"fmt"
 	"sync/atomic"
 	"time"
 
 	"github.com/egretflow/egretflow"
 	"github.com/egretflow/egretflow/internal/openai"
+	"github.com/pkg/errors"
 )
 
 const (
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -11,6 +10,7 @@
 
 	"github.com/egretflow/egretflow"
 	"github.com/egretflow/egretflow/internal/openai"
+	"github.com/pkg/errors"
 )
 
 // ErrHandedOver ends an answer after a complete event because the instance
--- a/relayer/release.go
+++ b/relayer/release.go
@@ -4,13 +4,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"time"
 
 	"github.com/egretflow/egretflow"
+	"github.com/pkg/errors"
 )
 
 const (
--- a/relayer/resume.go
+++ b/relayer/resume.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"net/url"
 	"strconv"
 
 	"github.com/egretflow/egretflow"
+	"github.com/pkg/errors"
 )
 
 // resume replaces a connection that failed with cause by a new one that
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -12,6 +11,7 @@
 	"github.com/egretflow/egretflow"
 	"github.com/egretflow/egretflow/internal/openai"
 	"github.com/egretflow/egretflow/internal/sse"
+	"github.com/pkg/errors"
 )
 
 const (
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"time"
 
 	"github.com/egretflow/egretflow"
 	"github.com/egretflow/egretflow/picker"
+	"github.com/pkg/errors"
 )
 
 // Config holds the settings of a Scheduler.
--- a/storeclient/client.go
+++ b/storeclient/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -10,6 +9,7 @@
 	"time"
 
 	"github.com/egretflow/egretflow"
+	"github.com/pkg/errors"
 )
 
 // DefaultCallTimeout bounds one call. The store answers in milliseconds; a
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -21,10 +21,10 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 
 	"github.com/oklog/run"
+	"github.com/pkg/errors"
 )
 
 // Task is one part of the process.
