--- a/assembler/config.go
+++ b/assembler/config.go
@@ -118,11 +118,6 @@
 	}}
 }
 
-// tablesSource is what an instance needs of the holder of the tables.
-type tablesSource interface {
-	egretflow.TablesHolder
-}
-
 // staticTables holds tables that never change.
 type staticTables struct{ inForce egretflow.TablesInForce }
 
--- a/assembler/instance.go
+++ b/assembler/instance.go
@@ -32,7 +32,10 @@
 	relayer  *relayer.Relayer
 	frontend *frontend.Frontend
 	operator *frontend.Operator
-	tables   tablesSource
+	tables   egretflow.TablesHolder
+	// tablesFollowed is closed once the scheduler has the tables of a single
+	// instance; a request that came earlier would find no pool.
+	tablesFollowed chan struct{}
 	// fleet is nil for a single instance.
 	fleet *fleet
 }
@@ -42,7 +45,7 @@
 	if err := cfg.check(); err != nil {
 		return nil, fmt.Errorf("check settings: %w", err)
 	}
-	i := &Instance{cfg: cfg, Explainer: cfg.Explainer}
+	i := &Instance{cfg: cfg, Explainer: cfg.Explainer, tablesFollowed: make(chan struct{})}
 	if i.Explainer == nil {
 		i.Explainer = explainer.New(explainer.DefaultEvents, cfg.Logger)
 	}
@@ -133,7 +136,7 @@
 	tasks := []supervisor.Task{
 		{Name: "explainer", Run: i.Explainer.Run},
 		{Name: "scheduler", Run: i.Scheduler.Run},
-		{Name: "tables", Run: i.followTables},
+		{Name: "tables", Run: i.followTables, Ready: i.tablesFollowed},
 	}
 	if i.fleet != nil {
 		tasks = append(tasks, i.fleet.tasks()...)
@@ -154,9 +157,11 @@
 func (i *Instance) followTables(ctx context.Context) error {
 	if i.fleet != nil {
 		i.tables.Subscribe(i.fleet.slice.setTables)
+		close(i.tablesFollowed)
 		return i.fleet.slice.run(ctx, i.Scheduler.Apply)
 	}
 	i.tables.Subscribe(i.Scheduler.Apply)
+	close(i.tablesFollowed)
 	<-ctx.Done()
 	return nil
 }
