Check required settings in one place

Cause: three configurations repeated the same loop over missing fields. Change: egretflow.CheckRequired; claimer, commander and assembler use it.

--- a/assembler/config.go
+++ b/assembler/config.go
@@ -75,25 +75,17 @@
 }
 
 func (c *Config) check() error {
-	for _, f := range []struct {
-		name    string
-		missing bool
-	}{
-		{"Self.Name", c.Self.Name == ""},
-		{"Clock", c.Clock == nil},
-		{"Rand", c.Rand == nil},
-		{"Dial", c.Dial == nil},
-		{"Callers", c.Callers == nil},
-		{"CallerListener", c.CallerListener == nil},
-		{"Store or Tables", c.Store == nil && c.Tables == nil},
-		{"ListURL", c.Peers != nil && c.ListURL == ""},
-		{"Store", c.Peers != nil && c.Store == nil},
-	} {
-		if f.missing {
-			return &egretflow.FieldError{Field: f.name, Reason: "is required"}
-		}
-	}
-	return nil
+	return egretflow.CheckRequired([]egretflow.RequiredField{
+		{Name: "Self.Name", Missing: c.Self.Name == ""},
+		{Name: "Clock", Missing: c.Clock == nil},
+		{Name: "Rand", Missing: c.Rand == nil},
+		{Name: "Dial", Missing: c.Dial == nil},
+		{Name: "Callers", Missing: c.Callers == nil},
+		{Name: "CallerListener", Missing: c.CallerListener == nil},
+		{Name: "Store or Tables", Missing: c.Store == nil && c.Tables == nil},
+		{Name: "ListURL", Missing: c.Peers != nil && c.ListURL == ""},
+		{Name: "Store", Missing: c.Peers != nil && c.Store == nil},
+	})
 }
 
 // newRand derives an independent generator for a part of the instance.
--- a/claimer/config.go
+++ b/claimer/config.go
@@ -96,22 +96,18 @@
 }
 
 func (c *Config) check() error {
-	for _, f := range []struct {
-		name    string
-		missing bool
-	}{
-		{"Instance", c.Instance == ""},
-		{"Store", c.Store == nil},
-		{"Peers", c.Peers == nil},
-		{"Members", c.Members == nil},
-		{"Clock", c.Clock == nil},
-		{"Rand", c.Rand == nil},
-		{"Recorder", c.Recorder == nil},
-		{"Checker", c.Checker == nil},
-	} {
-		if f.missing {
-			return &egretflow.FieldError{Field: f.name, Reason: "is required"}
-		}
+	err := egretflow.CheckRequired([]egretflow.RequiredField{
+		{Name: "Instance", Missing: c.Instance == ""},
+		{Name: "Store", Missing: c.Store == nil},
+		{Name: "Peers", Missing: c.Peers == nil},
+		{Name: "Members", Missing: c.Members == nil},
+		{Name: "Clock", Missing: c.Clock == nil},
+		{Name: "Rand", Missing: c.Rand == nil},
+		{Name: "Recorder", Missing: c.Recorder == nil},
+		{Name: "Checker", Missing: c.Checker == nil},
+	})
+	if err != nil {
+		return err
 	}
 	if c.MaxWait == 0 {
 		c.MaxWait = DefaultMaxWait
--- a/commander/config.go
+++ b/commander/config.go
@@ -72,22 +72,18 @@
 }
 
 func (c *Config) check() error {
-	for _, f := range []struct {
-		name    string
-		missing bool
-	}{
-		{"Instance", c.Instance == ""},
-		{"Store", c.Store == nil},
-		{"Tables", c.Tables == nil},
-		{"Members", c.Members == nil},
-		{"Client", c.Client == nil},
-		{"RoleLoad", c.RoleLoad == nil},
-		{"Clock", c.Clock == nil},
-		{"Recorder", c.Recorder == nil},
-	} {
-		if f.missing {
-			return &egretflow.FieldError{Field: f.name, Reason: "is required"}
-		}
+	err := egretflow.CheckRequired([]egretflow.RequiredField{
+		{Name: "Instance", Missing: c.Instance == ""},
+		{Name: "Store", Missing: c.Store == nil},
+		{Name: "Tables", Missing: c.Tables == nil},
+		{Name: "Members", Missing: c.Members == nil},
+		{Name: "Client", Missing: c.Client == nil},
+		{Name: "RoleLoad", Missing: c.RoleLoad == nil},
+		{Name: "Clock", Missing: c.Clock == nil},
+		{Name: "Recorder", Missing: c.Recorder == nil},
+	})
+	if err != nil {
+		return err
 	}
 	if c.MaxLoads == 0 {
 		c.MaxLoads = DefaultMaxLoads
--- a/errors.go
+++ b/errors.go
@@ -35,6 +35,22 @@
 // Error implements error.
 func (e *FieldError) Error() string { return e.Field + ": " + e.Reason }
 
+// RequiredField is a field of a configuration and whether it is missing.
+type RequiredField struct {
+	Name    string
+	Missing bool
+}
+
+// CheckRequired returns a *FieldError for the first field that is missing.
+func CheckRequired(fields []RequiredField) error {
+	for _, f := range fields {
+		if f.Missing {
+			return &FieldError{Field: f.Name, Reason: "is required"}
+		}
+	}
+	return nil
+}
+
 // RefusalReason is the machine-readable reason of a refusal.
 type RefusalReason string
 
