Start beyond a grant only where at least one slot is granted

The reserve also held with a grant of no slots, which is what an owner sends for a draining server before others know of it. Change: the reserve needs a grant of at least one slot.

--- a/picker/doc.go
+++ b/picker/doc.go
@@ -33,8 +33,8 @@
 //     they named last, less what the server can have computed since. Prompts that
 //     no peer has named yet count as slack: they are no evidence that a server is
 //     slow, and they extend the time until a prefill counts as stalled.
-//  7. With peers, an instance may exceed its unexpired grants, which may be of no
-//     slots, by one prefill per server, for a critical request or on a server
+//  7. With peers, an instance may exceed its unexpired grants of at least one
+//     slot by one prefill per server, for a critical request or on a server
 //     without a known backlog, and by one critical request on one decode server.
 //     It starts nothing else there until it is within the grant again. So a
 //     server has at most one prefill, or one critical request, per instance more
--- a/picker/server.go
+++ b/picker/server.go
@@ -101,10 +101,10 @@
 }
 
 // mayExceed reports whether w may start beyond the grant. A grant of no slots
-// that has not expired still shows that an owner counts this instance.
+// may mean that the server drains, which its owner knows first (I6).
 func (s *Server) mayExceed(w *egretflow.Work, now time.Time) bool {
 	switch {
-	case s.expiresAt.IsZero() || s.expired(now) || s.blocked() || s.inUse > s.limit:
+	case s.limit == 0 || s.expiresAt.IsZero() || s.expired(now) || s.blocked() || s.inUse > s.limit:
 		return false
 	case w.Importance == egretflow.ImportanceCritical:
 		return s.role != egretflow.RoleService
