Look up the pool of a route in one place

Cause: model and service routes repeated the lookup of the pool and the limit of open requests. Change: both call routePool; the answers are unchanged.

--- a/frontend/completion.go
+++ b/frontend/completion.go
@@ -63,6 +63,12 @@
 	case err != nil:
 		return nil, nil, refuse(http.StatusNotFound, egretflow.RefusalUnknownModel, "the model does not exist", err)
 	}
+	return f.routePool(tables, route, caller)
+}
+
+// routePool returns the route with its pool, or the rejection of a caller that
+// has as many open requests as the route allows.
+func (f *Frontend) routePool(tables *egretflow.Tables, route *egretflow.Route, caller egretflow.CallerName) (*egretflow.Route, *egretflow.Pool, error) {
 	pool, ok := tables.Pool(route.Pool)
 	if !ok {
 		return nil, nil, f.refuseLater(http.StatusServiceUnavailable, egretflow.RefusalNoServer, "the pool of the route is missing")
--- a/frontend/service.go
+++ b/frontend/service.go
@@ -63,12 +63,5 @@
 	case err != nil:
 		return nil, nil, refuse(http.StatusNotFound, egretflow.RefusalForbidden, "no route serves this path", err)
 	}
-	pool, ok := tables.Pool(route.Pool)
-	if !ok {
-		return nil, nil, f.refuseLater(http.StatusServiceUnavailable, egretflow.RefusalNoServer, "the pool of the route is missing")
-	}
-	if route.MaxStreams > 0 && f.streams.count(caller) > route.MaxStreams {
-		return nil, nil, f.tooManyStreams()
-	}
-	return route, pool, nil
+	return f.routePool(tables, route, caller)
 }
