Let a single instance live without tables and wait for its store

Cause: an instance with a store and no peers took its (missing) fixed tables, so scheduler.applyTables got nil and the process ended; after a restart in an outage of the store it would end again and again. Change: such an instance follows the store through a distributor of its own. Test: TestSingleInstanceWaitsForTables panics before and passes after: lives, answers 503, is not ready, serves once the store holds tables.

--- a/assembler/instance.go
+++ b/assembler/instance.go
@@ -38,6 +38,8 @@
 	tablesFollowed chan struct{}
 	// fleet is nil for a single instance.
 	fleet *fleet
+	// storeTables follows the store of a single instance; nil otherwise.
+	storeTables *distributor.Distributor
 }
 
 // New builds an instance that does nothing until its tasks run.
@@ -63,6 +65,8 @@
 			return nil, wrapPart("fleet", err)
 		}
 		i.tables = i.fleet.distributor
+	} else if cfg.Store != nil {
+		i.addStoreTables()
 	} else {
 		i.tables = newStaticTables(cfg.Tables, cfg.Clock())
 	}
@@ -70,6 +74,16 @@
 	return i, nil
 }
 
+// addStoreTables makes a single instance follow the tables in its store. It has
+// none until the store holds some and can be reached.
+func (i *Instance) addStoreTables() {
+	cfg := &i.cfg
+	i.storeTables = distributor.New(distributor.Config{
+		Self: cfg.Self, Store: cfg.Store, Clock: cfg.Clock, Rand: cfg.newRand(), Recorder: i.Explainer, Checker: i.Checker,
+	})
+	i.tables = i.storeTables
+}
+
 func (i *Instance) addRequestPath() {
 	cfg := &i.cfg
 	i.relayer = relayer.New(relayer.Config{
@@ -141,6 +155,9 @@
 	if i.fleet != nil {
 		tasks = append(tasks, i.fleet.tasks()...)
 	}
+	if i.storeTables != nil {
+		tasks = append(tasks, supervisor.Task{Name: "distributor", Run: i.storeTables.Run})
+	}
 	tasks = append(tasks, supervisor.Task{Name: "relayer", Run: i.closeRelayer})
 	if i.operator != nil {
 		tasks = append(tasks, supervisor.Task{Name: "operators", Run: func(ctx context.Context) error {
--- a/distributor/config.go
+++ b/distributor/config.go
@@ -54,7 +54,7 @@
 }
 
 // Config holds what a Distributor works with. All fields but Timing are
-// required.
+// required; Peers may be nil for an instance without peers.
 type Config struct {
 	// Self describes the own instance.
 	Self  egretflow.Member
