Count places in engine memory, keep late requests, move the connector

Cause: on a platform whose engines are shared without grants, a place is engine memory, not a slot; and a request that misses its target was refused although its caller still waits for the answer. Change: picker.Sharing tells grants from peers that tell their use; with peers, decode places are counted in blocks (rule 10) and unnamed nominal rates are learned (rule 11). Work.GiveUpBy queues requests that miss their target behind the others. Connections to backend servers move from relayer to connector; a server that answers before it has read a long body is heard.

--- a/assembler/bench_test.go
+++ b/assembler/bench_test.go
@@ -14,6 +14,7 @@
 	"github.com/egretflow/egretflow/authenticator"
 	"github.com/egretflow/egretflow/checker"
 	"github.com/egretflow/egretflow/explainer"
+	"github.com/egretflow/egretflow/picker"
 	"github.com/egretflow/egretflow/scheduler"
 	"github.com/egretflow/egretflow/supervisor"
 )
@@ -111,7 +112,7 @@
 			events := explainer.New(explainer.DefaultEvents, nil)
 			s := scheduler.New(scheduler.Config{
 				Instance: "entry-1", Clock: clock, Rand: rand.New(rand.NewPCG(1, 1)), Recorder: events,
-				Checker: checker.New("entry-1", clock, events, nil), Peers: true,
+				Checker: checker.New("entry-1", clock, events, nil), Sharing: picker.SharingGrants,
 			})
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
--- a/assembler/config.go
+++ b/assembler/config.go
@@ -88,6 +88,14 @@
 	})
 }
 
+// sharing says how servers are shared with the peers.
+func (c *Config) sharing() picker.Sharing {
+	if c.Peers == nil {
+		return picker.SharingNone
+	}
+	return picker.SharingGrants
+}
+
 // newRand derives an independent generator for a part of the instance.
 func (c *Config) newRand() *rand.Rand {
 	return rand.New(rand.NewPCG(c.Rand.Uint64(), c.Rand.Uint64()))
--- a/assembler/instance.go
+++ b/assembler/instance.go
@@ -58,7 +58,7 @@
 	i.Checker = checker.New(cfg.Self.Name, cfg.Clock, i.Explainer, i.Metrics.InvariantViolated)
 	i.Scheduler = scheduler.New(scheduler.Config{
 		Instance: cfg.Self.Name, Clock: cfg.Clock, Rand: cfg.newRand(), Recorder: i.Explainer, Checker: i.Checker,
-		Peers: cfg.Peers != nil, Policy: cfg.Policy,
+		Sharing: cfg.sharing(), Policy: cfg.Policy,
 	})
 	if cfg.Peers != nil {
 		if i.fleet, err = newFleet(i); err != nil {
--- /dev/null
+++ b/connector/header.go
@@ -0,0 +1,29 @@
+package connector
+
+import (
+	"net/http"
+	"strings"
+)
+
+// hopByHop lists the headers that belong to one connection (RFC 9110 section
+// 7.6.1).
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade",
+}
+
+// CopyHeader copies all headers but those of the connection. Headers that dst
+// already has are replaced.
+func CopyHeader(dst, src http.Header) {
+	for key, values := range src {
+		dst[key] = append([]string(nil), values...)
+	}
+	for _, value := range src.Values("Connection") {
+		for _, key := range strings.Split(value, ",") {
+			dst.Del(strings.TrimSpace(key))
+		}
+	}
+	for _, key := range hopByHop {
+		dst.Del(key)
+	}
+}
--- a/relayer/conn.go
+++ b/connector/open.go
@@ -1,4 +1,4 @@
-package relayer
+package connector
 
 import (
 	"bufio"
@@ -11,13 +11,18 @@
 	"net/http"
 )
 
-// streamBufferBytes holds a few events of a stream.
-const streamBufferBytes = 1 << 10
+const (
+	// streamBufferBytes holds a few events of a stream.
+	streamBufferBytes = 1 << 10
+	// longBody is the length in bytes from which a body may not fit into the
+	// buffers of a connection that its server does not read.
+	longBody = 4 << 10
+)
 
-// open sends req over a new connection that serves nothing else. Without the
+// Open sends req over a new connection that serves nothing else. Without the
 // goroutines and buffers of http.Transport an open stream needs less memory
-// (section 14), and nothing can be sent twice. used is as for do.
-func (c *client) open(req *http.Request) (resp *http.Response, used bool, err error) {
+// (section 14), and nothing can be sent twice. used is as for Do.
+func (c *Client) Open(req *http.Request) (resp *http.Response, used bool, err error) {
 	ctx := req.Context()
 	conn, err := c.connect(ctx, req)
 	if err != nil {
@@ -36,7 +41,7 @@
 	return resp, true, nil
 }
 
-func (c *client) connect(ctx context.Context, req *http.Request) (net.Conn, error) {
+func (c *Client) connect(ctx context.Context, req *http.Request) (net.Conn, error) {
 	conn, err := c.dial(ctx, "tcp", req.URL.Host)
 	if err != nil {
 		return nil, fmt.Errorf("connect: %w", err)
@@ -58,22 +63,42 @@
 	return secured, nil
 }
 
-// exchange writes req and reads the header of the response.
+// exchange writes req and reads the header of the response. A long body is
+// written beside the read, because the server may answer before it has read it.
 func exchange(conn net.Conn, req *http.Request) (*http.Response, error) {
 	// The shallow copy leaves the caller's request as it is.
 	single := *req
 	single.Close = true
-	if err := single.Write(conn); err != nil {
-		return nil, fmt.Errorf("write request: %w", err)
+	written := make(chan error, 1)
+	if req.ContentLength > longBody {
+		go func() { written <- single.Write(conn) }()
+	} else {
+		written <- single.Write(conn)
+	}
+	resp, err := readHeader(conn, req.Method)
+	if err == nil {
+		return resp, nil
+	}
+	select {
+	case writeErr := <-written:
+		if writeErr != nil {
+			return nil, fmt.Errorf("write request: %w", writeErr)
+		}
+	default:
 	}
+	return nil, fmt.Errorf("read response: %w", err)
+}
+
+// readHeader reads up to the header of the final response.
+func readHeader(conn net.Conn, method string) (*http.Response, error) {
 	// The response must not keep the body of the request in memory.
-	bare := &http.Request{Method: req.Method}
+	bare := &http.Request{Method: method}
 	limited := &io.LimitedReader{R: conn, N: maxResponseHeader}
 	reader := bufio.NewReaderSize(limited, streamBufferBytes)
 	for {
 		resp, err := http.ReadResponse(reader, bare)
 		if err != nil {
-			return nil, fmt.Errorf("read response: %w", err)
+			return nil, fmt.Errorf("read header: %w", err)
 		}
 		if resp.StatusCode >= http.StatusOK {
 			limited.N = math.MaxInt64
--- a/decision.go
+++ b/decision.go
@@ -29,6 +29,8 @@
 	// service call.
 	PromptTokens int
 	MaxTokens    int
+	// ExpectedTokens is the expected output; 0 means MaxTokens.
+	ExpectedTokens int
 	// Prefix holds one hash per full chunk of the prompt, shortest first.
 	Prefix []PrefixHash
 	// Fingerprint identifies the caller and body for crash detection (5.6).
@@ -36,6 +38,9 @@
 	ArrivedAt   time.Time
 	// FirstTokenBy is ArrivedAt plus the first-token target of the route.
 	FirstTokenBy time.Time
+	// GiveUpBy is when the caller leaves without a first token. Until then an
+	// answer that misses its target is still of use; zero means that none is.
+	GiveUpBy time.Time
 	// Deadline is the caller's deadline; zero if none.
 	Deadline time.Time
 	// Avoid lists servers that already failed the request.
--- a/event.go
+++ b/event.go
@@ -10,6 +10,7 @@
 	EventAdmitted          EventName = "Admitted"
 	EventRefused           EventName = "Refused"
 	EventAssigned          EventName = "Assigned"
+	EventPostponed         EventName = "Postponed"
 	EventPrefillDone       EventName = "PrefillDone"
 	EventFirstToken        EventName = "FirstToken"
 	EventCompleted         EventName = "Completed"
--- a/peer.go
+++ b/peer.go
@@ -28,13 +28,14 @@
 	Wanted [4]int
 }
 
-// Backlog is the prefill work that the sender has placed on one server and that
-// is not computed yet.
+// Backlog is the work that the sender has placed on one server.
 type Backlog struct {
 	_      struct{} `cbor:",toarray"`
 	Server ServerName
-	// Tokens is an estimate in prompt tokens.
+	// Tokens is an estimate of the prompt tokens that are not computed yet.
 	Tokens int
+	// Blocks is the engine memory in use, where places are counted in blocks.
+	Blocks int
 }
 
 // Queue is the prefill work that waits at the sender for one pool.
--- a/picker/backlog.go
+++ b/picker/backlog.go
@@ -15,10 +15,12 @@
 	minRemaining = 0.25
 )
 
-// peerBacklog is the prefill work of one peer on one server.
+// peerBacklog is the work of one peer on one server: prompt tokens to compute,
+// and blocks of engine memory in use.
 type peerBacklog struct {
 	from   egretflow.InstanceName
 	tokens float64
+	blocks int
 	at     time.Time
 }
 
@@ -32,22 +34,43 @@
 	return int(min(max(left, minRemaining*s.outstanding), s.outstanding))
 }
 
-// ApplyBacklogs replaces the prefill work of a peer. Servers not named have
-// none.
+// ApplyBacklogs replaces the work of a peer. Servers not named have none.
 func (p *Pool) ApplyBacklogs(from egretflow.InstanceName, backlogs []egretflow.Backlog, now time.Time) {
-	for _, s := range p.prefill.all {
+	for _, s := range p.listed {
 		if len(s.peers) > 0 {
 			s.forget(from, now)
 		}
 	}
 	for _, b := range backlogs {
 		if s, ok := p.Server(b.Server); ok {
-			s.peers = append(s.peers, peerBacklog{from, float64(b.Tokens), now})
+			s.peers = append(s.peers, peerBacklog{from: from, tokens: float64(b.Tokens), blocks: b.Blocks, at: now})
 			s.sumPeers()
 		}
 	}
 	p.heardAt = now
+}
+
+// BlocksInUse returns the blocks that own requests occupy, 0 where places are
+// not counted in blocks.
+func (s *Server) BlocksInUse() int {
+	if !s.byBlocks {
+		return 0
+	}
+	return s.inUse
+}
 
+// usedByPeers returns the blocks that peers have named within their lifetime.
+func (s *Server) usedByPeers(now time.Time) int {
+	if !s.byBlocks {
+		return 0
+	}
+	blocks := 0
+	for _, b := range s.peers {
+		if now.Sub(b.at) < peerLifetime {
+			blocks += b.blocks
+		}
+	}
+	return blocks
 }
 
 // forget removes the work of one peer and what is too old.
--- a/picker/doc.go
+++ b/picker/doc.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	pool := picker.NewPool(r)
+//	pool := picker.NewPool(r, picker.SharingNone)
 //	pool.Apply(table, now)
 //	p, ok := pool.Pick(work, picker.Options{}, now)
 //	if ok {
@@ -43,4 +43,10 @@
 //     decode server, so that an important request does not wait for them.
 //  9. The baseline policies choose from lagging load reports, reserve nothing
 //     and know no grants. They exist for comparison.
+//  10. With SharingPeers, places on a decode server that names its blocks are
+//     counted in blocks: those of the prompt and of the expected output of each
+//     request, less those that peers have named. The engine itself decides in
+//     the end, by a hold (docs/decisions/platform.md).
+//  11. A nominal prefill rate or token gap that the tables do not name is learned
+//     from prefills that found their server idle.
 package picker
--- a/picker/pick.go
+++ b/picker/pick.go
@@ -23,6 +23,8 @@
 	// minSlotsForCushion.
 	cushionSlots       = 2
 	minSlotsForCushion = 16
+	// lateReserve is the share of a decode server that late requests leave free.
+	lateReserve = 0.1
 	// suspectPenalty in seconds ranks suspect servers behind all others.
 	suspectPenalty = 1e6
 	// probeCost is the time of a probe that fails, in nominal times: three until
@@ -43,6 +45,9 @@
 	Isolate bool
 	// Healthy excludes suspect servers and accepts a backlog, for hedges.
 	Healthy bool
+	// Late keeps a part of each decode server free for requests that can still
+	// meet their target.
+	Late bool
 	// Keep is a decode server that is kept for another request.
 	Keep *Server
 	// Decode is set when only the prefill server is chosen again, instead of
@@ -159,7 +164,7 @@
 		startedAt: now, isolated: o.Isolate, matched: a.matched, bytes: bytes,
 		tokens: float64(w.PromptTokens - a.cached), backlog: a.server.backlog(now),
 	}
-	if p.peers {
+	if p.sharing != SharingNone {
 		pl.slack = p.perPrefill / a.server.prefillRate()
 	}
 	pl.PrefillBy = now.Add(toDuration(a.seconds + pl.slack))
@@ -230,12 +235,15 @@
 		if s == kept && slots <= cushionSlots {
 			free -= cushionSlots
 		}
+		if o.Late {
+			free -= int(lateReserve * float64(s.capacity()))
+		}
 		if s != o.Keep && free >= slots && usable(s, w, o, now) {
 			list = append(list, p.decodeCandidate(s, w, now))
 		}
 		n++
 	}
-	if p.peers && len(list) == 0 {
+	if p.sharing == SharingGrants && len(list) == 0 {
 		list = p.decodeReserve(list, w, o, now)
 	}
 	p.candidates[0] = list
@@ -273,7 +281,7 @@
 
 func (p *Pool) decodeCandidate(s *Server, w *egretflow.Work, now time.Time) candidate {
 	c := p.linkTerms(s)
-	occupancy := float64(s.inUse) / float64(s.Spec.Slots)
+	occupancy := float64(s.inUse+s.usedByPeers(now)) / float64(s.capacity())
 	step := p.gap.Seconds()
 	if p.kind == egretflow.PoolKindService {
 		if step = p.perService; step == 0 {
@@ -348,7 +356,7 @@
 		}
 		n++
 	}
-	if p.peers {
+	if p.sharing == SharingGrants {
 		list = p.addReserve(list, matches, w, o, now)
 	}
 	p.candidates[1] = list
@@ -370,7 +378,7 @@
 // waits for one prompt at most, because the engine takes it before the others.
 func (p *Pool) wait(s *Server, w *egretflow.Work, now time.Time) float64 {
 	backlog := s.backlog(now)
-	if p.peers && w.Importance == egretflow.ImportanceCritical {
+	if p.sharing != SharingNone && w.Importance == egretflow.ImportanceCritical {
 		return min(backlog, p.perPrefill/s.prefillRate()*s.Speed.Factor())
 	}
 	return backlog
--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -25,7 +25,7 @@
 		}
 		table.Servers = append(table.Servers, s)
 	}
-	p := NewPool(rand.New(rand.NewPCG(1, 2)), false)
+	p := NewPool(rand.New(rand.NewPCG(1, 2)), SharingNone)
 	p.Apply(table, start)
 	return p, table
 }
--- a/picker/pool.go
+++ b/picker/pool.go
@@ -9,17 +9,20 @@
 
 // Pool holds the servers of one pool. It is not safe for concurrent use.
 type Pool struct {
-	name     egretflow.PoolName
-	kind     egretflow.PoolKind
-	kvBytes  int64
-	gap      time.Duration
-	peers    bool
+	name    egretflow.PoolName
+	kind    egretflow.PoolKind
+	kvBytes int64
+	gap     time.Duration
+	// namesGap says that the table names the gap.
+	namesGap bool
+	sharing  Sharing
 	rand     *rand.Rand
 	servers  map[egretflow.ServerName]*Server
 	listed   []*Server // in the order of the table
 	prefill  *group
 	decode   *group
 	prefixes *prefixIndex
+	learned  learned
 	// perPrefill is the mean of uncached tokens per prefill, perService the mean
 	// duration of a service call in seconds.
 	perPrefill float64
@@ -36,15 +39,15 @@
 	candidates [2][]candidate
 }
 
-// NewPool returns a pool without servers. With peers, slots come from grants
-// only.
-func NewPool(r *rand.Rand, peers bool) *Pool {
+// NewPool returns a pool without servers.
+func NewPool(r *rand.Rand, sharing Sharing) *Pool {
 	return &Pool{
-		rand: r, peers: peers,
+		rand: r, sharing: sharing,
 		servers:  map[egretflow.ServerName]*Server{},
 		prefill:  newGroup(egretflow.RolePrefill),
 		decode:   newGroup(egretflow.RoleDecode),
 		prefixes: newPrefixIndex(),
+		learned:  learned{prefillRate: defaultPrefillRate, gap: defaultGap},
 	}
 }
 
@@ -77,8 +80,8 @@
 func (p *Pool) Apply(table *egretflow.Pool, now time.Time) {
 	p.name = table.Name
 	p.kind, p.kvBytes, p.gap = table.Kind, table.KVBytesPerToken, time.Duration(table.TokenGap)
-	if p.gap == 0 {
-		p.gap = defaultGap
+	if p.namesGap = p.gap > 0; !p.namesGap {
+		p.gap = p.learned.gap
 	}
 	if p.kind == egretflow.PoolKindService {
 		p.decode.role = egretflow.RoleService
@@ -101,7 +104,7 @@
 func (p *Pool) applyServer(spec egretflow.Server) *Server {
 	s, ok := p.servers[spec.Name]
 	if !ok {
-		s = &Server{openAt: -1, cache: cacheState{trust: 1}}
+		s = &Server{openAt: -1, cache: cacheState{trust: 1}, learned: &p.learned}
 		p.servers[spec.Name] = s
 	}
 	if s.Spec == nil || s.Spec.Role != spec.Role {
@@ -109,8 +112,9 @@
 	}
 	s.Spec, s.gone = &spec, false
 	s.cache.budget = cacheBudget(&spec)
-	if !p.peers {
-		s.limit = spec.Slots
+	s.byBlocks = p.countsBlocks(&spec)
+	if p.sharing != SharingGrants {
+		s.limit = s.capacity()
 	}
 	return s
 }
@@ -132,7 +136,7 @@
 		g.all = append(g.all, s)
 		g.used += s.inUse
 		if g == p.decode {
-			p.tableSlots += s.Spec.Slots
+			p.tableSlots += s.capacity()
 		}
 		s.counted = Totals{}
 		p.changed(s, now)
@@ -166,7 +170,7 @@
 // one it can serve, whatever the tables say (8.3).
 func (p *Pool) Report(s *Server, load *egretflow.LoadReport, now time.Time) {
 	tokens := 0.0
-	if p.peers && now.Sub(p.heardAt) > peerLifetime {
+	if p.sharing != SharingNone && now.Sub(p.heardAt) > peerLifetime {
 		tokens = p.perPrefill
 	}
 	s.report(load, tokens, now)
@@ -212,7 +216,7 @@
 	if p.kind != egretflow.PoolKindModel {
 		return len(p.decode.open) == 0
 	}
-	return !p.peers && (len(p.decode.open) == 0 || len(p.prefill.open) == 0)
+	return p.sharing != SharingGrants && (len(p.decode.open) == 0 || len(p.prefill.open) == 0)
 }
 
 // Median returns the median ratios of prefill and decode servers.
--- a/picker/reserve.go
+++ b/picker/reserve.go
@@ -133,6 +133,7 @@
 
 func (p *Pool) take(s *Server, slots int, now time.Time) {
 	s.notePeak(now)
+	s.requests++
 	s.inUse += slots
 	s.notePeak(now)
 	if !s.gone {
@@ -142,6 +143,7 @@
 
 func (p *Pool) give(s *Server, slots int, now time.Time) {
 	s.notePeak(now)
+	s.requests--
 	s.inUse -= slots
 	if !s.gone {
 		g := p.groupOf(s)
--- a/picker/server.go
+++ b/picker/server.go
@@ -36,7 +36,12 @@
 	Speed *estimator.Server
 	Link  *estimator.Server
 
-	role        egretflow.Role
+	role egretflow.Role
+	// byBlocks says that places are counted in blocks of engine memory instead of
+	// slots (rule 10). requests counts the running requests then.
+	byBlocks    bool
+	requests    int
+	learned     *learned
 	limit       int
 	expiresAt   time.Time
 	unavailable bool
@@ -81,10 +86,10 @@
 
 // Limit returns the slots that may be used at now, by grant or by table.
 func (s *Server) Limit(now time.Time) int {
-	if s.blocked() || s.expired(now) {
+	if s.blocked() || s.expired(now) || s.byBlocks && s.requests >= s.Spec.Slots {
 		return 0
 	}
-	return s.limit
+	return max(0, s.limit-s.usedByPeers(now))
 }
 
 // Ceiling returns the slots that may be in use at now when w takes one place:
@@ -136,11 +141,15 @@
 	if s.Spec.PrefillTokensPerSecond > 0 {
 		return float64(s.Spec.PrefillTokensPerSecond)
 	}
-	return defaultPrefillRate
+	return s.learned.prefillRate
 }
 
-// SlotsFor returns the slots whose share of blocks holds prompt and output.
+// SlotsFor returns the slots whose share of blocks holds prompt and output, or
+// the blocks themselves when places are counted in blocks.
 func (s *Server) SlotsFor(w *egretflow.Work) int {
+	if s.byBlocks {
+		return blocksFor(w)
+	}
 	share := s.Spec.Blocks / s.Spec.Slots
 	if share == 0 {
 		return 1
--- /dev/null
+++ b/picker/sharing.go
@@ -0,0 +1,94 @@
+package picker
+
+import (
+	"time"
+
+	"github.com/egretflow/egretflow"
+)
+
+// Sharing says how the servers of a pool are shared with other instances.
+type Sharing string
+
+// The kinds of sharing.
+const (
+	// SharingNone: the instance has the servers to itself.
+	SharingNone Sharing = "None"
+	// SharingGrants: slots come from grants of the server's owner (5.3).
+	SharingGrants Sharing = "Grants"
+	// SharingPeers: peers tell what they use, and engines hold memory on request
+	// (rule 10).
+	SharingPeers Sharing = "Peers"
+)
+
+// learnWeight is the weight of one observation in a learned nominal value.
+const learnWeight = 0.1
+
+// learned holds the nominal values of a pool whose tables name none (rule 11).
+type learned struct {
+	// prefillRate is in tokens/s; gap is the time to the first output of an idle
+	// decode server.
+	prefillRate  float64
+	gap          time.Duration
+	prefillKnown bool
+	gapKnown     bool
+}
+
+func (l *learned) observePrefill(tokens int, took time.Duration) {
+	computing := took.Seconds() - callOverhead
+	if tokens <= 0 || computing <= 0 {
+		return
+	}
+	rate := float64(tokens) / computing
+	if !l.prefillKnown {
+		l.prefillKnown, l.prefillRate = true, rate
+	}
+	l.prefillRate += learnWeight * (rate - l.prefillRate)
+}
+
+func (l *learned) observeGap(took time.Duration) {
+	if took <= 0 {
+		return
+	}
+	if !l.gapKnown {
+		l.gapKnown, l.gap = true, took
+	}
+	l.gap += time.Duration(learnWeight * float64(took-l.gap))
+}
+
+// LearnPrefill takes the time of a prefill that found its server idle.
+func (p *Pool) LearnPrefill(pl *Placement, tokens int, took time.Duration) {
+	if pl.Prefill.Spec.PrefillTokensPerSecond == 0 && pl.backlog == 0 {
+		p.learned.observePrefill(tokens, took)
+	}
+}
+
+// LearnGap takes the time from the start of decode to the first output.
+func (p *Pool) LearnGap(took time.Duration) {
+	if p.namesGap {
+		return
+	}
+	p.learned.observeGap(took)
+	p.gap = p.learned.gap
+}
+
+// countsBlocks reports whether places on a server are counted in blocks.
+func (p *Pool) countsBlocks(spec *egretflow.Server) bool {
+	return p.sharing == SharingPeers && spec.Role == egretflow.RoleDecode && spec.Blocks > 0
+}
+
+// capacity returns all places of the server, in slots or blocks.
+func (s *Server) capacity() int {
+	if s.byBlocks {
+		return s.Spec.Blocks
+	}
+	return s.Spec.Slots
+}
+
+// blocksFor returns the blocks that prompt and expected output of w need.
+func blocksFor(w *egretflow.Work) int {
+	output := w.ExpectedTokens
+	if output == 0 {
+		output = w.MaxTokens
+	}
+	return (w.PromptTokens + output + egretflow.BlockTokens - 1) / egretflow.BlockTokens
+}
--- a/picker/sharing_test.go
+++ b/picker/sharing_test.go
@@ -12,7 +12,7 @@
 // the given ones of the prefill servers.
 func sharedPool(granted ...int) *Pool {
 	_, table := testPool(len(granted), 1, nil)
-	p := NewPool(rand.New(rand.NewPCG(1, 2)), true)
+	p := NewPool(rand.New(rand.NewPCG(1, 2)), SharingGrants)
 	p.Apply(table, start)
 	expires := start.Add(2 * time.Second)
 	p.Grant(egretflow.Grant{Server: "d0", Slots: 20, ExpiresAt: expires}, start)
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -112,7 +112,7 @@
 	body := at.job.Request.Body(openai.Variant{
 		Prefill: true, Priority: at.a.Work.Importance.Rank(), SentText: at.sentText, SentTokens: at.sentTokens,
 	})
-	resp, err := at.post(ctx, at.r.client.do, server, body)
+	resp, err := at.post(ctx, at.r.client.Do, server, body)
 	if err != nil {
 		return nil, at.probed(ctx, server, err)
 	}
@@ -163,7 +163,7 @@
 		Transfer: transfer, Priority: at.a.Work.Importance.Rank(), SentText: at.sentText, SentTokens: at.sentTokens,
 	})
 	err := s.start(ctx, func(ctx context.Context) (*http.Response, error) {
-		return at.post(ctx, at.r.client.open, server, body)
+		return at.post(ctx, at.r.client.Open, server, body)
 	})
 	if err != nil {
 		s.disconnect()
--- a/relayer/call.go
+++ b/relayer/call.go
@@ -7,11 +7,11 @@
 	"io"
 	"net/http"
 	"net/url"
-	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/connector"
 	"github.com/pkg/errors"
 )
 
@@ -114,7 +114,7 @@
 	defer resp.attempt.end(resp.Response)
 	c.result.Started = true
 	c.result.FirstTokenAt = c.r.now()
-	copyHeader(w.Header(), resp.Header)
+	connector.CopyHeader(w.Header(), resp.Header)
 	w.Header().Set(runStateHeader, string(egretflow.RunStateRan))
 	w.WriteHeader(resp.StatusCode)
 	err := c.copyBody(w, resp)
@@ -207,9 +207,9 @@
 	if by := at.a.GrantExpiresAt; !by.IsZero() && !at.started.Before(by) {
 		return nil, &failure{kind: failureRefused, server: server.Name, err: fmt.Errorf("grant expired at %v", by)}
 	}
-	do := at.r.client.do
+	do := at.r.client.Do
 	if fresh {
-		do = at.r.client.open
+		do = at.r.client.Open
 	}
 	resp, used, err := do(at.request(ctx))
 	if err != nil && !used {
@@ -240,7 +240,7 @@
 	if len(call.Body) > 0 {
 		req.Body = io.NopCloser(bytes.NewReader(call.Body))
 	}
-	copyHeader(req.Header, call.Header)
+	connector.CopyHeader(req.Header, call.Header)
 	if req.Header.Get("User-Agent") == "" {
 		// An empty value keeps net/http from adding its own.
 		req.Header.Set("User-Agent", "")
@@ -268,26 +268,3 @@
 	}
 	at.r.cfg.Scheduler.Release(egretflow.Release{Attempt: at.a.Attempt})
 }
-
-// hopByHop lists the headers that belong to one connection (RFC 9110 section
-// 7.6.1).
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade",
-}
-
-// copyHeader copies all headers but those of the connection. Headers that dst
-// already has are replaced.
-func copyHeader(dst, src http.Header) {
-	for key, values := range src {
-		dst[key] = append([]string(nil), values...)
-	}
-	for _, value := range src.Values("Connection") {
-		for _, key := range strings.Split(value, ",") {
-			dst.Del(strings.TrimSpace(key))
-		}
-	}
-	for _, key := range hopByHop {
-		dst.Del(key)
-	}
-}
--- a/relayer/failure.go
+++ b/relayer/failure.go
@@ -8,6 +8,7 @@
 	"net/http"
 
 	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/connector"
 	"github.com/pkg/errors"
 )
 
@@ -125,7 +126,7 @@
 
 // unreachableKind classifies the error of a connection that was not made.
 func unreachableKind(err error) failureKind {
-	if refusedConnection(err) {
+	if connector.Refused(err) {
 		return failureCrashed
 	}
 	return failureRefused
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -4,11 +4,11 @@
 	"context"
 	"crypto/tls"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"time"
 
 	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/connector"
 	"github.com/egretflow/egretflow/internal/openai"
 	"github.com/pkg/errors"
 )
@@ -17,9 +17,6 @@
 // shuts down. The caller resumes it at another instance (10.1).
 var ErrHandedOver = errors.New("answer handed over at shutdown")
 
-// DialFunc opens a connection.
-type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
-
 // Config holds what a Relayer needs.
 type Config struct {
 	Instance  egretflow.InstanceName
@@ -30,7 +27,7 @@
 	Claimer egretflow.Claimer
 	Clock   egretflow.Clock
 	Rand    *rand.Rand
-	Dial    DialFunc
+	Dial    connector.DialFunc
 	// Wasted, if set, is called with prompt tokens whose computation was not
 	// used.
 	Wasted func(w *egretflow.Work, tokens int)
@@ -41,7 +38,7 @@
 // Relayer carries out requests. Its methods are safe for concurrent use.
 type Relayer struct {
 	cfg    Config
-	client *client
+	client *connector.Client
 	// cleanups counts attempts that are opened or aborted.
 	cleanups background
 	randMu   sync.Mutex
@@ -49,14 +46,14 @@
 
 // New returns a Relayer.
 func New(cfg Config) *Relayer {
-	return &Relayer{cfg: cfg, client: newClient(cfg.Dial, cfg.TLS)}
+	return &Relayer{cfg: cfg, client: connector.New(cfg.Dial, cfg.TLS)}
 }
 
 // Close waits until all aborts are acknowledged or have timed out and closes
 // idle connections. Requests that still run are not waited for.
 func (r *Relayer) Close() {
 	r.cleanups.Wait()
-	r.client.close()
+	r.client.Close()
 }
 
 // Sink receives the chunks of an answer in order. An error ends the request.
--- a/relayer/release.go
+++ b/relayer/release.go
@@ -124,7 +124,7 @@
 	}
 	req.Header.Set("Content-Type", "application/json")
 	// A pooled connection may be one that delivers no data any more.
-	resp, _, err := r.client.open(req)
+	resp, _, err := r.client.Open(req)
 	if err != nil {
 		return fmt.Errorf("send abort: %w", err)
 	}
--- a/relayer/resume.go
+++ b/relayer/resume.go
@@ -8,6 +8,7 @@
 	"strconv"
 
 	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/connector"
 	"github.com/pkg/errors"
 )
 
@@ -81,8 +82,8 @@
 		return nil, fmt.Errorf("build resume request: %w", err)
 	}
 	req.Header.Set("Last-Event-ID", strconv.Itoa(s.offset))
-	resp, used, err := s.r.client.open(req)
-	if err != nil && !used && refusedConnection(err) {
+	resp, used, err := s.r.client.Open(req)
+	if err != nil && !used && connector.Refused(err) {
 		return nil, &failure{kind: failureCrashed, server: s.server.Name, err: err}
 	}
 	if err != nil {
--- a/scheduler/accounting_test.go
+++ b/scheduler/accounting_test.go
@@ -47,7 +47,7 @@
 func newModel() *model {
 	m := &model{now: time.Unix(1000, 0), check: &violations{}, tables: testTables(2, 3, 4), grants: map[egretflow.ServerName]egretflow.Grant{}, started: map[egretflow.AttemptID]bool{}}
 	m.tables.Routes = []egretflow.Route{{Name: "r", Pool: "letters", Idempotent: true, HedgePercent: 100, RetryPercent: 100}}
-	m.task = newTask(Config{Instance: "i", Clock: func() time.Time { return m.now }, Rand: rand.New(rand.NewPCG(1, 2)), Recorder: fakeRecorder{}, Checker: m.check, Peers: true})
+	m.task = newTask(Config{Instance: "i", Clock: func() time.Time { return m.now }, Rand: rand.New(rand.NewPCG(1, 2)), Recorder: fakeRecorder{}, Checker: m.check, Sharing: picker.SharingGrants})
 	m.task.now = m.now
 	m.task.handle(tablesMessage{tables: m.tables})
 	return m
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -117,7 +117,7 @@
 	v := p.queue.Offer(&w.item, t.capacity(p), t.now)
 	if !v.Admitted {
 		p.rates.turnAway(t.now, w.work.Importance.Rank(), w.item.Slots)
-		t.refuseLate(w, v)
+		t.postpone(w, v)
 		return
 	}
 	if v.Displaced != nil {
@@ -201,18 +201,19 @@
 	if len(p.suspects) > 0 {
 		p.suspects = slices.DeleteFunc(p.suspects, t.placeSuspect)
 	}
-	for p.queue.Len() > 0 && !p.picker.Full() && t.placeOne(p) {
+	for p.queue.Len() > 0 && !p.picker.Full() && t.placeOne(p, p.queue, picker.Options{}) {
 	}
-	p.rates.saturate(p.queue.Len() > 0, t.now)
+	for p.queue.Len() == 0 && p.late.Len() > 0 && !p.picker.Full() && t.placeOne(p, p.late, picker.Options{Late: true}) {
+	}
+	p.rates.saturate(p.queue.Len()+p.late.Len() > 0, t.now)
 }
 
 // placeOne tries the next requests in order and reports whether one left the
 // queue. The first that needs several slots of one server and finds none keeps
 // the server with the most free slots to itself, or requests that need one slot
 // would take each slot that becomes free.
-func (t *task) placeOne(p *pool) bool {
-	var o picker.Options
-	for _, item := range p.queue.Heads(headsPerRound) {
+func (t *task) placeOne(p *pool, q *admitter.Queue, o picker.Options) bool {
+	for _, item := range q.Heads(headsPerRound) {
 		w := item.Owner.(*waiter)
 		if t.place(w, o) {
 			return true
@@ -242,11 +243,11 @@
 		if pl.Suspect {
 			return false
 		}
-		w.pool.queue.Remove(&w.item)
-		t.refuseLate(w, admitter.Verdict{FirstTokenAt: pl.FirstTokenAt})
+		w.queue().Remove(&w.item)
+		t.postpone(w, admitter.Verdict{FirstTokenAt: pl.FirstTokenAt})
 		return true
 	}
-	w.pool.queue.Take(&w.item)
+	w.queue().Take(&w.item)
 	t.start(w, pl)
 	return true
 }
@@ -254,7 +255,7 @@
 // moveSuspect takes a request out of the queue that became a suspect while it
 // waited.
 func (t *task) moveSuspect(w *waiter) {
-	w.pool.queue.Remove(&w.item)
+	w.queue().Remove(&w.item)
 	if t.verdict(w.work) == crashdetector.Reject || len(w.pool.suspects) >= maxSuspects {
 		t.refuse(w, http.StatusUnprocessableEntity, egretflow.RefusalCrashSuspect, "the request was running on servers that crashed", admitter.Verdict{})
 		return
@@ -278,7 +279,7 @@
 		return
 	}
 	if p := w.pool; p != nil {
-		p.queue.Remove(&w.item)
+		w.queue().Remove(&w.item)
 		gone := func(other *waiter) bool { return other == w }
 		p.replacing = slices.DeleteFunc(p.replacing, gone)
 		p.fifo = slices.DeleteFunc(p.fifo, gone)
@@ -327,10 +328,12 @@
 
 // refuseAll ends the waits of a pool that is no longer in the tables.
 func (t *task) refuseAll(p *pool) {
-	for p.queue.Len() > 0 {
-		for _, item := range p.queue.Heads(headsPerRound) {
-			p.queue.Remove(item)
-			t.refuse(item.Owner.(*waiter), http.StatusServiceUnavailable, egretflow.RefusalNoServer, "the pool was removed", admitter.Verdict{})
+	for _, q := range []*admitter.Queue{p.queue, p.late} {
+		for q.Len() > 0 {
+			for _, item := range q.Heads(headsPerRound) {
+				q.Remove(item)
+				t.refuse(item.Owner.(*waiter), http.StatusServiceUnavailable, egretflow.RefusalNoServer, "the pool was removed", admitter.Verdict{})
+			}
 		}
 	}
 	for _, w := range slices.Concat(p.replacing, p.fifo, p.suspects) {
--- a/scheduler/attempt_test.go
+++ b/scheduler/attempt_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/egretflow/egretflow"
 	"github.com/egretflow/egretflow/crashdetector"
+	"github.com/egretflow/egretflow/picker"
 )
 
 // driver sends messages to a task in virtual time.
@@ -172,7 +173,7 @@
 // The owner of a server can grant only what holders ask for (5.3).
 func TestDemandsStateWhatWaits(t *testing.T) {
 	d := newDriver(t, 2, 2)
-	d.task.cfg.Peers = true
+	d.task.cfg.Sharing = picker.SharingGrants
 	d.task.pools = map[egretflow.PoolName]*pool{}
 	d.task.handle(tablesMessage{tables: testTables(2, 2, 20)})
 	for range 4 {
--- a/scheduler/doc.go
+++ b/scheduler/doc.go
@@ -18,7 +18,7 @@
 //
 //  1. Each Assignment is released exactly once. Release with PrefillOnly may
 //     come before it.
-//  2. With Config.Peers set, work starts only on slots of an unexpired grant
+//  2. With picker.SharingGrants, work starts only on slots of an unexpired grant
 //     (5.3). The caller checks Assignment.GrantExpiresAt again immediately
 //     before it writes the first byte. Without peers all slots of the tables
 //     may be used and GrantExpiresAt is zero.
--- /dev/null
+++ b/scheduler/late.go
@@ -0,0 +1,68 @@
+package scheduler
+
+import (
+	"github.com/egretflow/egretflow/admitter"
+)
+
+// queue returns the queue in which w waits.
+func (w *waiter) queue() *admitter.Queue {
+	if w.late {
+		return w.pool.late
+	}
+	return w.pool.queue
+}
+
+// postpone queues a request that misses its target behind those that can still
+// meet theirs, if its caller waits long enough, and refuses it otherwise. A
+// request that is served ahead of its turn would only make another one late.
+func (t *task) postpone(w *waiter, v admitter.Verdict) {
+	if w.late || !w.work.GiveUpBy.After(t.now) {
+		t.refuseLate(w, v)
+		return
+	}
+	work := *w.work
+	work.FirstTokenBy = work.GiveUpBy
+	w.work, w.item.Work, w.late = &work, &work, true
+	if v = w.pool.late.Offer(&w.item, t.lateCapacity(w.pool), t.now); !v.Admitted {
+		t.refuseLate(w, v)
+		return
+	}
+	t.recordPostponed(w, v)
+	if v.Displaced != nil {
+		t.refuseLate(v.Displaced.Owner.(*waiter), v)
+	}
+}
+
+// lateCapacity is the capacity that the requests in pool.late see: those that
+// can still meet their target go before them.
+func (t *task) lateCapacity(p *pool) admitter.Capacity {
+	c := t.capacity(p)
+	slots, _ := p.queue.Waiting()
+	tokens := p.queue.Tokens()
+	for rank := range c.Ahead {
+		for n := range tokens {
+			c.Ahead[rank] += float64(tokens[n])
+		}
+	}
+	for _, n := range slots {
+		c.FreeSlots -= n
+	}
+	return c
+}
+
+// shed postpones or refuses the waiting requests that cannot meet their
+// deadline any more.
+func (t *task) shed(p *pool) {
+	if p.queue.Len() > 0 {
+		var shed []*admitter.Item
+		shed = append(shed, p.queue.Shed(t.capacity(p), t.now)...)
+		for _, item := range shed {
+			t.postpone(item.Owner.(*waiter), admitter.Verdict{FirstTokenAt: item.Work.FirstTokenBy})
+		}
+	}
+	if p.late.Len() > 0 {
+		for _, item := range p.late.Shed(t.lateCapacity(p), t.now) {
+			t.refuseLate(item.Owner.(*waiter), admitter.Verdict{FirstTokenAt: item.Work.FirstTokenBy})
+		}
+	}
+}
--- a/scheduler/message.go
+++ b/scheduler/message.go
@@ -25,6 +25,8 @@
 	// The rest belongs to the goroutine of Run.
 	pool *pool
 	item admitter.Item
+	// late says that the request misses its target and waits in pool.late.
+	late bool
 	// isolate keeps the request apart from other crash suspects (5.6).
 	isolate bool
 	// counted says that the wait counts as an open stream.
--- a/scheduler/observe.go
+++ b/scheduler/observe.go
@@ -66,6 +66,7 @@
 	if !computing(a, s) {
 		return
 	}
+	p.picker.LearnPrefill(&a.placement, o.Tokens, o.EndedAt.Sub(o.StartedAt))
 	if ratio, ok := a.placement.PrefillRatio(o.EndedAt.Sub(o.StartedAt), o.Tokens); ok {
 		t.change(s, s.Speed.Observe(ratio, t.now))
 	}
@@ -77,6 +78,7 @@
 	if a == nil || a.placement.Prefill == nil {
 		return
 	}
+	p.picker.LearnGap(o.EndedAt.Sub(o.StartedAt))
 	if ratio, ok := p.picker.TransferRatio(&a.placement, o.EndedAt.Sub(o.StartedAt)); ok {
 		a.placement.Prefill.Link.Observe(ratio, t.now)
 		a.placement.Decode.Link.Observe(ratio, t.now)
--- a/scheduler/prefillload.go
+++ b/scheduler/prefillload.go
@@ -28,8 +28,9 @@
 	var l egretflow.PrefillLoad
 	for _, p := range t.order {
 		p.picker.Servers(func(s *picker.Server) {
-			if tokens := s.Remaining(now); tokens > 0 {
-				l.Backlogs = append(l.Backlogs, egretflow.Backlog{Server: s.Spec.Name, Tokens: tokens})
+			b := egretflow.Backlog{Server: s.Spec.Name, Tokens: s.Remaining(now), Blocks: s.BlocksInUse()}
+			if b.Tokens > 0 || b.Blocks > 0 {
+				l.Backlogs = append(l.Backlogs, b)
 			}
 		})
 		if tokens := p.queue.Tokens(); tokens != [4]int{} {
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -136,3 +136,19 @@
 	}
 	t.record(name, work, nil, fields)
 }
+
+// recordPostponed explains why a request waits although it misses its target.
+func (t *task) recordPostponed(w *waiter, v admitter.Verdict) {
+	var x text
+	x.milliseconds(t.now, v.FirstTokenAt)
+	x.milliseconds(t.now, w.work.GiveUpBy)
+	x.int(w.pool.queue.Len())
+	x.int(w.pool.late.Len())
+	s := string(x.buffer[:x.used])
+	t.record(egretflow.EventPostponed, w.work, nil, []egretflow.EventField{
+		{Key: "FirstTokenMs", Value: x.field(s, 0)},
+		{Key: "GiveUpMs", Value: x.field(s, 1)},
+		{Key: "Queued", Value: x.field(s, 2)},
+		{Key: "QueuedLate", Value: x.field(s, 3)},
+	})
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -18,8 +18,9 @@
 	Rand     *rand.Rand
 	Recorder egretflow.Recorder
 	Checker  egretflow.Checker
-	// Peers says that slots are shared with other instances by grants (5.3).
-	Peers bool
+	// Sharing says how servers are shared with other instances (5.3); empty means
+	// that they are not.
+	Sharing picker.Sharing
 	// Policy selects how servers are chosen; empty means picker.PolicyJoint.
 	// The other policies are baselines for load runs.
 	Policy picker.Policy
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/picker"
 )
 
 type fakeRecorder struct{}
@@ -35,8 +36,8 @@
 	return &egretflow.Tables{Revision: 1, Pools: []egretflow.Pool{p}}
 }
 
-func start(ctx context.Context, t *testing.T, peers bool, tables *egretflow.Tables) *Scheduler {
-	s := New(Config{Instance: "entry-1", Clock: time.Now, Rand: rand.New(rand.NewPCG(1, 2)), Recorder: fakeRecorder{}, Checker: fakeChecker{t}, Peers: peers})
+func start(ctx context.Context, t *testing.T, sharing picker.Sharing, tables *egretflow.Tables) *Scheduler {
+	s := New(Config{Instance: "entry-1", Clock: time.Now, Rand: rand.New(rand.NewPCG(1, 2)), Recorder: fakeRecorder{}, Checker: fakeChecker{t}, Sharing: sharing})
 	go s.Run(ctx) //nolint:errcheck // Run always returns nil.
 	s.Apply(tables)
 	return s
@@ -54,7 +55,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(context.Background())
 		defer stop()
-		s := start(ctx, t, false, testTables(1, 1, 1))
+		s := start(ctx, t, picker.SharingNone, testTables(1, 1, 1))
 		first, err := s.Acquire(ctx, testWork("1"))
 		if err != nil {
 			t.Fatalf("first acquire: %v", err)
@@ -78,7 +79,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(context.Background())
 		defer stop()
-		s := start(ctx, t, true, testTables(1, 1, 2))
+		s := start(ctx, t, picker.SharingGrants, testTables(1, 1, 2))
 		if _, err := s.Acquire(ctx, testWork("1")); err == nil {
 			t.Fatal("work started without a grant")
 		}
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -23,6 +23,9 @@
 type pool struct {
 	picker *picker.Pool
 	queue  *admitter.Queue
+	// late holds the requests that miss their target and are still of use to
+	// their callers.
+	late *admitter.Queue
 	// replacing holds waits for another prefill server, oldest first.
 	replacing []*waiter
 	// fifo holds the waits under a baseline policy.
@@ -137,11 +140,7 @@
 func (t *task) tick() {
 	t.checkOverdue()
 	for _, p := range t.order {
-		if p.queue.Len() > 0 {
-			for _, item := range p.queue.Shed(t.capacity(p), t.now) {
-				t.refuseLate(item.Owner.(*waiter), admitter.Verdict{FirstTokenAt: item.Work.FirstTokenBy})
-			}
-		}
+		t.shed(p)
 		t.dispatch(p)
 	}
 }
@@ -156,7 +155,7 @@
 		p, ok := previous[table.Name]
 		if !ok {
 			p = &pool{
-				picker: picker.NewPool(t.cfg.Rand, t.cfg.Peers && t.joint()), queue: admitter.NewQueue(),
+				picker: picker.NewPool(t.cfg.Rand, t.sharing()), queue: admitter.NewQueue(), late: admitter.NewQueue(),
 				peerQueues: map[egretflow.InstanceName]peerQueue{},
 			}
 		}
@@ -205,4 +204,12 @@
 	return value
 }
 
+// sharing returns how servers are shared. The baselines know no grants.
+func (t *task) sharing() picker.Sharing {
+	if t.joint() {
+		return t.cfg.Sharing
+	}
+	return picker.SharingNone
+}
+
 func (t *task) joint() bool { return t.cfg.Policy == "" || t.cfg.Policy == picker.PolicyJoint }
