--- /dev/null
+++ b/assembler/forwarding.go
@@ -0,0 +1,148 @@
+package assembler
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/checker"
+	"github.com/egretflow/egretflow/connector"
+	"github.com/egretflow/egretflow/explainer"
+	"github.com/egretflow/egretflow/frontend"
+	"github.com/egretflow/egretflow/picker"
+	"github.com/egretflow/egretflow/recorder"
+	"github.com/egretflow/egretflow/registrar"
+	"github.com/egretflow/egretflow/relayer"
+	"github.com/egretflow/egretflow/scheduler"
+	"github.com/egretflow/egretflow/supervisor"
+)
+
+const (
+	readyPath   = "/ready"
+	metricsPath = "/metrics"
+	// probeTimeout bounds one request of the balancer or of a metrics reader.
+	probeTimeout = 2 * time.Second
+)
+
+// ForwardingConfig is what an instance is built from that forwards the requests
+// of routes by host and path, on a platform that registers backend servers.
+type ForwardingConfig struct {
+	Self      egretflow.Member
+	Clock     egretflow.Clock
+	Rand      *rand.Rand
+	Dial      connector.DialFunc
+	Explainer *explainer.Explainer
+	Policy    picker.Policy
+
+	Directory egretflow.Directory
+	Dialect   egretflow.Dialect
+	Engines   egretflow.Engines
+
+	CallerListener  net.Listener
+	ReadyListener   net.Listener
+	MetricsListener net.Listener
+	Limits          frontend.Limits
+}
+
+// Forwarding is an assembled instance that forwards requests.
+type Forwarding struct {
+	cfg       ForwardingConfig
+	registrar *registrar.Registrar
+	scheduler *scheduler.Scheduler
+	relayer   *relayer.Relayer
+	frontend  *frontend.Frontend
+	metrics   *recorder.Metrics
+}
+
+// NewForwarding builds an instance that does nothing until its tasks run.
+func NewForwarding(cfg ForwardingConfig) (*Forwarding, error) {
+	metrics, err := recorder.New()
+	if err != nil {
+		return nil, wrapPart("metrics", err)
+	}
+	name := cfg.Self.Name
+	check := checker.New(name, cfg.Clock, cfg.Explainer, metrics.InvariantViolated)
+	f := &Forwarding{cfg: cfg, metrics: metrics}
+	f.registrar = registrar.New(registrar.Config{Instance: name, Directory: cfg.Directory, Clock: cfg.Clock, Recorder: cfg.Explainer})
+	f.scheduler = scheduler.New(scheduler.Config{
+		Instance: name, Clock: cfg.Clock, Rand: cfg.newRand(), Recorder: cfg.Explainer, Checker: check,
+		Sharing: picker.SharingPeers, Policy: cfg.Policy,
+	})
+	f.relayer = relayer.New(relayer.Config{
+		Instance: name, Scheduler: f.scheduler, Recorder: cfg.Explainer, Checker: check, Clock: cfg.Clock,
+		Rand: cfg.newRand(), Dial: cfg.Dial, Wasted: metrics.WastedPrefill,
+		Dialect: cfg.Dialect, Engines: cfg.Engines, TakesWork: f.registrar.TakesWork,
+	})
+	f.frontend = frontend.New(frontend.Config{
+		Instance: name, Relayer: f.relayer, Tables: f.registrar.Tables, Recorder: cfg.Explainer, Checker: check,
+		Metrics: metrics, Clock: cfg.Clock, Rand: cfg.newRand(), Limits: cfg.Limits, Dialect: cfg.Dialect,
+	})
+	return f, nil
+}
+
+func (c *ForwardingConfig) newRand() *rand.Rand {
+	return rand.New(rand.NewPCG(c.Rand.Uint64(), c.Rand.Uint64()))
+}
+
+// Tasks returns the tasks of the instance in their start order.
+func (f *Forwarding) Tasks() []supervisor.Task {
+	return []supervisor.Task{
+		{Name: "explainer", Run: f.cfg.Explainer.Run},
+		{Name: "scheduler", Run: f.scheduler.Run},
+		{Name: "registrar", Run: f.followPlatform},
+		{Name: "relayer", Run: f.closeRelayer},
+		{Name: "metrics", Run: func(ctx context.Context) error { return serve(ctx, f.cfg.MetricsListener, f.metricsHandler()) }},
+		{Name: "ready", Run: func(ctx context.Context) error { return serve(ctx, f.cfg.ReadyListener, f.readyHandler()) }},
+		{Name: "callers", Run: func(ctx context.Context) error { return f.frontend.Serve(ctx, f.cfg.CallerListener) }},
+	}
+}
+
+func (f *Forwarding) followPlatform(ctx context.Context) error {
+	f.registrar.Subscribe(f.scheduler.Apply)
+	return f.registrar.Run(ctx)
+}
+
+func (f *Forwarding) closeRelayer(ctx context.Context) error {
+	<-ctx.Done()
+	f.relayer.Close()
+	return nil
+}
+
+func (f *Forwarding) readyHandler() http.Handler {
+	e := echo.New()
+	e.GET(readyPath, func(c echo.Context) error {
+		if !f.frontend.Ready() {
+			return c.NoContent(http.StatusServiceUnavailable)
+		}
+		return c.NoContent(http.StatusOK)
+	})
+	return e
+}
+
+func (f *Forwarding) metricsHandler() http.Handler {
+	e := echo.New()
+	e.GET(metricsPath, echo.WrapHandler(f.metrics.Handler()))
+	return e
+}
+
+// serve answers short requests until ctx ends. A nil listener serves nothing.
+func serve(ctx context.Context, ln net.Listener, h http.Handler) error {
+	if ln == nil {
+		<-ctx.Done()
+		return nil
+	}
+	server := &http.Server{Handler: h, ReadTimeout: probeTimeout, WriteTimeout: probeTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve %s: %w", ln.Addr(), err)
+	}
+	return nil
+}
--- a/cmd/egretflow/main.go
+++ b/cmd/egretflow/main.go
@@ -22,9 +22,10 @@
 )
 
 type commands struct {
-	Demo  demoCommand  `cmd:"" help:"Run stand-in engines and an entry instance on loopback and answer one chat request."`
-	Serve serveCommand `cmd:"" help:"Run an entry instance."`
-	Hash  hashCommand  `cmd:"" help:"Read a key from standard input and print its hash for a key file."`
+	Demo     demoCommand     `cmd:"" help:"Run stand-in engines and an entry instance on loopback and answer one chat request."`
+	Serve    serveCommand    `cmd:"" help:"Run an entry instance."`
+	Platform platformCommand `cmd:"" help:"Run an entry instance on the platform that the settings file describes."`
+	Hash     hashCommand     `cmd:"" help:"Read a key from standard input and print its hash for a key file."`
 }
 
 func main() {
--- /dev/null
+++ b/cmd/egretflow/platform.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/assembler"
+	"github.com/egretflow/egretflow/connector"
+	"github.com/egretflow/egretflow/explainer"
+	"github.com/egretflow/egretflow/frontend"
+	"github.com/egretflow/egretflow/loader"
+	"github.com/egretflow/egretflow/picker"
+	"github.com/egretflow/egretflow/platform"
+	"github.com/egretflow/egretflow/supervisor"
+)
+
+const (
+	// lameDuck outlasts two questions of the balancer, one a second.
+	lameDuck = 2500 * time.Millisecond
+	// stopMargin is left of the grace period for the end of the process.
+	stopMargin = 600 * time.Millisecond
+	// keptEvents is the number of events kept for explanations; log lines hold
+	// them all.
+	keptEvents = 256
+	// memoryShare of the limit is what the garbage collector aims at.
+	memoryShare = 0.7
+	megabyte    = 1 << 20
+)
+
+type platformCommand struct {
+	Config string        `help:"Settings file that the platform writes." default:"/etc/egretflow/node.yaml"`
+	Policy picker.Policy `help:"How servers are chosen: Joint, RoundRobin, LeastLoaded or PowerOfTwo." default:"Joint"`
+	Check  bool          `help:"Check the settings file and end."`
+}
+
+// Run serves until ctx ends.
+func (p *platformCommand) Run(ctx context.Context) error {
+	s, err := loader.Load(p.Config)
+	if err != nil {
+		return fmt.Errorf("settings file %s: %w", p.Config, err)
+	}
+	if p.Check {
+		return nil
+	}
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMegabytes) * megabyte))
+	cfg, err := p.assemble(s)
+	if err != nil {
+		return err
+	}
+	inst, err := assembler.NewForwarding(cfg)
+	if err != nil {
+		return fmt.Errorf("assemble instance: %w", err)
+	}
+	if err := supervisor.Run(ctx, inst.Tasks()); err != nil {
+		return fmt.Errorf("run instance: %w", err)
+	}
+	return nil
+}
+
+func (p *platformCommand) assemble(s *loader.Settings) (assembler.ForwardingConfig, error) {
+	logger := logrus.New()
+	logger.SetOutput(os.Stdout)
+	logger.SetFormatter(explainer.Formatter{})
+	clock := egretflow.NewSteadyClock(egretflow.SystemClock)
+	dialer := connector.NewDialer()
+	client := platform.NewClient(dialer.DialContext)
+	store := platform.NewStore(platform.StoreConfig{Address: s.Store, Client: client, Clock: clock})
+	cfg := assembler.ForwardingConfig{
+		Self:  egretflow.Member{Name: s.Name, FailureDomain: s.FailureDomain, Region: s.Region, State: egretflow.MemberStateLive},
+		Clock: clock, Rand: newRand(), Dial: dialer.DialContext, Explainer: explainer.New(keptEvents, logger), Policy: p.Policy,
+		Directory: platform.NewDirectory(store, nil), Dialect: platform.Dialect{}, Engines: platform.NewEngines(client, clock),
+		Limits: frontend.Limits{LameDuck: lameDuck, DrainTimeout: s.Grace() - lameDuck - stopMargin},
+	}
+	var err error
+	if cfg.CallerListener, err = listen("callers", s.Listen.String()); err != nil {
+		return cfg, err
+	}
+	if cfg.ReadyListener, err = listen("the balancer", s.ReadyListen.String()); err != nil {
+		return cfg, err
+	}
+	cfg.MetricsListener, err = listenMetrics(s)
+	return cfg, err
+}
+
+func listenMetrics(s *loader.Settings) (net.Listener, error) {
+	return listen("metrics", netip.AddrPortFrom(s.Address, s.PeerPorts[1]).String())
+}
--- a/decision.go
+++ b/decision.go
@@ -47,10 +47,21 @@
 	Avoid []ServerName
 	// Hedge marks a second attempt beside a running one (5.4).
 	Hedge bool
+	// Reacquired marks a further place for a request that has reached no server
+	// under the places before.
+	Reacquired bool
 	// Retry marks an attempt after a failed one; it spends the retry budget.
 	Retry bool
 }
 
+// Output returns the expected output in tokens.
+func (w *Work) Output() int {
+	if w.ExpectedTokens > 0 {
+		return w.ExpectedTokens
+	}
+	return w.MaxTokens
+}
+
 // Assignment is a place on backend servers. For a service pool only Decode is
 // set and names the service's server.
 type Assignment struct {
--- a/errors.go
+++ b/errors.go
@@ -17,6 +17,8 @@
 	ErrUncertain = errors.New("outcome of the write is unknown")
 	// ErrUnavailable means that an outside system could not be reached.
 	ErrUnavailable = errors.New("unavailable")
+	// ErrFull means that a backend server has no room.
+	ErrFull = errors.New("no room")
 	// ErrUnauthorized means that a credential is missing or wrong.
 	ErrUnauthorized = errors.New("unauthorized")
 	// ErrForbidden means that the caller has no route to what it asked for.
--- a/event.go
+++ b/event.go
@@ -27,6 +27,10 @@
 	EventCrashSuspect      EventName = "CrashSuspect"
 	EventRevisionInForce   EventName = "RevisionInForce"
 	EventRevisionUnknown   EventName = "RevisionUnconfirmed"
+	EventServerFound       EventName = "ServerFound"
+	EventServerChanged     EventName = "ServerChanged"
+	EventServerLeaving     EventName = "ServerLeaving"
+	EventServerGone        EventName = "ServerGone"
 	EventMemberJoined      EventName = "MemberJoined"
 	EventMemberLost        EventName = "MemberLost"
 	EventGrantLapsed       EventName = "GrantLapsed"
@@ -46,6 +50,7 @@
 	EventStoreAvailable    EventName = "StoreAvailable"
 	EventInvariantViolated EventName = "InvariantViolated"
 	EventReloaded          EventName = "Reloaded"
+	EventCleanupFailed     EventName = "CleanupFailed"
 )
 
 // Event is one thing that happened, as logged and as kept for explanation.
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -39,6 +39,9 @@
 	RequestTimeout time.Duration
 	// DrainTimeout is the time for open requests at shutdown (10.1).
 	DrainTimeout time.Duration
+	// LameDuck is the time at shutdown in which the instance is not ready and
+	// still takes requests, because balancers notice late; 0 for none.
+	LameDuck time.Duration
 }
 
 // Default limits.
@@ -93,6 +96,9 @@
 	Limits   Limits
 	// TLS serves callers over TLS; nil for none.
 	TLS *tls.Config
+	// Dialect, if set, makes the frontend forward the requests of routes by host
+	// and path, unchanged, instead of serving its own API.
+	Dialect egretflow.Dialect
 }
 
 // Frontend serves callers.
@@ -103,7 +109,8 @@
 	streams streamCounter
 	randMu  sync.Mutex
 
-	open *openRequests
+	open    *openRequests
+	waiting waitEstimator
 	// handover ends when open answers must end after the current event.
 	handover      context.Context
 	startHandover context.CancelFunc
@@ -123,6 +130,11 @@
 
 func (f *Frontend) routes() http.Handler {
 	e := echo.New()
+	if f.cfg.Dialect != nil {
+		e.HTTPErrorHandler = f.writeForwardError
+		e.Any("/*", f.serveForwarded, f.identifyForwarded, f.admitForwarded)
+		return e
+	}
 	e.HTTPErrorHandler = f.writeError
 	group := e.Group("", f.identify, f.admit)
 	group.POST("/v1/chat/completions", f.serveChat)
--- a/frontend/open.go
+++ b/frontend/open.go
@@ -8,6 +8,8 @@
 	mu     sync.Mutex
 	count  int
 	closed bool
+	// lame says that a drain will begin soon.
+	lame bool
 	// idle is closed when a drain has begun and no request is left.
 	idle chan struct{}
 }
@@ -45,8 +47,16 @@
 	return o.idle
 }
 
+// announce says that a drain will begin soon.
+func (o *openRequests) announce() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.lame = true
+}
+
+// draining reports whether a drain has begun or was announced.
 func (o *openRequests) draining() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.closed
+	return o.closed || o.lame
 }
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -34,10 +34,32 @@
 		return fmt.Errorf("serve callers: %w", err)
 	case <-ctx.Done():
 	}
+	f.announce()
 	f.drain()
+	if f.cfg.Dialect != nil {
+		return f.cutServer(server)
+	}
 	return closeServer(server)
 }
 
+// announce makes the instance not ready and goes on serving for a while.
+func (f *Frontend) announce() {
+	f.open.announce()
+	f.record(egretflow.EventShutdownStarted, "", field("lame_duck", f.cfg.Limits.LameDuck.String()))
+	if f.cfg.Limits.LameDuck > 0 {
+		time.Sleep(f.cfg.Limits.LameDuck)
+	}
+}
+
+// cutServer closes the listener and what is left of the connections; open
+// requests have had the drain timeout.
+func (f *Frontend) cutServer(server *http.Server) error {
+	if err := server.Close(); err != nil {
+		return fmt.Errorf("close callers' connections: %w", err)
+	}
+	return nil
+}
+
 func (f *Frontend) newServer() *http.Server {
 	return &http.Server{
 		Handler: f, ReadHeaderTimeout: f.cfg.Limits.HeaderTimeout, IdleTimeout: f.cfg.Limits.IdleTimeout,
@@ -62,14 +84,15 @@
 // drain rejects new work and waits for open requests.
 func (f *Frontend) drain() {
 	done := f.open.drain()
-	f.record(egretflow.EventShutdownStarted, "")
 	timer := time.NewTimer(f.cfg.Limits.DrainTimeout)
 	defer timer.Stop()
 	select {
 	case <-done:
 	case <-timer.C:
 		f.startHandover()
-		f.awaitHandover(done)
+		if f.cfg.Dialect == nil {
+			f.awaitHandover(done)
+		}
 	}
 	f.record(egretflow.EventShutdownDone, "")
 }
--- /dev/null
+++ b/loader/loader.go
@@ -0,0 +1,95 @@
+// Package loader reads and checks the settings file of an instance that runs on
+// a platform.
+//
+// # Usage
+//
+//	s, err := loader.Load("/etc/egretflow/node.yaml")
+//
+// # Rules
+//
+//  1. The file is JSON with the field names of Settings. Unknown fields are
+//     ignored, because the platform adds some; a missing or wrong one is an
+//     error that names it.
+//  2. Nothing else tells a process about its place: no flag and no file.
+package loader
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/egretflow/egretflow"
+)
+
+// Settings is the settings file.
+type Settings struct {
+	Name          egretflow.InstanceName
+	Region        egretflow.Region
+	FailureDomain egretflow.FailureDomain
+	// Listen is for callers, ReadyListen for the balancer's questions.
+	Listen      netip.AddrPort
+	ReadyListen netip.AddrPort
+	// Address is the own IP address and PeerPorts the first and last port that
+	// are free on it for messages between instances and for metrics.
+	Address   netip.Addr
+	PeerPorts []uint16
+	// Store is the platform's key-value store.
+	Store netip.AddrPort
+	// GraceSeconds is the time from the request to stop until the process is
+	// killed.
+	GraceSeconds    float64
+	MemoryMegabytes int
+	// The retry budget of a service, which all instances share: RetryRatio of its
+	// requests plus RetrySlack in each window.
+	RetryRatio         float64
+	RetrySlack         float64
+	RetryWindowSeconds float64
+	// LeaseMilliseconds is the lifetime of the lease of the holder that orders
+	// engines.
+	LeaseMilliseconds int
+}
+
+// Load reads and checks the file.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read settings: %w", err)
+	}
+	return Decode(data)
+}
+
+// Decode decodes and checks settings.
+func Decode(data []byte) (*Settings, error) {
+	var s Settings
+	if err := json.Unmarshal(data, &s); err != nil {
+		return nil, fmt.Errorf("decode settings: %w", err)
+	}
+	if err := s.check(); err != nil {
+		return nil, fmt.Errorf("check settings: %w", err)
+	}
+	return &s, nil
+}
+
+func (s *Settings) check() error {
+	if err := egretflow.CheckName("Name", string(s.Name)); err != nil {
+		return err
+	}
+	return egretflow.CheckRequired([]egretflow.RequiredField{
+		{Name: "FailureDomain", Missing: s.FailureDomain == ""},
+		{Name: "Listen", Missing: !s.Listen.IsValid()},
+		{Name: "ReadyListen", Missing: !s.ReadyListen.IsValid()},
+		{Name: "Address", Missing: !s.Address.IsValid()},
+		{Name: "PeerPorts", Missing: len(s.PeerPorts) != 2 || s.PeerPorts[0] > s.PeerPorts[1]},
+		{Name: "Store", Missing: !s.Store.IsValid()},
+		{Name: "GraceSeconds", Missing: s.GraceSeconds <= 0},
+		{Name: "MemoryMegabytes", Missing: s.MemoryMegabytes <= 0},
+		{Name: "RetryWindowSeconds", Missing: s.RetryWindowSeconds <= 0},
+	})
+}
+
+// Grace is the time to stop.
+func (s *Settings) Grace() time.Duration {
+	return time.Duration(s.GraceSeconds * float64(time.Second))
+}
--- a/picker/sharing.go
+++ b/picker/sharing.go
@@ -86,9 +86,5 @@
 
 // blocksFor returns the blocks that prompt and expected output of w need.
 func blocksFor(w *egretflow.Work) int {
-	output := w.ExpectedTokens
-	if output == 0 {
-		output = w.MaxTokens
-	}
-	return (w.PromptTokens + output + egretflow.BlockTokens - 1) / egretflow.BlockTokens
+	return (w.PromptTokens + w.Output() + egretflow.BlockTokens - 1) / egretflow.BlockTokens
 }
--- /dev/null
+++ b/registrar/doc.go
@@ -0,0 +1,20 @@
+// Package registrar makes the tables of an instance from the configuration and
+// the backend servers of an egretflow.Directory.
+//
+// # Usage
+//
+//	r := registrar.New(registrar.Config{Directory: directory, Clock: clock, Recorder: recorder, Instance: name})
+//	r.Subscribe(scheduler.Apply)
+//	err := r.Run(ctx)
+//
+// # Rules
+//
+//  1. A configuration is accepted only if its version is higher than the one in
+//     force, so it never reverts (I8).
+//  2. Backend servers are read every ReadInterval. A server that is registered
+//     as leaving, or no longer registered, takes no new work from then on (I6).
+//  3. While the platform cannot be read, the last tables stay in force. Entries
+//     may have expired meanwhile although their servers live; a server that is
+//     missing after the outage stays until ReturnGrace has passed.
+//  4. Before the first configuration there are no tables.
+package registrar
--- /dev/null
+++ b/registrar/registrar.go
@@ -0,0 +1,183 @@
+package registrar
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/egretflow/egretflow"
+)
+
+const (
+	// ReadInterval is the time between two readings of the backend servers. With
+	// one slow reading it keeps the 2 s in which a leaving server must be known.
+	ReadInterval = 700 * time.Millisecond
+	// ReturnGrace is how long entries that expired in an outage of the platform
+	// take to return.
+	ReturnGrace = 2200 * time.Millisecond
+	// retryInterval is the time after a failed reading.
+	retryInterval = 250 * time.Millisecond
+)
+
+// Config holds what a Registrar needs.
+type Config struct {
+	Instance  egretflow.InstanceName
+	Directory egretflow.Directory
+	Clock     egretflow.Clock
+	Recorder  egretflow.Recorder
+}
+
+// Registrar is an egretflow.TablesHolder.
+type Registrar struct {
+	cfg Config
+
+	mu          sync.Mutex
+	state       state
+	tables      *egretflow.Tables
+	confirmedAt time.Time
+	subscribers []func(t *egretflow.Tables)
+}
+
+var _ egretflow.TablesHolder = (*Registrar)(nil)
+
+// New returns a Registrar without tables.
+func New(cfg Config) *Registrar { return &Registrar{cfg: cfg} }
+
+// Current implements egretflow.TablesHolder.
+func (r *Registrar) Current() egretflow.TablesInForce {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return egretflow.TablesInForce{Tables: r.tables, Confirmed: r.state.reachable, ConfirmedAt: r.confirmedAt}
+}
+
+// Tables returns the tables in force, nil before the first ones.
+func (r *Registrar) Tables() *egretflow.Tables { return r.Current().Tables }
+
+// Subscribe implements egretflow.TablesHolder.
+func (r *Registrar) Subscribe(f func(t *egretflow.Tables)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.subscribers = append(r.subscribers, f)
+	if r.tables != nil {
+		f(r.tables)
+	}
+}
+
+// TakesWork reports whether a server may still get new work.
+func (r *Registrar) TakesWork(name egretflow.ServerName) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	entry, ok := r.state.servers[name]
+	return ok && !entry.Leaving
+}
+
+// Run follows the directory until ctx ends.
+func (r *Registrar) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	wg.Go(func() { r.followConfiguration(ctx) })
+	r.followServers(ctx)
+	wg.Wait()
+	return nil
+}
+
+// followConfiguration reads each configuration and waits for the next.
+func (r *Registrar) followConfiguration(ctx context.Context) {
+	for ctx.Err() == nil {
+		c, err := r.cfg.Directory.Configuration(ctx)
+		if err != nil {
+			r.failed(ctx, "Configuration", err)
+			pause(ctx, retryInterval)
+			continue
+		}
+		r.takeConfiguration(c)
+		if err := r.cfg.Directory.AwaitChange(ctx); err != nil {
+			r.failed(ctx, "Changes", err)
+			pause(ctx, retryInterval)
+		}
+	}
+}
+
+func (r *Registrar) followServers(ctx context.Context) {
+	for ctx.Err() == nil {
+		startedAt := r.cfg.Clock()
+		entries, err := r.cfg.Directory.Servers(ctx)
+		if err != nil {
+			r.failed(ctx, "Servers", err)
+			pause(ctx, retryInterval)
+			continue
+		}
+		r.takeServers(entries)
+		pause(ctx, startedAt.Add(ReadInterval).Sub(r.cfg.Clock()))
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (r *Registrar) takeConfiguration(c *egretflow.Configuration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.state.configure(c) {
+		return
+	}
+	r.record(egretflow.EventRevisionInForce, "Version", strconv.FormatUint(c.Version, 10), "Routes", strconv.Itoa(len(c.Routes)))
+	r.publish()
+}
+
+func (r *Registrar) takeServers(entries []egretflow.ServerEntry) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.cfg.Clock()
+	if !r.state.reachable {
+		r.record(egretflow.EventStoreAvailable, "Servers", strconv.Itoa(len(entries)))
+	}
+	r.confirmedAt = now
+	changes := r.state.replace(entries, now)
+	for _, c := range changes {
+		r.record(c.event, "Server", string(c.server), "Pool", string(c.pool))
+	}
+	if len(changes) > 0 || r.tables == nil {
+		r.publish()
+	}
+}
+
+// publish builds the tables and hands them to the subscribers. The caller holds
+// mu.
+func (r *Registrar) publish() {
+	tables := r.state.tables()
+	if tables == nil {
+		return
+	}
+	r.tables = tables
+	for _, f := range r.subscribers {
+		f(tables)
+	}
+}
+
+// failed records the loss of the platform once per outage.
+func (r *Registrar) failed(ctx context.Context, reading string, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if ctx.Err() != nil || errors.Is(err, egretflow.ErrNotFound) || !r.state.lose() {
+		return
+	}
+	r.record(egretflow.EventStoreUnavailable, "Reading", reading, "LastReadAt", r.confirmedAt.UTC().Format(time.RFC3339Nano), "Error", err.Error())
+}
+
+// record writes an event with pairs of keys and values.
+func (r *Registrar) record(name egretflow.EventName, pairs ...string) {
+	e := egretflow.Event{Name: name, At: r.cfg.Clock(), Instance: r.cfg.Instance}
+	for n := 0; n+1 < len(pairs); n += 2 {
+		e.Fields = append(e.Fields, egretflow.EventField{Key: pairs[n], Value: pairs[n+1]})
+	}
+	r.cfg.Recorder.Record(e)
+}
--- /dev/null
+++ b/registrar/state.go
@@ -0,0 +1,117 @@
+package registrar
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/egretflow/egretflow"
+)
+
+// state is what is believed of the platform.
+type state struct {
+	configuration *egretflow.Configuration
+	servers       map[egretflow.ServerName]egretflow.ServerEntry
+	revision      egretflow.Revision
+	// reachable says that the last reading of the servers worked, and graceUntil
+	// is when servers that are missing since an outage count as gone.
+	reachable  bool
+	everRead   bool
+	graceUntil time.Time
+}
+
+// change is one difference between two readings.
+type change struct {
+	event  egretflow.EventName
+	server egretflow.ServerName
+	pool   egretflow.PoolName
+}
+
+// configure takes a configuration and reports whether it is newer (rule 1).
+func (s *state) configure(c *egretflow.Configuration) bool {
+	if s.configuration != nil && c.Version <= s.configuration.Version {
+		return false
+	}
+	s.configuration = c
+	return true
+}
+
+// lose notes a failed reading and reports whether it is the first of an outage.
+func (s *state) lose() bool {
+	first := s.reachable
+	s.reachable = false
+	return first
+}
+
+// replace takes a reading of the servers and returns what changed.
+func (s *state) replace(entries []egretflow.ServerEntry, now time.Time) []change {
+	if !s.reachable && s.everRead {
+		s.graceUntil = now.Add(ReturnGrace)
+	}
+	s.reachable, s.everRead = true, true
+	next := make(map[egretflow.ServerName]egretflow.ServerEntry, len(entries))
+	var changes []change
+	for _, e := range entries {
+		next[e.Server.Name] = e
+		old, known := s.servers[e.Server.Name]
+		switch {
+		case !known:
+			changes = append(changes, change{egretflow.EventServerFound, e.Server.Name, e.Pool})
+		case e.Leaving && !old.Leaving:
+			changes = append(changes, change{egretflow.EventServerLeaving, e.Server.Name, e.Pool})
+		case old != e:
+			changes = append(changes, change{egretflow.EventServerChanged, e.Server.Name, e.Pool})
+		}
+	}
+	for name, old := range s.servers {
+		if _, ok := next[name]; ok {
+			continue
+		}
+		if now.Before(s.graceUntil) {
+			next[name] = old
+			continue
+		}
+		changes = append(changes, change{egretflow.EventServerGone, name, old.Pool})
+	}
+	s.servers = next
+	slices.SortFunc(changes, func(a, b change) int { return strings.Compare(string(a.server), string(b.server)) })
+	return changes
+}
+
+// tables joins configuration and servers; nil without a configuration.
+func (s *state) tables() *egretflow.Tables {
+	if s.configuration == nil {
+		return nil
+	}
+	s.revision++
+	t := &egretflow.Tables{Revision: s.revision, Routes: s.configuration.Routes}
+	t.Pools = slices.Clone(s.configuration.Pools)
+	at := make(map[egretflow.PoolName]int, len(t.Pools))
+	for n := range t.Pools {
+		at[t.Pools[n].Name] = n
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.servers)) {
+		entry := s.servers[name]
+		n, ok := at[entry.Pool]
+		if !ok {
+			continue
+		}
+		if server, ok := describe(&t.Pools[n], entry); ok {
+			t.Pools[n].Servers = append(t.Pools[n].Servers, server)
+		}
+	}
+	return t
+}
+
+// describe completes the entry of a server by what its pool says of all. It
+// reports false for a server whose role does not fit the pool.
+func describe(pool *egretflow.Pool, entry egretflow.ServerEntry) (egretflow.Server, bool) {
+	server := entry.Server
+	if (server.Role == egretflow.RoleService) != (pool.Kind == egretflow.PoolKindService) {
+		return server, false
+	}
+	server.Blocks, server.LinkBytesPerSecond = pool.Blocks, pool.LinkBytesPerSecond
+	server.Drain = entry.Leaving
+	return server, true
+}
--- a/relayer/call.go
+++ b/relayer/call.go
@@ -37,6 +37,11 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Terms and the bounds of the route are set for forwarded requests.
+	Terms       egretflow.Terms
+	MaxAttempts int
+	// EventGapTarget bounds the pause between two events of a stream.
+	EventGapTarget time.Duration
 }
 
 // Call runs a service call and writes its response to w. When it returns an
--- a/relayer/failure.go
+++ b/relayer/failure.go
@@ -29,6 +29,10 @@
 	failureMismatch failureKind = "Mismatch"
 	// failureExpired: the prefill result was gone before its import.
 	failureExpired failureKind = "KVExpired"
+	// failureFull: the server has no room for the request.
+	failureFull failureKind = "Full"
+	// failureError: the server ran the request and answered with an error.
+	failureError failureKind = "Error"
 	// failureRejected: the server rejects the request itself; no other server
 	// would take it.
 	failureRejected failureKind = "Rejected"
@@ -43,6 +47,10 @@
 	status  int
 	code    string
 	message string
+	// answer is a whole answer of the server that may be passed on.
+	answer *wholeAnswer
+	// arrived says that the request reached the server, also if it was refused.
+	arrived bool
 	err     error
 }
 
@@ -53,10 +61,13 @@
 func (f *failure) Unwrap() error { return f.err }
 
 // ran reports whether the server may have done work.
-func (f *failure) ran() bool { return f.kind != failureRefused && f.kind != failureExpired }
+func (f *failure) ran() bool {
+	return f.kind != failureRefused && f.kind != failureExpired && f.kind != failureFull
+}
 
 var observationOf = map[failureKind]egretflow.ObservationKind{
 	failureRefused:  egretflow.ObservationRefused,
+	failureFull:     egretflow.ObservationRefused,
 	failureBroken:   egretflow.ObservationFailed,
 	failureCrashed:  egretflow.ObservationCrashed,
 	failureStalled:  egretflow.ObservationSilent,
--- /dev/null
+++ b/relayer/forward.go
@@ -0,0 +1,301 @@
+package relayer
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/connector"
+)
+
+const (
+	// maxForwardTries bounds the places that one forwarded request tries.
+	maxForwardTries = 8
+	// forwardPatienceFactor times the target of a route is the wait for a server
+	// whose request may be repeated elsewhere.
+	forwardPatienceFactor = 4
+)
+
+// wholeAnswer is an answer of a server that was read to its end.
+type wholeAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// forwarding is the state of a forwarded request across attempts.
+type forwarding struct {
+	r    *Relayer
+	call *Call
+	// deadline is when the request ends, for the caller and for servers.
+	deadline time.Time
+	result   Result
+	// runs counts the servers that may have run the request, tries the places.
+	runs  int
+	tries int
+	// generated counts the events that the caller has, lastID names the last.
+	generated int
+	lastID    string
+}
+
+func (r *Relayer) newForwarding(ctx context.Context, call *Call) *forwarding {
+	deadline, _ := ctx.Deadline()
+	return &forwarding{r: r, call: call, deadline: deadline, lastID: call.Terms.ResumeAfter}
+}
+
+// Forward runs a forwarded call of a plain service and writes its answer to w.
+// Answers are passed on only when they are whole.
+func (r *Relayer) Forward(ctx context.Context, call *Call, w http.ResponseWriter) (Result, error) {
+	f := r.newForwarding(ctx, call)
+	err := f.run(ctx, func(work *egretflow.Work) error {
+		answer, err := f.attempt(ctx, work)
+		if err != nil {
+			return err
+		}
+		return f.pass(w, answer)
+	}, w)
+	return f.result, err
+}
+
+// run repeats attempt until it succeeds or the request must end (5.5).
+func (f *forwarding) run(ctx context.Context, attempt func(work *egretflow.Work) error, w http.ResponseWriter) error {
+	work := f.call.Work
+	for {
+		f.tries++
+		err := attempt(work)
+		if err == nil {
+			return nil
+		}
+		var cause *failure
+		if !errors.As(err, &cause) || ctx.Err() != nil {
+			return f.refusal(ctx, err)
+		}
+		next, ok := f.next(work, cause)
+		if !ok {
+			return f.settle(ctx, w, cause)
+		}
+		work = next
+	}
+}
+
+// next is the work of the next attempt; false when there must be none.
+func (f *forwarding) next(work *egretflow.Work, cause *failure) (*egretflow.Work, bool) {
+	switch {
+	case f.tries >= maxForwardTries:
+		return nil, false
+	case f.runs > 0 && !f.call.Work.Idempotent:
+		return nil, false
+	case f.runs >= f.attempts():
+		return nil, false
+	}
+	next := *work
+	if cause.kind != failureFull {
+		next.Avoid = append(work.Avoid[:len(work.Avoid):len(work.Avoid)], cause.server)
+	}
+	next.Retry = cause.arrived || cause.ran()
+	next.Reacquired = !next.Retry
+	next.PromptTokens = f.call.Work.PromptTokens + f.generated
+	f.result.Retries++
+	f.r.record(egretflow.EventRetried, &next, nil, field("reason", cause.kind), field("server", cause.server))
+	return &next, true
+}
+
+// attempts is the number of servers that may run the request.
+func (f *forwarding) attempts() int {
+	if f.call.MaxAttempts > 0 {
+		return f.call.MaxAttempts
+	}
+	return maxAttempts
+}
+
+// settle ends a request that failed: with the answer of the last server if it
+// gave one, otherwise with a refusal.
+func (f *forwarding) settle(ctx context.Context, w http.ResponseWriter, cause *failure) error {
+	if cause.answer != nil && !f.result.Started {
+		return f.pass(w, cause.answer)
+	}
+	return f.refusal(ctx, cause)
+}
+
+// refusal says whether the request has run: only servers know, and none was
+// asked to run it while runs is 0.
+func (f *forwarding) refusal(ctx context.Context, err error) error {
+	p := &progress{r: f.r, result: f.result}
+	p.mayHaveRun.Store(f.runs > 0)
+	return p.refusal(ctx, err)
+}
+
+// attempt runs the call once.
+func (f *forwarding) attempt(ctx context.Context, work *egretflow.Work) (*wholeAnswer, error) {
+	a, err := f.r.cfg.Scheduler.Acquire(ctx, work)
+	if err != nil {
+		return nil, err
+	}
+	defer f.r.cfg.Scheduler.Release(egretflow.Release{Attempt: a.Attempt})
+	sentAt := f.r.now()
+	answer, err := f.exchange(ctx, a)
+	if err != nil {
+		return nil, f.failed(a, err)
+	}
+	f.r.cfg.Scheduler.Observe(egretflow.Observation{
+		Kind: egretflow.ObservationServed, Server: a.Decode.Name, Attempt: a.Attempt, StartedAt: sentAt, EndedAt: f.r.now(),
+	})
+	if answer.status >= http.StatusInternalServerError && work.Idempotent {
+		return nil, f.failed(a, &failure{
+			kind: failureError, server: a.Decode.Name, answer: answer, arrived: true, err: fmt.Errorf("status %d", answer.status),
+		})
+	}
+	return answer, nil
+}
+
+// exchange sends the call and reads the whole answer. Work that must not be
+// repeated goes on when its caller leaves, so that it is not cut midway.
+func (f *forwarding) exchange(ctx context.Context, a *egretflow.Assignment) (*wholeAnswer, error) {
+	sendCtx, cancel := f.sendContext(ctx, a)
+	defer cancel()
+	resp, err := f.send(sendCtx, a, egretflow.ExchangeTerms{Server: a.Decode, Stage: egretflow.StageWhole})
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	return f.readWhole(sendCtx, a.Decode, resp)
+}
+
+func (f *forwarding) sendContext(ctx context.Context, a *egretflow.Assignment) (context.Context, context.CancelFunc) {
+	if !a.Work.Idempotent {
+		return context.WithDeadline(context.WithoutCancel(ctx), f.deadline)
+	}
+	if f.runs+1 >= f.attempts() {
+		return context.WithCancel(ctx)
+	}
+	target := f.call.Work.FirstTokenBy.Sub(f.call.Work.ArrivedAt)
+	return context.WithTimeoutCause(ctx, max(minPatience, forwardPatienceFactor*target), errStalled)
+}
+
+// readWhole reads an answer to its end.
+func (f *forwarding) readWhole(ctx context.Context, s *egretflow.Server, resp *http.Response) (*wholeAnswer, error) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxOnceBytes+1))
+	if err == nil && len(body) > maxOnceBytes {
+		err = fmt.Errorf("answer is larger than %d bytes", maxOnceBytes)
+	}
+	if err != nil {
+		return nil, broken(ctx, s, err)
+	}
+	return &wholeAnswer{status: resp.StatusCode, header: resp.Header, body: body}, nil
+}
+
+// broken classifies the error of a connection after the request was sent.
+func broken(ctx context.Context, s *egretflow.Server, err error) *failure {
+	f := brokenConnection(ctx, s, err)
+	f.arrived = true
+	return f
+}
+
+// send writes one request to the server of t and reads the header of the
+// answer. An answer that states that the request did not run is a failure.
+func (f *forwarding) send(ctx context.Context, a *egretflow.Assignment, t egretflow.ExchangeTerms) (*http.Response, error) {
+	t.Deadline, t.ResumeAfter = f.deadline, f.lastID
+	if takes := f.r.cfg.TakesWork; takes != nil && !takes(t.Server.Name) {
+		return nil, &failure{kind: failureRefused, server: t.Server.Name, err: errors.New("the server is leaving")}
+	}
+	resp, used, err := f.r.client.Open(f.request(ctx, t))
+	if err != nil && !used {
+		if cause := context.Cause(ctx); cause != nil && !errors.Is(cause, errStalled) {
+			return nil, cause
+		}
+		return nil, &failure{kind: unreachableKind(err), server: t.Server.Name, err: err}
+	}
+	if t.Stage != egretflow.StagePrefill {
+		f.runs++
+	}
+	if err != nil {
+		return nil, broken(ctx, t.Server, err)
+	}
+	if err := f.checkAnswer(a, t, resp); err != nil {
+		resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
+}
+
+// checkAnswer checks that the answer belongs to the request and that the server
+// did not refuse it.
+func (f *forwarding) checkAnswer(a *egretflow.Assignment, t egretflow.ExchangeTerms, resp *http.Response) error {
+	terms := f.r.cfg.Dialect.ReadAnswer(resp)
+	if terms.ID != "" && terms.ID != f.call.Terms.ID {
+		f.r.record(egretflow.EventMismatch, a.Work, a, field("server", t.Server.Name), field("got", terms.ID))
+		return &failure{kind: failureMismatch, server: t.Server.Name, arrived: true, err: fmt.Errorf("answer names request %q", terms.ID)}
+	}
+	if !terms.NotRun {
+		return nil
+	}
+	if t.Stage != egretflow.StagePrefill {
+		f.runs--
+	}
+	return &failure{
+		kind: failureRefused, server: t.Server.Name, arrived: true, status: resp.StatusCode,
+		err: fmt.Errorf("status %d, stated as not run", resp.StatusCode),
+	}
+}
+
+// request builds the request to one server. Its body cannot be sent twice.
+func (f *forwarding) request(ctx context.Context, t egretflow.ExchangeTerms) *http.Request {
+	call := f.call
+	target := *call.URL
+	target.Scheme, target.Host = "http", t.Server.Address.String()
+	req := (&http.Request{
+		Method: call.Method, URL: &target, Host: call.Host, Header: http.Header{}, ContentLength: int64(len(call.Body)),
+	}).WithContext(ctx)
+	if len(call.Body) > 0 {
+		req.Body = io.NopCloser(bytes.NewReader(call.Body))
+	}
+	connector.CopyHeader(req.Header, call.Header)
+	if req.Header.Get("User-Agent") == "" {
+		// An empty value keeps net/http from adding its own.
+		req.Header.Set("User-Agent", "")
+	}
+	f.r.cfg.Dialect.WriteExchange(req.Header, t, f.r.now())
+	return req
+}
+
+// failed reports a failure to the scheduler and returns it.
+func (f *forwarding) failed(a *egretflow.Assignment, err error) error {
+	var cause *failure
+	if !errors.As(err, &cause) {
+		return err
+	}
+	f.r.observeFailure(cause, a.Attempt)
+	f.r.record(egretflow.EventAttemptFailed, a.Work, a, field("server", cause.server), field("reason", cause.kind), field("error", cause.err.Error()))
+	return err
+}
+
+// pass writes a whole answer to the caller.
+func (f *forwarding) pass(w http.ResponseWriter, answer *wholeAnswer) error {
+	f.result.Started = true
+	f.result.FirstTokenAt = f.r.now()
+	f.result.LastTokenAt = f.result.FirstTokenAt
+	writeHeader(w, answer.header, answer.status)
+	if _, err := w.Write(answer.body); err != nil {
+		return fmt.Errorf("write answer: %w", err)
+	}
+	return nil
+}
+
+// writeHeader passes on the header of a server without additions.
+func writeHeader(w http.ResponseWriter, header http.Header, status int) {
+	h := w.Header()
+	connector.CopyHeader(h, header)
+	for _, name := range []string{"Content-Type", "Date"} {
+		if _, ok := header[name]; !ok {
+			// A nil value keeps net/http from adding its own.
+			h[name] = nil
+		}
+	}
+	w.WriteHeader(status)
+}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -33,6 +33,13 @@
 	Wasted func(w *egretflow.Work, tokens int)
 	// TLS is used towards servers of pools with ServerTLS.
 	TLS *tls.Config
+	// Dialect is how forwarded requests speak to servers; nil without forwarded
+	// routes. Engines are called for forwarded streams.
+	Dialect egretflow.Dialect
+	Engines egretflow.Engines
+	// TakesWork, if set, reports whether a server that was chosen earlier may
+	// still get new work.
+	TakesWork func(name egretflow.ServerName) bool
 }
 
 // Relayer carries out requests. Its methods are safe for concurrent use.
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -84,7 +84,7 @@
 		}
 		return true
 	}
-	if work.Hedge {
+	if work.Hedge || work.Reacquired {
 		return true
 	}
 	if r.maxStreams > 0 && t.streams.Count(work) >= r.maxStreams {
--- a/table.go
+++ b/table.go
@@ -47,8 +47,11 @@
 	// Methods and PathPrefix select requests of a service route.
 	Methods    []string `json:",omitempty"`
 	PathPrefix string   `json:",omitempty"`
-	// Pool that serves the route.
+	// Host selects requests of a forwarded route; empty for the others.
+	Host string `json:",omitempty"`
+	// Pool that serves the route. Shares, if set, divides the requests instead.
 	Pool       PoolName
+	Shares     []PoolShare `json:",omitempty"`
 	Importance Importance
 	// Idempotent says that a request may run more than once. Model routes are
 	// idempotent; a service route that is not needs an Idempotency-Key (7.1).
@@ -60,6 +63,18 @@
 	// RetryPercent and HedgePercent bound extra attempts per 100 requests.
 	RetryPercent int `json:",omitempty"`
 	HedgePercent int `json:",omitempty"`
+	// Timeout bounds a request; 0 means the limit of the instance.
+	Timeout Duration `json:",omitempty"`
+	// Patience is how long callers wait for a first token before they leave; 0
+	// means FirstTokenTarget.
+	Patience Duration `json:",omitempty"`
+	// MaxAttempts bounds the servers that may run one request; 0 means the
+	// default of package relayer.
+	MaxAttempts int `json:",omitempty"`
+	// Resumable says that a stream may be continued at another server.
+	Resumable bool `json:",omitempty"`
+	// EventGapTarget bounds the pause between two events of a stream.
+	EventGapTarget Duration `json:",omitempty"`
 	// MaxStreams bounds the open streams of one caller at one instance; 0 means
 	// the default of the instance.
 	MaxStreams int `json:",omitempty"`
@@ -70,6 +85,30 @@
 	return slices.Contains(r.Callers, caller) || slices.Contains(r.Callers, "*")
 }
 
+// PoolShare is a part of the requests of a route.
+type PoolShare struct {
+	Pool   PoolName
+	Weight int
+}
+
+// PoolOf returns the pool that serves the request with the given hash.
+func (r *Route) PoolOf(hash uint64) PoolName {
+	total := 0
+	for _, s := range r.Shares {
+		total += max(0, s.Weight)
+	}
+	if total == 0 {
+		return r.Pool
+	}
+	at := int(hash % uint64(total))
+	for _, s := range r.Shares {
+		if at -= max(0, s.Weight); at < 0 {
+			return s.Pool
+		}
+	}
+	return r.Pool
+}
+
 // Server is a backend server as the operators describe it.
 type Server struct {
 	Name          ServerName
@@ -89,6 +128,8 @@
 	ChecksFencing bool `json:",omitempty"`
 	// Drain asks for no new work (9.2).
 	Drain bool `json:",omitempty"`
+	// StartedAt tells incarnations apart, if known.
+	StartedAt time.Time `json:",omitzero"`
 }
 
 // Pool is a named group of backend servers.
@@ -101,6 +142,12 @@
 	KVBytesPerToken int64 `json:",omitempty"`
 	// TokenGap is the nominal time between tokens of the decode servers.
 	TokenGap Duration `json:",omitempty"`
+	// Blocks and LinkBytesPerSecond are those of servers that name none.
+	Blocks             int   `json:",omitempty"`
+	LinkBytesPerSecond int64 `json:",omitempty"`
+	// HoldTTL is how long an engine holds memory for a request that has not come
+	// yet; 0 for engines that cannot.
+	HoldTTL Duration `json:",omitempty"`
 	// ServerTLS asks for TLS towards the servers of the pool.
 	ServerTLS bool `json:",omitempty"`
 	Servers   []Server
@@ -312,6 +359,22 @@
 	return best, nil
 }
 
+// RouteForHost returns the forwarded route of host with the longest path prefix
+// that begins path. The error is ErrNotFound without one.
+func (t *Tables) RouteForHost(host, path string) (*Route, error) {
+	var best *Route
+	for n := range t.Routes {
+		r := &t.Routes[n]
+		if r.Host == host && strings.HasPrefix(path, r.PathPrefix) && (best == nil || len(r.PathPrefix) > len(best.PathPrefix)) {
+			best = r
+		}
+	}
+	if best == nil {
+		return nil, fmt.Errorf("route for %s%s: %w", host, path, ErrNotFound)
+	}
+	return best, nil
+}
+
 func (r *Route) matchesPath(method, path string) bool {
 	if r.PathPrefix == "" || !strings.HasPrefix(path, r.PathPrefix) {
 		return false
