--- a/dialect.go
+++ b/dialect.go
@@ -129,7 +129,7 @@
 type Directory interface {
 	Configuration(ctx context.Context) (*Configuration, error)
 	// AwaitChange returns after a change of the configuration that Configuration
-	// has not returned yet, after a while without one, or with an error.
+	// has not returned yet, or with an error.
 	AwaitChange(ctx context.Context) error
 	Servers(ctx context.Context) ([]ServerEntry, error)
 }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -88,13 +88,13 @@
 	for ctx.Err() == nil {
 		c, err := r.cfg.Directory.Configuration(ctx)
 		if err != nil {
-			r.failed(ctx, "Configuration", err)
+			r.configurationFailed(ctx, err)
 			pause(ctx, retryInterval)
 			continue
 		}
 		r.takeConfiguration(c)
 		if err := r.cfg.Directory.AwaitChange(ctx); err != nil {
-			r.failed(ctx, "Changes", err)
+			r.configurationFailed(ctx, err)
 			pause(ctx, retryInterval)
 		}
 	}
@@ -105,7 +105,7 @@
 		startedAt := r.cfg.Clock()
 		entries, err := r.cfg.Directory.Servers(ctx)
 		if err != nil {
-			r.failed(ctx, "Servers", err)
+			r.serversFailed(ctx, err)
 			pause(ctx, retryInterval)
 			continue
 		}
@@ -163,14 +163,26 @@
 	}
 }
 
-// failed records the loss of the platform once per outage.
-func (r *Registrar) failed(ctx context.Context, reading string, err error) {
+// serversFailed notes that the servers cannot be read, and records the start of
+// an outage.
+func (r *Registrar) serversFailed(ctx context.Context, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if ctx.Err() != nil || errors.Is(err, egretflow.ErrNotFound) || !r.state.lose() {
+	if ctx.Err() != nil || !r.state.lose() {
 		return
 	}
-	r.record(egretflow.EventStoreUnavailable, "Reading", reading, "LastReadAt", r.confirmedAt.UTC().Format(time.RFC3339Nano), "Error", err.Error())
+	r.record(egretflow.EventStoreUnavailable, "Reading", "Servers", "LastReadAt", r.confirmedAt.UTC().Format(time.RFC3339Nano), "Error", err.Error())
+}
+
+// configurationFailed records a failed reading. A watch that broke alone does
+// not tell an outage.
+func (r *Registrar) configurationFailed(ctx context.Context, err error) {
+	if ctx.Err() != nil || errors.Is(err, egretflow.ErrNotFound) {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.record(egretflow.EventConfigurationUnread, "Error", err.Error())
 }
 
 // record writes an event with pairs of keys and values.
