--- a/assembler/forwarding.go
+++ b/assembler/forwarding.go
@@ -16,6 +16,7 @@
 	"github.com/egretflow/egretflow/connector"
 	"github.com/egretflow/egretflow/explainer"
 	"github.com/egretflow/egretflow/frontend"
+	"github.com/egretflow/egretflow/gossiper"
 	"github.com/egretflow/egretflow/picker"
 	"github.com/egretflow/egretflow/recorder"
 	"github.com/egretflow/egretflow/registrar"
@@ -45,6 +46,11 @@
 	Dialect   egretflow.Dialect
 	Engines   egretflow.Engines
 
+	// Store and PeerConn, if set, let the instance tell its peers what it uses.
+	Store       egretflow.Store
+	PeerConn    net.PacketConn
+	Incarnation uint64
+
 	CallerListener  net.Listener
 	ReadyListener   net.Listener
 	MetricsListener net.Listener
@@ -59,6 +65,7 @@
 	relayer   *relayer.Relayer
 	frontend  *frontend.Frontend
 	metrics   *recorder.Metrics
+	gossiper  *gossiper.Gossiper
 }
 
 // NewForwarding builds an instance that does nothing until its tasks run.
@@ -84,6 +91,12 @@
 		Instance: name, Relayer: f.relayer, Tables: f.registrar.Tables, Recorder: cfg.Explainer, Checker: check,
 		Metrics: metrics, Clock: cfg.Clock, Rand: cfg.newRand(), Limits: cfg.Limits, Dialect: cfg.Dialect,
 	})
+	if cfg.PeerConn != nil {
+		f.gossiper = gossiper.New(gossiper.Config{
+			Self: cfg.Self, Incarnation: cfg.Incarnation, Conn: cfg.PeerConn, Store: cfg.Store, State: f.scheduler,
+			Clock: cfg.Clock, Recorder: cfg.Explainer,
+		})
+	}
 	return f, nil
 }
 
@@ -93,15 +106,20 @@
 
 // Tasks returns the tasks of the instance in their start order.
 func (f *Forwarding) Tasks() []supervisor.Task {
-	return []supervisor.Task{
+	tasks := []supervisor.Task{
 		{Name: "explainer", Run: f.cfg.Explainer.Run},
 		{Name: "scheduler", Run: f.scheduler.Run},
 		{Name: "registrar", Run: f.followPlatform},
+	}
+	if f.gossiper != nil {
+		tasks = append(tasks, supervisor.Task{Name: "gossiper", Run: f.gossiper.Run})
+	}
+	return append(tasks, []supervisor.Task{
 		{Name: "relayer", Run: f.closeRelayer},
 		{Name: "metrics", Run: func(ctx context.Context) error { return serve(ctx, f.cfg.MetricsListener, f.metricsHandler()) }},
 		{Name: "ready", Run: func(ctx context.Context) error { return serve(ctx, f.cfg.ReadyListener, f.readyHandler()) }},
 		{Name: "callers", Run: func(ctx context.Context) error { return f.frontend.Serve(ctx, f.cfg.CallerListener) }},
-	}
+	}...)
 }
 
 func (f *Forwarding) followPlatform(ctx context.Context) error {
--- a/cmd/egretflow/platform.go
+++ b/cmd/egretflow/platform.go
@@ -76,6 +76,7 @@
 	cfg := assembler.ForwardingConfig{
 		Self:  egretflow.Member{Name: s.Name, FailureDomain: s.FailureDomain, Region: s.Region, State: egretflow.MemberStateLive},
 		Clock: clock, Rand: newRand(), Dial: dialer.DialContext, Explainer: explainer.New(keptEvents, logger), Policy: p.Policy,
+		Store: store, Incarnation: uint64(clock().UnixNano()),
 		Directory: platform.NewDirectory(store, nil), Dialect: platform.Dialect{}, Engines: platform.NewEngines(client, clock),
 		Limits: frontend.Limits{LameDuck: lameDuck, DrainTimeout: s.Grace() - lameDuck - stopMargin},
 	}
@@ -86,8 +87,15 @@
 	if cfg.ReadyListener, err = listen("the balancer", s.ReadyListen.String()); err != nil {
 		return cfg, err
 	}
-	cfg.MetricsListener, err = listenMetrics(s)
-	return cfg, err
+	if cfg.MetricsListener, err = listenMetrics(s); err != nil {
+		return cfg, err
+	}
+	cfg.Self.Address = netip.AddrPortFrom(s.Address, s.PeerPorts[0])
+	cfg.PeerConn, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(cfg.Self.Address))
+	if err != nil {
+		return cfg, fmt.Errorf("listen for peers: %w", err)
+	}
+	return cfg, nil
 }
 
 func listenMetrics(s *loader.Settings) (net.Listener, error) {
--- a/decision.go
+++ b/decision.go
@@ -62,6 +62,15 @@
 	return w.MaxTokens
 }
 
+// memoryShare is the part of the expected output that counts against the memory
+// of an engine: requests that run together are at different points of theirs.
+const memoryShare = 0.4
+
+// MemoryTokens returns the engine memory that the request is counted with.
+func (w *Work) MemoryTokens() int {
+	return w.PromptTokens + int(memoryShare*float64(w.Output()))
+}
+
 // Assignment is a place on backend servers. For a service pool only Decode is
 // set and names the service's server.
 type Assignment struct {
--- a/event.go
+++ b/event.go
@@ -31,6 +31,8 @@
 	EventServerChanged       EventName = "ServerChanged"
 	EventServerLeaving       EventName = "ServerLeaving"
 	EventServerGone          EventName = "ServerGone"
+	EventGossipFailed        EventName = "GossipFailed"
+	EventRegistrationFailed  EventName = "RegistrationFailed"
 	EventMemberJoined        EventName = "MemberJoined"
 	EventMemberLost          EventName = "MemberLost"
 	EventGrantLapsed         EventName = "GrantLapsed"
--- /dev/null
+++ b/gossiper/gossiper.go
@@ -0,0 +1,256 @@
+package gossiper
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/egretflow/egretflow"
+)
+
+const (
+	// SendInterval is the least time between two messages.
+	SendInterval = 50 * time.Millisecond
+	// RepeatInterval is half of the lifetime that receivers give to a message.
+	RepeatInterval = 500 * time.Millisecond
+	// MaxDatagrams bounds the datagrams sent per second.
+	MaxDatagrams = 160
+	// peerTimeout is how long an instance is a peer after it was last heard of.
+	peerTimeout = 30 * time.Second
+	// maxDatagram bounds one message; a longer one is not sent.
+	maxDatagram = 8 << 10
+)
+
+// State is the part of the scheduler that is told and that listens.
+type State interface {
+	PrefillLoad(now time.Time) egretflow.PrefillLoad
+	ApplyPrefillLoad(from egretflow.InstanceName, load egretflow.PrefillLoad)
+	Crashes(now time.Time) []egretflow.CrashReport
+	MergeCrashes(reports []egretflow.CrashReport)
+}
+
+// Config holds what a Gossiper needs.
+type Config struct {
+	Self egretflow.Member
+	// Incarnation grows with each start of the instance.
+	Incarnation uint64
+	// Conn is bound to the address of Self.
+	Conn     net.PacketConn
+	Store    egretflow.Store
+	State    State
+	Clock    egretflow.Clock
+	Recorder egretflow.Recorder
+}
+
+// message is one datagram.
+type message struct {
+	_           struct{} `cbor:",toarray"`
+	From        egretflow.InstanceName
+	Incarnation uint64
+	Sequence    uint64
+	Load        egretflow.PrefillLoad
+	Crashes     []crash
+}
+
+// crash is a crash report whose end is told as what is left of it, because the
+// clocks of instances differ.
+type crash struct {
+	_           struct{} `cbor:",toarray"`
+	Fingerprint uint64
+	Servers     []egretflow.ServerName
+	LeftMS      int64
+}
+
+// Gossiper exchanges messages with the peers.
+type Gossiper struct {
+	cfg      Config
+	sequence uint64
+
+	mu    sync.Mutex
+	peers map[egretflow.InstanceName]*peer
+}
+
+// peer is another instance.
+type peer struct {
+	address     netip.AddrPort
+	heardAt     time.Time
+	incarnation uint64
+	sequence    uint64
+}
+
+// New returns a Gossiper without peers.
+func New(cfg Config) *Gossiper {
+	return &Gossiper{cfg: cfg, peers: map[egretflow.InstanceName]*peer{}}
+}
+
+// Peers returns the number of other instances.
+func (g *Gossiper) Peers() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.peers)
+}
+
+// Run exchanges messages until ctx ends.
+func (g *Gossiper) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = g.cfg.Conn.Close() })
+	defer stop()
+	var wg sync.WaitGroup
+	wg.Go(func() { g.send(ctx) })
+	wg.Go(func() { (&registration{Gossiper: g}).run(ctx) })
+	err := g.receive(ctx)
+	wg.Wait()
+	return err
+}
+
+// send tells the own use until ctx ends.
+func (g *Gossiper) send(ctx context.Context) {
+	var last []byte
+	var sentAt time.Time
+	for {
+		interval := max(SendInterval, time.Duration(g.Peers())*time.Second/MaxDatagrams)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(interval):
+		}
+		now := g.cfg.Clock()
+		body, empty := g.use(now)
+		if bytes.Equal(body, last) && (empty || now.Sub(sentAt) < RepeatInterval) {
+			continue
+		}
+		last, sentAt = body, now
+		g.broadcast(now)
+	}
+}
+
+// use returns the own use in a form that shows a change.
+func (g *Gossiper) use(now time.Time) (body []byte, empty bool) {
+	load := g.cfg.State.PrefillLoad(now)
+	// The encoding of these types cannot fail.
+	body, _ = cbor.Marshal(load)
+	return body, len(load.Backlogs) == 0 && len(load.Queues) == 0
+}
+
+func (g *Gossiper) broadcast(now time.Time) {
+	g.sequence++
+	m := message{From: g.cfg.Self.Name, Incarnation: g.cfg.Incarnation, Sequence: g.sequence, Load: g.cfg.State.PrefillLoad(now)}
+	for _, r := range g.cfg.State.Crashes(now) {
+		m.Crashes = append(m.Crashes, crash{Fingerprint: r.Fingerprint, Servers: r.Servers, LeftMS: r.ExpiresAt.Sub(now).Milliseconds()})
+	}
+	data, err := cbor.Marshal(m)
+	if err != nil || len(data) > maxDatagram {
+		g.record(egretflow.EventGossipFailed, "Error", fmt.Sprintf("message of %d bytes: %v", len(data), err))
+		return
+	}
+	for _, to := range g.addresses(now) {
+		// A datagram may be lost anyway; the next one makes up for it.
+		_, _ = g.cfg.Conn.WriteTo(data, net.UDPAddrFromAddrPort(to))
+	}
+}
+
+// addresses lists the peers and forgets those that were not heard for long.
+func (g *Gossiper) addresses(now time.Time) []netip.AddrPort {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	list := make([]netip.AddrPort, 0, len(g.peers))
+	for name, p := range g.peers {
+		if now.Sub(p.heardAt) > peerTimeout {
+			delete(g.peers, name)
+			g.record(egretflow.EventMemberLost, "Member", string(name))
+			continue
+		}
+		list = append(list, p.address)
+	}
+	return list
+}
+
+func (g *Gossiper) receive(ctx context.Context) error {
+	buf := make([]byte, maxDatagram)
+	for {
+		n, from, err := g.cfg.Conn.ReadFrom(buf)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("receive datagram: %w", err)
+		}
+		if err := g.take(buf[:n], from); err != nil {
+			g.record(egretflow.EventGossipFailed, "From", from.String(), "Error", err.Error())
+		}
+	}
+}
+
+// take applies one datagram unless a newer one of its sender came before.
+func (g *Gossiper) take(data []byte, from net.Addr) error {
+	var m message
+	if err := cbor.Unmarshal(data, &m); err != nil {
+		return fmt.Errorf("decode datagram: %w", err)
+	}
+	if err := egretflow.CheckName("From", string(m.From)); err != nil {
+		return err
+	}
+	address, ok := from.(*net.UDPAddr)
+	if !ok {
+		return errors.Errorf("address of type %T", from)
+	}
+	now := g.cfg.Clock()
+	if m.From == g.cfg.Self.Name || !g.hear(&m, address.AddrPort(), now) {
+		return nil
+	}
+	g.cfg.State.ApplyPrefillLoad(m.From, m.Load)
+	if len(m.Crashes) > 0 {
+		g.cfg.State.MergeCrashes(reportsOf(m.Crashes, now))
+	}
+	return nil
+}
+
+func reportsOf(crashes []crash, now time.Time) []egretflow.CrashReport {
+	reports := make([]egretflow.CrashReport, len(crashes))
+	for n, c := range crashes {
+		reports[n] = egretflow.CrashReport{
+			Fingerprint: c.Fingerprint, Servers: c.Servers, ExpiresAt: now.Add(time.Duration(c.LeftMS) * time.Millisecond),
+		}
+	}
+	return reports
+}
+
+// hear notes the sender and reports whether the message is its newest.
+func (g *Gossiper) hear(m *message, from netip.AddrPort, now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := g.peer(m.From, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), now)
+	if m.Incarnation < p.incarnation || m.Incarnation == p.incarnation && m.Sequence <= p.sequence {
+		return false
+	}
+	p.incarnation, p.sequence = m.Incarnation, m.Sequence
+	return true
+}
+
+// peer returns the peer with the given name and notes that it lives. The caller
+// holds mu.
+func (g *Gossiper) peer(name egretflow.InstanceName, address netip.AddrPort, now time.Time) *peer {
+	p, ok := g.peers[name]
+	if !ok {
+		p = &peer{}
+		g.peers[name] = p
+		g.record(egretflow.EventMemberJoined, "Member", string(name), "Address", address.String())
+	}
+	p.address, p.heardAt = address, now
+	return p
+}
+
+// record writes an event with pairs of keys and values.
+func (g *Gossiper) record(name egretflow.EventName, pairs ...string) {
+	e := egretflow.Event{Name: name, At: g.cfg.Clock(), Instance: g.cfg.Self.Name}
+	for n := 0; n+1 < len(pairs); n += 2 {
+		e.Fields = append(e.Fields, egretflow.EventField{Key: pairs[n], Value: pairs[n+1]})
+	}
+	g.cfg.Recorder.Record(e)
+}
--- a/picker/sharing.go
+++ b/picker/sharing.go
@@ -84,7 +84,7 @@
 	return s.Spec.Slots
 }
 
-// blocksFor returns the blocks that prompt and expected output of w need.
+// blocksFor returns the blocks that w is counted with.
 func blocksFor(w *egretflow.Work) int {
-	return (w.PromptTokens + w.Output() + egretflow.BlockTokens - 1) / egretflow.BlockTokens
+	return (w.MemoryTokens() + egretflow.BlockTokens - 1) / egretflow.BlockTokens
 }
--- a/relayer/forwardstream.go
+++ b/relayer/forwardstream.go
@@ -98,7 +98,7 @@
 		until = by
 	}
 	server := g.a.Decode
-	id, err := g.r.cfg.Engines.TakeHold(ctx, server, g.holdTokens(), until)
+	id, err := g.r.cfg.Engines.TakeHold(ctx, server, g.a.Work.MemoryTokens(), until)
 	switch {
 	case err == nil:
 		g.hold = id
@@ -111,8 +111,6 @@
 	return &failure{kind: unreachableKind(err), server: server.Name, err: err}
 }
 
-func (g *generation) holdTokens() int { return g.a.Work.PromptTokens + g.a.Work.Output() }
-
 // prefill computes the prompt at a prefill server and keeps the decode place
 // while it tries another one.
 func (g *generation) prefill(ctx context.Context) error {
