Divide engines between the roles by fenced orders, when far out of balance

Cause: the split of a pool is fixed by its start; a pool that loses one role cannot serve. Change: rebalancer (plan, lease, fenced order with the count of orders, peers told); leaser is shared with commander. Callers' patience differs by 15%, so a request counts as returned only below 0.84 of the longest time left.

--- a/assembler/forwarding.go
+++ b/assembler/forwarding.go
@@ -18,6 +18,7 @@
 	"github.com/egretflow/egretflow/frontend"
 	"github.com/egretflow/egretflow/gossiper"
 	"github.com/egretflow/egretflow/picker"
+	"github.com/egretflow/egretflow/rebalancer"
 	"github.com/egretflow/egretflow/recorder"
 	"github.com/egretflow/egretflow/registrar"
 	"github.com/egretflow/egretflow/relayer"
@@ -50,6 +51,8 @@
 	Store       egretflow.Store
 	PeerConn    net.PacketConn
 	Incarnation uint64
+	// LeaseTTL is the lifetime of the lease for orders to engines.
+	LeaseTTL time.Duration
 
 	CallerListener  net.Listener
 	ReadyListener   net.Listener
@@ -66,6 +69,8 @@
 	frontend  *frontend.Frontend
 	metrics   *recorder.Metrics
 	gossiper  *gossiper.Gossiper
+	// rebalancer is nil without peers and a store.
+	rebalancer *rebalancer.Rebalancer
 }
 
 // NewForwarding builds an instance that does nothing until its tasks run.
@@ -96,10 +101,22 @@
 			Self: cfg.Self, Incarnation: cfg.Incarnation, Conn: cfg.PeerConn, Store: cfg.Store, State: f.scheduler,
 			Clock: cfg.Clock, Recorder: cfg.Explainer,
 		})
+		f.addRebalancer()
 	}
 	return f, nil
 }
 
+func (f *Forwarding) addRebalancer() {
+	f.rebalancer = rebalancer.New(rebalancer.Config{
+		Instance: f.cfg.Self.Name, Tables: f.registrar, Store: f.cfg.Store, Engines: f.cfg.Engines, Members: f.gossiper.Members,
+		Rates: func(pool egretflow.PoolName) (rebalancer.Rates, bool) {
+			rates, ok := f.scheduler.PoolRates(pool)
+			return rebalancer.Rates(rates), ok
+		},
+		Changing: f.scheduler.SetChanging, LeaseTTL: f.cfg.LeaseTTL, Clock: f.cfg.Clock, Recorder: f.cfg.Explainer,
+	})
+}
+
 func (c *ForwardingConfig) newRand() *rand.Rand {
 	return rand.New(rand.NewPCG(c.Rand.Uint64(), c.Rand.Uint64()))
 }
@@ -112,7 +129,7 @@
 		{Name: "registrar", Run: f.followPlatform},
 	}
 	if f.gossiper != nil {
-		tasks = append(tasks, supervisor.Task{Name: "gossiper", Run: f.gossiper.Run})
+		tasks = append(tasks, supervisor.Task{Name: "gossiper", Run: f.gossiper.Run}, supervisor.Task{Name: "rebalancer", Run: f.rebalancer.Run})
 	}
 	return append(tasks, []supervisor.Task{
 		{Name: "relayer", Run: f.closeRelayer},
--- a/commander/command.go
+++ b/commander/command.go
@@ -62,7 +62,7 @@
 	}
 	loading := 0
 	for _, r := range readings {
-		if r.order.Fencing > p.term.fencing {
+		if r.order.Fencing > p.term.Fencing {
 			return nil, errStale
 		}
 		if r.order.State == stateLoading {
@@ -77,7 +77,7 @@
 			continue
 		}
 		target := targets[s.Name]
-		if o := wantedOrder(target, r, p.term.fencing); o != nil {
+		if o := wantedOrder(target, r, p.term.Fencing); o != nil {
 			if o.Model != r.order.Model {
 				if loading >= p.cfg.MaxLoads {
 					continue
--- a/commander/pool.go
+++ b/commander/pool.go
@@ -49,7 +49,7 @@
 		p.engines.scheme = "https"
 	}
 	readings := p.readAll(ctx, pool)
-	if p.update(pool, readings) || p.desired.Fencing != p.term.fencing {
+	if p.update(pool, readings) || p.desired.Fencing != p.term.Fencing {
 		if err := p.write(ctx); err != nil {
 			p.record(egretflow.EventStoreUnavailable, "", "Error", err.Error())
 			return
@@ -71,18 +71,18 @@
 		return err
 	}
 	p.term, p.loaded, p.balance = term, false, balance{}
-	p.record(egretflow.EventLeaseAcquired, "", "Fencing", strconv.FormatUint(term.fencing, 10))
+	p.record(egretflow.EventLeaseAcquired, "", "Fencing", strconv.FormatUint(term.Fencing, 10))
 	return nil
 }
 
 func (p *poolCommander) keep(ctx context.Context) error {
-	left := p.term.lease.ExpiresAt.Sub(p.cfg.Clock())
+	left := p.term.Lease.ExpiresAt.Sub(p.cfg.Clock())
 	if left > LeaseTTL*2/3 {
 		return nil
 	}
-	err := p.term.renew(ctx, p.cfg.Store)
-	if errors.Is(err, egretflow.ErrNotFound) || !p.cfg.Clock().Before(p.term.lease.ExpiresAt) {
-		p.record(egretflow.EventLeaseLost, "", "Fencing", strconv.FormatUint(p.term.fencing, 10))
+	err := p.term.renew(ctx)
+	if errors.Is(err, egretflow.ErrNotFound) || !p.cfg.Clock().Before(p.term.Lease.ExpiresAt) {
+		p.record(egretflow.EventLeaseLost, "", "Fencing", strconv.FormatUint(p.term.Fencing, 10))
 		p.term = nil
 	}
 	return err
@@ -96,8 +96,8 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	// The lease also ends by itself.
-	_ = p.cfg.Store.RevokeLease(ctx, p.term.lease.ID)
-	p.record(egretflow.EventLeaseLost, "", "Fencing", strconv.FormatUint(p.term.fencing, 10))
+	_ = p.term.Release(ctx)
+	p.record(egretflow.EventLeaseLost, "", "Fencing", strconv.FormatUint(p.term.Fencing, 10))
 	p.term = nil
 }
 
@@ -129,14 +129,14 @@
 func (p *poolCommander) write(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	p.desired.Fencing = p.term.fencing
+	p.desired.Fencing = p.term.Fencing
 	value, err := json.Marshal(p.desired)
 	if err != nil {
 		return fmt.Errorf("encode desired state: %w", err)
 	}
 	revision, err := p.cfg.Store.Commit(ctx, egretflow.StoreTxn{
 		Conditions: []egretflow.StoreCondition{
-			{Key: leaseKey(p.name), ModRevision: p.term.revision},
+			{Key: leaseKey(p.name), ModRevision: p.term.Revision},
 			{Key: desiredKey(p.name), ModRevision: p.revision},
 		},
 		Writes: []egretflow.StoreWrite{{Key: desiredKey(p.name), Value: value}},
--- a/dialect.go
+++ b/dialect.go
@@ -104,6 +104,15 @@
 	// FreePrefill drops the result of a prefill that is not used.
 	FreePrefill(ctx context.Context, s *Server, h KVHandle) error
 	Load(ctx context.Context, s *Server) (*LoadReport, error)
+	// SetRole orders the engine to take a role. ErrConflict means that it obeys
+	// another holder or has accepted an order meanwhile.
+	SetRole(ctx context.Context, s *Server, role Role, by Holder) error
+}
+
+// Holder is the instance that may order engines (8.1).
+type Holder struct {
+	Name    InstanceName
+	Fencing uint64
 }
 
 // ServerEntry is a backend server that is registered with the platform.
--- a/event.go
+++ b/event.go
@@ -44,6 +44,7 @@
 	EventOrderRefused        EventName = "OrderRefused"
 	EventOrderRepaired       EventName = "OrderRepaired"
 	EventLeaseAcquired       EventName = "LeaseAcquired"
+	EventLeaseFailed         EventName = "LeaseFailed"
 	EventLeaseLost           EventName = "LeaseLost"
 	EventAccessDenied        EventName = "AccessDenied"
 	EventShutdownStarted     EventName = "ShutdownStarted"
--- a/frontend/forward.go
+++ b/frontend/forward.go
@@ -21,9 +21,11 @@
 	// giveUpShare of a caller's patience may pass before its first token; the
 	// rest is for the way to the caller and for the engine.
 	giveUpShare = 0.85
-	// returnedAfter is how much less time than usual a request must have left to
-	// count as one that was refused before.
-	returnedAfter = 200 * time.Millisecond
+	// A request that has between returnedFrom and returnedTo of the longest time
+	// of its route left counts as one that was refused before. Callers' patience
+	// differs by less, and one with less time is in a hurry of its own.
+	returnedFrom = 0.5
+	returnedTo   = 0.84
 	// forwardRetryAfter is the mean pause that callers are asked for when the
 	// rejection has no estimate.
 	forwardRetryAfter = time.Second
@@ -162,10 +164,11 @@
 	}
 	left := deadline.Sub(arrived)
 	e.left[route] = max(e.left[route], left)
-	if waited := e.left[route] - left; waited >= returnedAfter {
-		return waited
+	share := float64(left) / float64(e.left[route])
+	if share < returnedFrom || share > returnedTo {
+		return 0
 	}
-	return 0
+	return e.left[route] - left
 }
 
 // writeForwardError writes a rejection. A status that promises that nothing ran
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -97,6 +97,17 @@
 	return len(g.peers)
 }
 
+// Members lists the other instances.
+func (g *Gossiper) Members() []egretflow.Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	members := make([]egretflow.Member, 0, len(g.peers))
+	for name, p := range g.peers {
+		members = append(members, egretflow.Member{Name: name, Address: p.address, State: egretflow.MemberStateLive, HeardAt: p.heardAt})
+	}
+	return members
+}
+
 // Run exchanges messages until ctx ends.
 func (g *Gossiper) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = g.cfg.Conn.Close() })
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -89,6 +89,14 @@
 	})
 }
 
+// leaseMargin is how much longer than the platform asks a lease lives.
+const leaseMargin = time.Second
+
+// LeaseTTL is the lifetime of the lease for orders to engines.
+func (s *Settings) LeaseTTL() time.Duration {
+	return time.Duration(s.LeaseMilliseconds)*time.Millisecond + leaseMargin
+}
+
 // Grace is the time to stop.
 func (s *Settings) Grace() time.Duration {
 	return time.Duration(s.GraceSeconds * float64(time.Second))
--- a/peer.go
+++ b/peer.go
@@ -52,6 +52,8 @@
 	_        struct{} `cbor:",toarray"`
 	Backlogs []Backlog
 	Queues   []Queue
+	// Changing lists servers that the sender has ordered to change their role.
+	Changing []ServerName
 }
 
 // Grant gives a holder slots of one server until a deadline.
--- a/scheduler/exchange.go
+++ b/scheduler/exchange.go
@@ -37,7 +37,8 @@
 func (t *task) markUnavailable() {
 	for _, p := range t.order {
 		p.picker.Servers(func(s *picker.Server) {
-			p.picker.SetUnavailable(s, t.unavailable[s.Spec.Name], t.now)
+			_, changing := t.changing[s.Spec.Name]
+			p.picker.SetUnavailable(s, t.unavailable[s.Spec.Name] || changing, t.now)
 		})
 	}
 }
--- a/scheduler/prefillload.go
+++ b/scheduler/prefillload.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/egretflow/egretflow"
@@ -37,6 +38,12 @@
 			l.Queues = append(l.Queues, egretflow.Queue{Pool: p.picker.Name(), Tokens: tokens})
 		}
 	}
+	for name, until := range t.changing {
+		if now.Before(until) {
+			l.Changing = append(l.Changing, name)
+		}
+	}
+	slices.Sort(l.Changing)
 	return l
 }
 
@@ -50,6 +57,9 @@
 			p.peerQueues[from] = peerQueue{q.Tokens, t.now}
 		}
 	}
+	for _, name := range l.Changing {
+		t.withhold(name, t.now.Add(queueLifetime))
+	}
 }
 
 // waitingAtPeers returns the prompt tokens that wait at peers and are served
--- a/scheduler/rates.go
+++ b/scheduler/rates.go
@@ -42,6 +42,9 @@
 	// hold is the mean time in seconds that a decode slot is held.
 	hold     float64
 	measured bool
+	// places is the mean number of places of a request, finished counts them.
+	places   float64
+	finished int
 	// saturatedSince is when requests began to wait; zero while none do.
 	saturatedSince time.Time
 }
@@ -83,6 +86,10 @@
 		r.measured, r.hold = true, 0
 	}
 	r.observeHold(max(held, time.Millisecond).Seconds())
+	if r.finished++; r.finished == 1 {
+		r.places = float64(slots)
+	}
+	r.places += holdWeight * (float64(slots) - r.places)
 }
 
 // prefilled counts computed prompt tokens.
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -68,6 +68,8 @@
 	crashes     *crashdetector.Detector
 	isolated    map[uint64]bool
 	unavailable map[egretflow.ServerName]bool
+	// changing holds the servers that change their role, until when.
+	changing map[egretflow.ServerName]time.Time
 	// rotation moves demand between servers that are otherwise equal.
 	rotation int
 }
@@ -84,6 +86,7 @@
 		crashes:     crashdetector.New(),
 		isolated:    map[uint64]bool{},
 		unavailable: map[egretflow.ServerName]bool{},
+		changing:    map[egretflow.ServerName]time.Time{},
 	}
 }
 
@@ -130,6 +133,10 @@
 		m.reply <- t.roleUse(m.pool)
 	case crashesMessage:
 		m.reply <- t.crashes.Reports(m.now)
+	case poolRatesMessage:
+		m.reply <- t.poolRates(m.pool)
+	case changingMessage:
+		t.withhold(m.server, m.until)
 	case mergeMessage:
 		t.crashes.Merge(m.reports, t.now)
 	}
@@ -139,6 +146,7 @@
 // grants, paused servers.
 func (t *task) tick() {
 	t.checkOverdue()
+	t.endChanges()
 	for _, p := range t.order {
 		t.shed(p)
 		t.dispatch(p)
@@ -159,6 +167,9 @@
 				peerQueues: map[egretflow.InstanceName]peerQueue{},
 			}
 		}
+		for k := range table.Servers {
+			t.roleChanged(p, &table.Servers[k])
+		}
 		p.picker.Apply(table, t.now)
 		p.totalsAt = time.Time{}
 		t.pools[table.Name] = p
