Hold little, count growth

Cause: an engine keeps what is held for a request while it runs, so a large hold wastes memory; a fixed count does not follow what a stream has generated. Change: the hold covers the prompt and 0.1 of the expected output; the own count grows with the stream and adds 0.3 of what is still expected.

--- a/decision.go
+++ b/decision.go
@@ -62,15 +62,25 @@
 	return w.MaxTokens
 }
 
-// memoryShare is the part of the expected output that counts against the memory
-// of an engine: requests that run together are at different points of theirs.
-const memoryShare = 0.4
+const (
+	// growthShare is the part of the output still expected that counts against
+	// the memory of an engine: while a request grows, others end.
+	growthShare = 0.3
+	// holdShare is the part of the expected output that an engine holds memory
+	// for. What it holds no other request can use.
+	holdShare = 0.1
+)
 
-// MemoryTokens returns the engine memory that the request is counted with.
-func (w *Work) MemoryTokens() int {
-	return w.PromptTokens + int(memoryShare*float64(w.Output()))
+// MemoryTokens returns the engine memory that the request is counted with when
+// it has generated some of its output.
+func (w *Work) MemoryTokens(generated int) int {
+	left := max(0, w.Output()-generated)
+	return w.PromptTokens + generated + int(growthShare*float64(left))
 }
 
+// HoldTokens returns the engine memory that is held for the request.
+func (w *Work) HoldTokens() int { return w.PromptTokens + int(holdShare*float64(w.Output())) }
+
 // Assignment is a place on backend servers. For a service pool only Decode is
 // set and names the service's server.
 type Assignment struct {
@@ -120,6 +130,8 @@
 	EndedAt   time.Time
 	// Tokens is the number of prompt tokens computed, or of tokens generated.
 	Tokens int
+	// Generated is all that the attempt has generated, in tokens, if known.
+	Generated int
 	// CachedTokens is the prefix reuse that the engine reported.
 	CachedTokens int
 	// Load is set for ObservationLoad.
--- a/picker/server.go
+++ b/picker/server.go
@@ -148,7 +148,7 @@
 // the blocks themselves when places are counted in blocks.
 func (s *Server) SlotsFor(w *egretflow.Work) int {
 	if s.byBlocks {
-		return blocksFor(w)
+		return blocksFor(w, 0)
 	}
 	share := s.Spec.Blocks / s.Spec.Slots
 	if share == 0 {
--- a/picker/sharing.go
+++ b/picker/sharing.go
@@ -84,7 +84,24 @@
 	return s.Spec.Slots
 }
 
+// Grow counts a placement with what its request has generated.
+func (p *Pool) Grow(pl *Placement, w *egretflow.Work, generated int) {
+	if !pl.Decode.byBlocks {
+		return
+	}
+	blocks := blocksFor(w, generated)
+	grown := blocks - pl.Slots
+	pl.Slots = blocks
+	pl.Decode.inUse += grown
+	if pl.Decode.gone {
+		return
+	}
+	g := p.groupOf(pl.Decode)
+	g.used += grown
+	g.enter(pl.Decode)
+}
+
 // blocksFor returns the blocks that w is counted with.
-func blocksFor(w *egretflow.Work) int {
-	return (w.MemoryTokens() + egretflow.BlockTokens - 1) / egretflow.BlockTokens
+func blocksFor(w *egretflow.Work, generated int) int {
+	return (w.MemoryTokens(generated) + egretflow.BlockTokens - 1) / egretflow.BlockTokens
 }
--- a/relayer/forward.go
+++ b/relayer/forward.go
@@ -100,7 +100,7 @@
 	}
 	next.Retry = cause.arrived || cause.ran()
 	next.Reacquired = !next.Retry
-	next.PromptTokens = f.call.Work.PromptTokens + f.generated
+	next.PromptTokens = f.call.Work.PromptTokens + f.generated*f.call.Pool.EventTokens
 	f.result.Retries++
 	f.r.record(egretflow.EventRetried, &next, nil, field("reason", cause.kind), field("server", cause.server))
 	return &next, true
--- a/relayer/forwardstream.go
+++ b/relayer/forwardstream.go
@@ -22,8 +22,8 @@
 	// eventStallFactor times the pause target without an event is a stall of a
 	// stream that can be continued elsewhere.
 	eventStallFactor = 3
-	// observedEvents is the number of events per report of the pace.
-	observedEvents = 16
+	// observedEvents is the number of events per report of pace and growth.
+	observedEvents = 4
 	// eventBuffer holds a few events.
 	eventBuffer = 2 << 10
 	// maxEvent bounds one event of a stream.
@@ -98,7 +98,7 @@
 		until = by
 	}
 	server := g.a.Decode
-	id, err := g.r.cfg.Engines.TakeHold(ctx, server, g.a.Work.MemoryTokens(), until)
+	id, err := g.r.cfg.Engines.TakeHold(ctx, server, g.a.Work.HoldTokens(), until)
 	switch {
 	case err == nil:
 		g.hold = id
@@ -295,7 +295,7 @@
 	now := g.r.now()
 	g.r.cfg.Scheduler.Observe(egretflow.Observation{
 		Kind: egretflow.ObservationTokens, Server: g.a.Decode.Name, Attempt: g.a.Attempt,
-		StartedAt: g.paceSince, EndedAt: now, Tokens: events,
+		StartedAt: g.paceSince, EndedAt: now, Tokens: events, Generated: g.paceEvents * g.call.Pool.EventTokens,
 	})
 	g.paceSince = now
 }
--- a/scheduler/observe.go
+++ b/scheduler/observe.go
@@ -90,6 +90,9 @@
 	if a != nil && o.Tokens > 0 {
 		a.produced = true
 		p.picker.FinishTransfer(&a.placement)
+		if o.Generated > 0 {
+			p.picker.Grow(&a.placement, a.assignment.Work, o.Generated)
+		}
 	}
 	if took := o.EndedAt.Sub(o.StartedAt); o.Tokens > 0 && took > 0 {
 		gap := took / time.Duration(o.Tokens)
--- a/table.go
+++ b/table.go
@@ -145,6 +145,8 @@
 	// Blocks and LinkBytesPerSecond are those of servers that name none.
 	Blocks             int   `json:",omitempty"`
 	LinkBytesPerSecond int64 `json:",omitempty"`
+	// EventTokens is the number of tokens in one event of a stream, if known.
+	EventTokens int `json:",omitempty"`
 	// HoldTTL is how long an engine holds memory for a request that has not come
 	// yet; 0 for engines that cannot.
 	HoldTTL Duration `json:",omitempty"`
