Learn the rate of prefill servers and the hold time without bias

Cause: prompts that share a server, and attempts that produced nothing, made the rates of a pool look lower and shorter than they are, so the plan of roles was wrong. A hold that was not answered did not count against its engine. Change: lower observations of the prefill rate weigh less; only attempts with output tell how long places are held; an unanswered hold is a silent engine.

--- a/picker/sharing.go
+++ b/picker/sharing.go
@@ -20,8 +20,14 @@
 	SharingPeers Sharing = "Peers"
 )
 
-// learnWeight is the weight of one observation in a learned nominal value.
-const learnWeight = 0.1
+const (
+	// learnWeight is the weight of one observation in a learned nominal value.
+	learnWeight = 0.1
+	// A prompt that shares its server with others shows less than the rate of the
+	// server, so lower observations weigh less.
+	fasterWeight = 0.3
+	slowerWeight = 0.02
+)
 
 // learned holds the nominal values of a pool whose tables name none (rule 11).
 type learned struct {
@@ -42,7 +48,11 @@
 	if !l.prefillKnown {
 		l.prefillKnown, l.prefillRate = true, rate
 	}
-	l.prefillRate += learnWeight * (rate - l.prefillRate)
+	weight := slowerWeight
+	if rate > l.prefillRate {
+		weight = fasterWeight
+	}
+	l.prefillRate += weight * (rate - l.prefillRate)
 }
 
 func (l *learned) observeGap(took time.Duration) {
--- a/rebalancer/plan.go
+++ b/rebalancer/plan.go
@@ -7,14 +7,14 @@
 const (
 	// minSamples is the number of finished requests from which on the rates
 	// count. The first requests that finish are the short ones.
-	minSamples = 60
+	minSamples = 25
 	// prefillHeadroom is the capacity of prefill servers per request served:
 	// arrivals come in clumps and a prompt must not wait long.
 	prefillHeadroom = 1.2
 	// toDecodeGain and toPrefillGain are the least ratios of what the pool would
 	// serve after a change, during which an engine is without use for seconds. One
 	// that leaves decode is for longer, because its streams run to their end first.
-	toDecodeGain  = 2.0
+	toDecodeGain  = 1.3
 	toPrefillGain = 2.0
 	// maxShare of the servers of a role may change at a time.
 	maxShare = 0.2
--- a/relayer/forward.go
+++ b/relayer/forward.go
@@ -98,7 +98,7 @@
 	if cause.kind != failureFull {
 		next.Avoid = append(work.Avoid[:len(work.Avoid):len(work.Avoid)], cause.server)
 	}
-	next.Retry = cause.arrived || cause.ran()
+	next.Retry = cause.arrived
 	next.Reacquired = !next.Retry
 	next.PromptTokens = f.call.Work.PromptTokens + f.generated*f.call.Pool.EventTokens
 	f.result.Retries++
--- a/relayer/forwardstream.go
+++ b/relayer/forwardstream.go
@@ -108,7 +108,11 @@
 	case errors.Is(err, egretflow.ErrFull):
 		return &failure{kind: failureFull, server: server.Name, err: err}
 	}
-	return &failure{kind: unreachableKind(err), server: server.Name, err: err}
+	kind := unreachableKind(err)
+	if errors.Is(err, context.DeadlineExceeded) {
+		kind = failureStalled
+	}
+	return &failure{kind: kind, server: server.Name, err: err}
 }
 
 // prefill computes the prompt at a prefill server and keeps the decode place
--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -102,7 +102,7 @@
 	delete(t.attempts, r.Attempt)
 	p.picker.ReleaseAll(&a.placement, t.now)
 	p.running--
-	p.rates.end(t.now, a.placement.Slots, t.now.Sub(a.startedAt))
+	p.rates.end(t.now, a.placement.Slots, t.now.Sub(a.startedAt), a.produced || p.picker.Kind() == egretflow.PoolKindService)
 	work := a.assignment.Work
 	t.streams.Close(work)
 	if a.isolated {
--- a/scheduler/rates.go
+++ b/scheduler/rates.go
@@ -77,11 +77,15 @@
 	r.hold += holdWeight * (hold - r.hold)
 }
 
-// end counts the slots of a finished request.
-func (r *rates) end(now time.Time, slots int, held time.Duration) {
+// end counts the slots of an attempt that ended. One that produced nothing does
+// not tell how long requests hold their slots.
+func (r *rates) end(now time.Time, slots int, held time.Duration, produced bool) {
 	b := r.bucket(now)
 	b.ends++
 	b.slots += float64(slots)
+	if !produced {
+		return
+	}
 	if !r.measured {
 		r.measured, r.hold = true, 0
 	}
