One instance reads the platform for all

Change: the first instance in rank reads servers and watches the configuration; messages carry a fingerprint and a version; others read when told of something else, or when nobody confirms, in order of rank, and then the configuration too.

--- a/assembler/forwarding.go
+++ b/assembler/forwarding.go
@@ -82,7 +82,12 @@
 	name := cfg.Self.Name
 	check := checker.New(name, cfg.Clock, cfg.Explainer, metrics.InvariantViolated)
 	f := &Forwarding{cfg: cfg, metrics: metrics}
-	f.registrar = registrar.New(registrar.Config{Instance: name, Directory: cfg.Directory, Clock: cfg.Clock, Recorder: cfg.Explainer})
+	directory := registrar.Config{Instance: name, Directory: cfg.Directory, Clock: cfg.Clock, Recorder: cfg.Explainer}
+	if cfg.PeerConn != nil {
+		directory.Rank = func() int { return f.gossiper.Rank() }
+		directory.Told = func() { f.gossiper.Tell() }
+	}
+	f.registrar = registrar.New(directory)
 	f.scheduler = scheduler.New(scheduler.Config{
 		Instance: name, Clock: cfg.Clock, Rand: cfg.newRand(), Recorder: cfg.Explainer, Checker: check,
 		Sharing: picker.SharingPeers, Policy: cfg.Policy,
@@ -100,6 +105,7 @@
 		f.gossiper = gossiper.New(gossiper.Config{
 			Self: cfg.Self, Incarnation: cfg.Incarnation, Conn: cfg.PeerConn, Store: cfg.Store, State: f.scheduler,
 			Clock: cfg.Clock, Recorder: cfg.Explainer,
+			Confirmation: f.registrar.Confirmation, Hear: f.registrar.Hear,
 		})
 		f.addRebalancer()
 	}
--- a/fleet.go
+++ b/fleet.go
@@ -35,6 +35,15 @@
 	ConfirmedAt time.Time
 }
 
+// Confirmation is what an instance knows to be current on the platform.
+type Confirmation struct {
+	// Servers identifies the set of backend servers, Version the configuration.
+	Servers uint64
+	Version uint64
+	// ReadAt is when an instance last read both.
+	ReadAt time.Time
+}
+
 // TablesHolder holds the revision in force.
 type TablesHolder interface {
 	Current() TablesInForce
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/internal/rendezvous"
 )
 
 const (
@@ -47,6 +49,10 @@
 	State    State
 	Clock    egretflow.Clock
 	Recorder egretflow.Recorder
+	// Confirmation returns what is known to be current on the platform, and Hear
+	// takes what a peer knows. Both may be nil.
+	Confirmation func() egretflow.Confirmation
+	Hear         func(c egretflow.Confirmation)
 }
 
 // message is one datagram.
@@ -57,6 +63,16 @@
 	Sequence    uint64
 	Load        egretflow.PrefillLoad
 	Crashes     []crash
+	Confirmed   confirmed
+}
+
+// confirmed is a confirmation with its age, because the clocks of instances
+// differ; the age is negative without one.
+type confirmed struct {
+	_       struct{} `cbor:",toarray"`
+	Servers uint64
+	Version uint64
+	AgeMS   int64
 }
 
 // crash is a crash report whose end is told as what is left of it, because the
@@ -72,6 +88,8 @@
 type Gossiper struct {
 	cfg      Config
 	sequence uint64
+	// news wakes the sender.
+	news chan struct{}
 
 	mu    sync.Mutex
 	peers map[egretflow.InstanceName]*peer
@@ -87,7 +105,7 @@
 
 // New returns a Gossiper without peers.
 func New(cfg Config) *Gossiper {
-	return &Gossiper{cfg: cfg, peers: map[egretflow.InstanceName]*peer{}}
+	return &Gossiper{cfg: cfg, news: make(chan struct{}, 1), peers: map[egretflow.InstanceName]*peer{}}
 }
 
 // Peers returns the number of other instances.
@@ -97,6 +115,35 @@
 	return len(g.peers)
 }
 
+// Tell sends a message soon if this instance reads for all.
+func (g *Gossiper) Tell() {
+	select {
+	case g.news <- struct{}{}:
+	default:
+	}
+}
+
+// readKey is what the instances are ranked for.
+const readKey = "directory"
+
+// Rank is the place of this instance among all, for reading the platform.
+func (g *Gossiper) Rank() int {
+	members := g.Members()
+	top := rendezvous.Top(readKey, members, g.cfg.Self.Name, len(members)+1)
+	return slices.IndexFunc(top, func(m egretflow.Member) bool { return m.Name == g.cfg.Self.Name })
+}
+
+func (g *Gossiper) confirmed(now time.Time) confirmed {
+	if g.cfg.Confirmation == nil {
+		return confirmed{AgeMS: -1}
+	}
+	c := g.cfg.Confirmation()
+	if c.ReadAt.IsZero() {
+		return confirmed{AgeMS: -1}
+	}
+	return confirmed{Servers: c.Servers, Version: c.Version, AgeMS: now.Sub(c.ReadAt).Milliseconds()}
+}
+
 // Members lists the other instances.
 func (g *Gossiper) Members() []egretflow.Member {
 	g.mu.Lock()
@@ -126,14 +173,17 @@
 	var sentAt time.Time
 	for {
 		interval := max(SendInterval, time.Duration(g.Peers())*time.Second/MaxDatagrams)
+		told := false
 		select {
 		case <-ctx.Done():
 			return
+		case <-g.news:
+			told = g.Rank() == 0
 		case <-time.After(interval):
 		}
 		now := g.cfg.Clock()
 		body, empty := g.use(now)
-		if bytes.Equal(body, last) && (empty || now.Sub(sentAt) < RepeatInterval) {
+		if !told && bytes.Equal(body, last) && (empty || now.Sub(sentAt) < RepeatInterval) {
 			continue
 		}
 		last, sentAt = body, now
@@ -155,6 +205,7 @@
 	for _, r := range g.cfg.State.Crashes(now) {
 		m.Crashes = append(m.Crashes, crash{Fingerprint: r.Fingerprint, Servers: r.Servers, LeftMS: r.ExpiresAt.Sub(now).Milliseconds()})
 	}
+	m.Confirmed = g.confirmed(now)
 	data, err := cbor.Marshal(m)
 	if err != nil || len(data) > maxDatagram {
 		g.record(egretflow.EventGossipFailed, "Error", fmt.Sprintf("message of %d bytes: %v", len(data), err))
@@ -216,6 +267,12 @@
 		return nil
 	}
 	g.cfg.State.ApplyPrefillLoad(m.From, m.Load)
+	if m.Confirmed.AgeMS >= 0 && g.cfg.Hear != nil {
+		g.cfg.Hear(egretflow.Confirmation{
+			Servers: m.Confirmed.Servers, Version: m.Confirmed.Version,
+			ReadAt: now.Add(-time.Duration(m.Confirmed.AgeMS) * time.Millisecond),
+		})
+	}
 	if len(m.Crashes) > 0 {
 		g.cfg.State.MergeCrashes(reportsOf(m.Crashes, now))
 	}
--- a/registrar/doc.go
+++ b/registrar/doc.go
@@ -17,4 +17,8 @@
 //     may have expired meanwhile although their servers live; a server that is
 //     missing after the outage stays until ReturnGrace has passed.
 //  4. Before the first configuration there are no tables.
+//  5. In a fleet the first instance in rank reads for all and tells the others a
+//     fingerprint of the servers and the version of the configuration. Another
+//     instance reads when it is told of something that it does not know, or when
+//     nobody has confirmed what it knows for some time, in order of rank.
 package registrar
--- /dev/null
+++ b/registrar/reading.go
@@ -0,0 +1,158 @@
+package registrar
+
+import (
+	"context"
+	"encoding/binary"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/egretflow/egretflow"
+)
+
+const (
+	// takeoverAfter is the age of the newest confirmation at which the second
+	// instance in rank reads by itself, and takeoverStep how much longer each
+	// further one waits, up to takeoverRanks of them.
+	takeoverAfter = 1200 * time.Millisecond
+	takeoverStep  = 150 * time.Millisecond
+	takeoverRanks = 3
+	// mismatchPause is the least time between two readings of an instance that
+	// hears of other servers than it knows.
+	mismatchPause = 200 * time.Millisecond
+	// maxRetryInterval bounds the time between failed readings in an outage.
+	maxRetryInterval = time.Second
+)
+
+// reading says when this instance must read the platform itself (rule 5). The
+// registrar's mutex protects it.
+type reading struct {
+	// readAt is the last own reading of the servers, confirmedAt when the known
+	// servers were last known to be current, by an own reading or by a peer.
+	readAt      time.Time
+	confirmedAt time.Time
+	// mismatch says that a peer has read other servers after readAt.
+	mismatch bool
+	// toldVersion is the highest version of the configuration that a peer named.
+	toldVersion uint64
+	failures    int
+	// configurationDue says that the configuration must be read.
+	configurationDue bool
+}
+
+// due returns when the servers must be read.
+func (r *reading) due(rank int) time.Time {
+	switch {
+	case r.failures > 0:
+		return r.readAt.Add(min(maxRetryInterval, time.Duration(r.failures)*retryInterval))
+	case rank == 0:
+		return r.readAt.Add(ReadInterval)
+	case r.mismatch:
+		return r.readAt.Add(mismatchPause)
+	}
+	return r.confirmedAt.Add(takeoverAfter + time.Duration(min(rank-1, takeoverRanks))*takeoverStep)
+}
+
+// fingerprint identifies the servers that are believed to exist.
+func fingerprint(servers map[egretflow.ServerName]egretflow.ServerEntry) uint64 {
+	digest := xxhash.New()
+	for _, name := range slices.Sorted(maps.Keys(servers)) {
+		e := servers[name]
+		flags := uint64(e.Server.Slots) << 1
+		if e.Leaving {
+			flags |= 1
+		}
+		text := string(name) + "\n" + string(e.Pool) + "\n" + string(e.Server.Role) + "\n" + e.Server.Address.String() + "\n"
+		_, _ = digest.WriteString(text)
+		_, _ = digest.Write(binary.LittleEndian.AppendUint64(nil, flags))
+		_, _ = digest.Write(binary.LittleEndian.AppendUint64(nil, uint64(e.Server.StartedAt.UnixMilli())))
+	}
+	return digest.Sum64()
+}
+
+// Confirmation returns what this instance knows to be current.
+func (r *Registrar) Confirmation() egretflow.Confirmation {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return egretflow.Confirmation{Servers: r.state.fingerprint, Version: r.state.version(), ReadAt: r.reading.confirmedAt}
+}
+
+// Hear takes what a peer knows to be current.
+func (r *Registrar) Hear(c egretflow.Confirmation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if c.Version > max(r.reading.toldVersion, r.state.version()) {
+		r.reading.toldVersion = c.Version
+		notify(r.wakeConfiguration)
+	}
+	switch {
+	case c.Servers == r.state.fingerprint && c.ReadAt.After(r.reading.confirmedAt):
+		r.reading.confirmedAt = c.ReadAt
+	case c.Servers != r.state.fingerprint && c.ReadAt.After(r.reading.readAt) && !r.reading.mismatch:
+		r.reading.mismatch = true
+		notify(r.wakeServers)
+	}
+}
+
+// notify wakes the task that waits on c, if it does not know yet.
+func notify(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// rank is the place of this instance among those that may read for all.
+func (r *Registrar) rank() int {
+	if r.cfg.Rank == nil {
+		return 0
+	}
+	return r.cfg.Rank()
+}
+
+// awaitServers waits until the servers must be read.
+func (r *Registrar) awaitServers(ctx context.Context) {
+	for ctx.Err() == nil {
+		rank := r.rank()
+		r.mu.Lock()
+		left := r.reading.due(rank).Sub(r.cfg.Clock())
+		r.mu.Unlock()
+		if left <= 0 {
+			return
+		}
+		await(ctx, left, r.wakeServers)
+	}
+}
+
+// awaitConfiguration waits until the configuration may have changed. The first
+// instance in rank watches it; the others are told, or find that nobody
+// confirms any more.
+func (r *Registrar) awaitConfiguration(ctx context.Context) error {
+	if r.rank() == 0 {
+		return r.cfg.Directory.AwaitChange(ctx)
+	}
+	for ctx.Err() == nil && r.rank() != 0 {
+		r.mu.Lock()
+		due := r.reading.configurationDue || r.reading.toldVersion > r.state.version()
+		r.reading.configurationDue = false
+		r.mu.Unlock()
+		if due {
+			return nil
+		}
+		await(ctx, ReadInterval, r.wakeConfiguration)
+	}
+	return nil
+}
+
+// await waits for a time, a wake or the end of ctx.
+func await(ctx context.Context, d time.Duration, wake <-chan struct{}) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-wake:
+	case <-timer.C:
+	}
+}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -28,29 +28,39 @@
 	Directory egretflow.Directory
 	Clock     egretflow.Clock
 	Recorder  egretflow.Recorder
+	// Rank is the place of this instance among those that may read for all, 0
+	// first; nil means that it reads by itself.
+	Rank func() int
+	// Told, if set, is called when there is something new to tell the peers.
+	Told func()
 }
 
 // Registrar is an egretflow.TablesHolder.
 type Registrar struct {
 	cfg Config
 
+	wakeServers       chan struct{}
+	wakeConfiguration chan struct{}
+
 	mu          sync.Mutex
 	state       state
+	reading     reading
 	tables      *egretflow.Tables
-	confirmedAt time.Time
 	subscribers []func(t *egretflow.Tables)
 }
 
 var _ egretflow.TablesHolder = (*Registrar)(nil)
 
 // New returns a Registrar without tables.
-func New(cfg Config) *Registrar { return &Registrar{cfg: cfg} }
+func New(cfg Config) *Registrar {
+	return &Registrar{cfg: cfg, wakeServers: make(chan struct{}, 1), wakeConfiguration: make(chan struct{}, 1)}
+}
 
 // Current implements egretflow.TablesHolder.
 func (r *Registrar) Current() egretflow.TablesInForce {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return egretflow.TablesInForce{Tables: r.tables, Confirmed: r.state.reachable, ConfirmedAt: r.confirmedAt}
+	return egretflow.TablesInForce{Tables: r.tables, Confirmed: r.state.reachable, ConfirmedAt: r.reading.confirmedAt}
 }
 
 // Tables returns the tables in force, nil before the first ones.
@@ -93,7 +103,8 @@
 			continue
 		}
 		r.takeConfiguration(c)
-		if err := r.cfg.Directory.AwaitChange(ctx); err != nil {
+		r.tell()
+		if err := r.awaitConfiguration(ctx); err != nil {
 			r.configurationFailed(ctx, err)
 			pause(ctx, retryInterval)
 		}
@@ -105,12 +116,31 @@
 		startedAt := r.cfg.Clock()
 		entries, err := r.cfg.Directory.Servers(ctx)
 		if err != nil {
-			r.serversFailed(ctx, err)
-			pause(ctx, retryInterval)
-			continue
+			r.serversFailed(ctx, startedAt, err)
+		} else {
+			r.takeServers(entries, startedAt)
+			r.tell()
+			r.readConfigurationToo()
 		}
-		r.takeServers(entries)
-		pause(ctx, startedAt.Add(ReadInterval).Sub(r.cfg.Clock()))
+		r.awaitServers(ctx)
+	}
+}
+
+// readConfigurationToo makes an instance that reads the servers in place of the
+// first one read the configuration as well: nobody else confirms it then.
+func (r *Registrar) readConfigurationToo() {
+	if r.rank() == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reading.configurationDue = true
+	notify(r.wakeConfiguration)
+}
+
+func (r *Registrar) tell() {
+	if r.cfg.Told != nil {
+		r.cfg.Told()
 	}
 }
 
@@ -133,14 +163,15 @@
 	r.publish()
 }
 
-func (r *Registrar) takeServers(entries []egretflow.ServerEntry) {
+func (r *Registrar) takeServers(entries []egretflow.ServerEntry, readAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.cfg.Clock()
 	if !r.state.reachable {
 		r.record(egretflow.EventStoreAvailable, "Servers", strconv.Itoa(len(entries)))
 	}
-	r.confirmedAt = now
+	r.reading.readAt, r.reading.confirmedAt = readAt, readAt
+	r.reading.mismatch, r.reading.failures = false, 0
 	changes := r.state.replace(entries, now)
 	for _, c := range changes {
 		r.record(c.event, "Server", string(c.server), "Pool", string(c.pool))
@@ -165,13 +196,15 @@
 
 // serversFailed notes that the servers cannot be read, and records the start of
 // an outage.
-func (r *Registrar) serversFailed(ctx context.Context, err error) {
+func (r *Registrar) serversFailed(ctx context.Context, triedAt time.Time, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.reading.readAt = triedAt
+	r.reading.failures++
 	if ctx.Err() != nil || !r.state.lose() {
 		return
 	}
-	r.record(egretflow.EventStoreUnavailable, "Reading", "Servers", "LastReadAt", r.confirmedAt.UTC().Format(time.RFC3339Nano), "Error", err.Error())
+	r.record(egretflow.EventStoreUnavailable, "Reading", "Servers", "LastReadAt", r.reading.confirmedAt.UTC().Format(time.RFC3339Nano), "Error", err.Error())
 }
 
 // configurationFailed records a failed reading. A watch that broke alone does
--- a/registrar/state.go
+++ b/registrar/state.go
@@ -13,7 +13,9 @@
 type state struct {
 	configuration *egretflow.Configuration
 	servers       map[egretflow.ServerName]egretflow.ServerEntry
-	revision      egretflow.Revision
+	// fingerprint identifies servers.
+	fingerprint uint64
+	revision    egretflow.Revision
 	// reachable says that the last reading of the servers worked, and graceUntil
 	// is when servers that are missing since an outage count as gone.
 	reachable  bool
@@ -37,6 +39,14 @@
 	return true
 }
 
+// version is that of the configuration in force; 0 without one.
+func (s *state) version() uint64 {
+	if s.configuration == nil {
+		return 0
+	}
+	return s.configuration.Version
+}
+
 // lose notes a failed reading and reports whether it is the first of an outage.
 func (s *state) lose() bool {
 	first := s.reachable
@@ -74,7 +84,7 @@
 		}
 		changes = append(changes, change{egretflow.EventServerGone, name, old.Pool})
 	}
-	s.servers = next
+	s.servers, s.fingerprint = next, fingerprint(next)
 	slices.SortFunc(changes, func(a, b change) int { return strings.Compare(string(a.server), string(b.server)) })
 	return changes
 }
