Ask the engine before a silent stream is given up; end within the grace period

Processes were killed at the end of the grace time because tasks waited for the store. Change: the engine's own list of runs tells a slow stream from a lost one or a silent connection; the process ends 250 ms before the grace period does.

--- a/cmd/egretflow/platform.go
+++ b/cmd/egretflow/platform.go
@@ -27,6 +27,10 @@
 	lameDuck = 2500 * time.Millisecond
 	// stopMargin is left of the grace period for the end of the process.
 	stopMargin = 600 * time.Millisecond
+	// exitMargin is left when the process ends although tasks still wait, with
+	// status exitLate.
+	exitMargin = 250 * time.Millisecond
+	exitLate   = 0
 	// keptEvents is the number of events kept for explanations; log lines hold
 	// them all.
 	keptEvents = 256
@@ -59,12 +63,19 @@
 	if err != nil {
 		return fmt.Errorf("assemble instance: %w", err)
 	}
+	defer context.AfterFunc(ctx, func() { exitBy(s.Grace() - exitMargin) })()
 	if err := supervisor.Run(ctx, inst.Tasks()); err != nil {
 		return fmt.Errorf("run instance: %w", err)
 	}
 	return nil
 }
 
+// exitBy ends the process when tasks still wait for outside systems at the end of
+// the grace period. All requests have ended by then.
+func exitBy(left time.Duration) {
+	time.AfterFunc(left, func() { os.Exit(exitLate) })
+}
+
 func (p *platformCommand) assemble(s *loader.Settings) (assembler.ForwardingConfig, error) {
 	logger := logrus.New()
 	logger.SetOutput(os.Stdout)
--- a/dialect.go
+++ b/dialect.go
@@ -104,11 +104,24 @@
 	// FreePrefill drops the result of a prefill that is not used.
 	FreePrefill(ctx context.Context, s *Server, h KVHandle) error
 	Load(ctx context.Context, s *Server) (*LoadReport, error)
+	// Progress returns what the engine has made of a request, as of some hundred
+	// milliseconds ago.
+	Progress(ctx context.Context, s *Server, request string) (Progress, error)
 	// SetRole orders the engine to take a role. ErrConflict means that it obeys
 	// another holder or has accepted an order meanwhile.
 	SetRole(ctx context.Context, s *Server, role Role, by Holder) error
 }
 
+// Progress is how far an engine is with a request.
+type Progress struct {
+	// Running says that the engine runs the request, and Events counts the events
+	// that it has made.
+	Running bool
+	Events  int
+	// Waiting counts the requests that wait at the engine.
+	Waiting int
+}
+
 // Holder is the instance that may order engines (8.1).
 type Holder struct {
 	Name    InstanceName
--- a/relayer/forwardstream.go
+++ b/relayer/forwardstream.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -75,6 +76,10 @@
 	// pace reports the time between events.
 	paceSince  time.Time
 	paceEvents int
+	// received counts the events of this attempt, for examine, and unknown says
+	// that the engine did not know the request at the last examination.
+	received atomic.Int64
+	unknown  atomic.Bool
 }
 
 func (g *generation) run(ctx context.Context) error {
@@ -177,7 +182,7 @@
 // decode starts the stream at the decode server and passes its events on.
 func (g *generation) decode(ctx context.Context) error {
 	server, started := g.a.Decode, g.r.now()
-	watch := g.watchStall()
+	watch := g.watchStall(ctx)
 	defer watch.stop()
 	resp, err := g.send(ctx, g.a, egretflow.ExchangeTerms{
 		Server: server, Stage: egretflow.StageDecode, Source: g.a.Prefill.Address, Handle: g.handle, Hold: g.hold,
@@ -200,12 +205,39 @@
 
 // watchStall cancels the attempt when a stream that can be continued elsewhere
 // falls silent.
-func (g *generation) watchStall() *stallWatch {
+func (g *generation) watchStall(ctx context.Context) *stallWatch {
 	if !g.call.Work.Idempotent || g.runs+1 >= g.attempts() {
-		return newStallWatch(g.r.cfg.Clock, g.deadline.Sub(g.r.now())+time.Minute, func() {})
+		return newStallWatch(g.r.cfg.Clock, g.deadline.Sub(g.r.now())+time.Minute, func(*stallWatch) {})
 	}
 	wait := max(patience(g.a.FirstTokenAt.Sub(g.r.now())), eventStallFactor*g.call.EventGapTarget)
-	return newStallWatch(g.r.cfg.Clock, wait, func() { g.cancel(errStalled) })
+	return newStallWatch(g.r.cfg.Clock, wait, func(w *stallWatch) { g.r.cleanups.Go(func() { g.examine(ctx, w) }) })
+}
+
+// examine asks the engine of a silent stream. The stream is given up only when
+// the engine does not answer, does not know it, or has made events that did not
+// arrive; an engine that is only slow is waited for.
+func (g *generation) examine(ctx context.Context, watch *stallWatch) {
+	p, err := g.r.cfg.Engines.Progress(ctx, g.a.Decode, g.call.Terms.ID)
+	if ctx.Err() != nil {
+		return
+	}
+	received := int(g.received.Load())
+	verdict := "Slow"
+	switch {
+	case err != nil:
+		verdict = "Unreachable"
+	case p.Running && p.Events > received:
+		verdict = "Silent"
+	case !p.Running && received > 0, !p.Running && p.Waiting == 0 && g.unknown.Swap(true):
+		verdict = "Unknown"
+	}
+	g.r.record(egretflow.EventSilentConnection, g.a.Work, g.a, field("server", g.a.Decode.Name), field("verdict", verdict),
+		field("received", strconv.Itoa(received)), field("made", strconv.Itoa(p.Events)))
+	if verdict == "Slow" {
+		watch.restart()
+		return
+	}
+	g.cancel(errStalled)
 }
 
 // errorAnswer reads an answer with an error status, which may be passed on.
@@ -271,6 +303,7 @@
 	}
 	g.result.LastTokenAt = now
 	g.generated++
+	g.received.Add(1)
 	g.result.Tokens++
 	if id != "" {
 		g.lastID = id
--- a/relayer/stall.go
+++ b/relayer/stall.go
@@ -12,7 +12,7 @@
 // rest of the relay: when it fires early, it is set to what is left.
 type stallWatch struct {
 	clock   egretflow.Clock
-	onStall func()
+	onStall func(w *stallWatch)
 
 	mu       sync.Mutex
 	patience time.Duration
@@ -23,7 +23,7 @@
 }
 
 // newStallWatch returns a watch whose first wait begins now.
-func newStallWatch(clock egretflow.Clock, patience time.Duration, onStall func()) *stallWatch {
+func newStallWatch(clock egretflow.Clock, patience time.Duration, onStall func(w *stallWatch)) *stallWatch {
 	w := &stallWatch{clock: clock, onStall: onStall, patience: patience, since: clock(), armed: true}
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -59,6 +59,17 @@
 	w.patience = patience
 }
 
+// restart begins the current wait anew after onStall found the server at work.
+func (w *stallWatch) restart() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.armed = true
+	if !w.since.IsZero() {
+		w.since = w.clock()
+	}
+	w.timer.Reset(w.patience)
+}
+
 func (w *stallWatch) stop() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -75,7 +86,7 @@
 	}
 	left := w.patience - w.clock().Sub(w.since)
 	if left <= 0 {
-		w.onStall()
+		w.onStall(w)
 		return
 	}
 	w.timer.Reset(left)
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -101,7 +101,7 @@
 	s.disconnect()
 	ctx, cancel := context.WithCancelCause(s.ctx)
 	s.conn, s.cancel = ctx, cancel
-	s.watch = newStallWatch(s.r.cfg.Clock, s.patience, func() { cancel(errStalled) })
+	s.watch = newStallWatch(s.r.cfg.Clock, s.patience, func(*stallWatch) { cancel(errStalled) })
 	resp, err := send(ctx)
 	if err != nil {
 		s.disconnect()
