Share retry budgets by the number of instances, ask engines by name, tell deltas

Change: a pool's budget is a share of the fleet's slack; calls to engines name the expected server; a crash is told three times; the reader tells deltas; in an outage only the first instances in rank ask often.

--- a/assembler/forwarding.go
+++ b/assembler/forwarding.go
@@ -51,6 +51,10 @@
 	Store       egretflow.Store
 	PeerConn    net.PacketConn
 	Incarnation uint64
+	// RetrySlack and RetryWindow are the extra attempts that the fleet may make at
+	// a pool in each window.
+	RetrySlack  float64
+	RetryWindow time.Duration
 	// LeaseTTL is the lifetime of the lease for orders to engines.
 	LeaseTTL time.Duration
 
@@ -91,6 +95,7 @@
 	f.scheduler = scheduler.New(scheduler.Config{
 		Instance: name, Clock: cfg.Clock, Rand: cfg.newRand(), Recorder: cfg.Explainer, Checker: check,
 		Sharing: picker.SharingPeers, Policy: cfg.Policy,
+		RetrySlack: cfg.RetrySlack, RetryWindow: cfg.RetryWindow, Instances: f.instances,
 	})
 	f.relayer = relayer.New(relayer.Config{
 		Instance: name, Scheduler: f.scheduler, Recorder: cfg.Explainer, Checker: check, Clock: cfg.Clock,
@@ -112,6 +117,17 @@
 	return f, nil
 }
 
+// fewestInstances is assumed until the peers are known.
+const fewestInstances = 8
+
+// instances counts the instances that share the retry budgets.
+func (f *Forwarding) instances() int {
+	if f.gossiper == nil {
+		return 1
+	}
+	return max(fewestInstances, f.gossiper.Peers()+1)
+}
+
 func (f *Forwarding) addRebalancer() {
 	f.rebalancer = rebalancer.New(rebalancer.Config{
 		Instance: f.cfg.Self.Name, Tables: f.registrar, Store: f.cfg.Store, Engines: f.cfg.Engines, Members: f.gossiper.Members,
--- a/dialect.go
+++ b/dialect.go
@@ -71,6 +71,8 @@
 	ID string
 	// NotRun says that the server has not run the request and never will.
 	NotRun bool
+	// Gone says that the address belongs to another server.
+	Gone bool
 }
 
 // Dialect is how HTTP headers carry what egretflow reads and sets.
--- a/fleet.go
+++ b/fleet.go
@@ -42,6 +42,19 @@
 	Version uint64
 	// ReadAt is when an instance last read both.
 	ReadAt time.Time
+	// Deltas lead from sets of servers that were current shortly before to this
+	// one, in order.
+	Deltas []ServersDelta
+}
+
+// ServersDelta is the difference between two sets of backend servers.
+type ServersDelta struct {
+	_ struct{} `cbor:",toarray"`
+	// Before and After identify the sets.
+	Before  uint64
+	After   uint64
+	Changed []ServerEntry
+	Removed []ServerName
 }
 
 // TablesHolder holds the revision in force.
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -26,6 +26,13 @@
 	MaxDatagrams = 160
 	// peerTimeout is how long an instance is a peer after it was last heard of.
 	peerTimeout = 30 * time.Second
+	// aliveInterval is the longest time without a message: peers forget an
+	// instance that they do not hear.
+	aliveInterval = 5 * time.Second
+	// crashRepeats makes up for lost datagrams, and maxCrashes bounds the crash
+	// reports of one message.
+	crashRepeats = 3
+	maxCrashes   = 16
 	// maxDatagram bounds one message; a longer one is not sent.
 	maxDatagram = 8 << 10
 )
@@ -73,6 +80,7 @@
 	Servers uint64
 	Version uint64
 	AgeMS   int64
+	Deltas  []egretflow.ServersDelta
 }
 
 // crash is a crash report whose end is told as what is left of it, because the
@@ -88,6 +96,8 @@
 type Gossiper struct {
 	cfg      Config
 	sequence uint64
+	// told counts how often a crash was told; only the sender uses it.
+	told map[crashKey]int
 	// news wakes the sender.
 	news chan struct{}
 
@@ -105,7 +115,7 @@
 
 // New returns a Gossiper without peers.
 func New(cfg Config) *Gossiper {
-	return &Gossiper{cfg: cfg, news: make(chan struct{}, 1), peers: map[egretflow.InstanceName]*peer{}}
+	return &Gossiper{cfg: cfg, news: make(chan struct{}, 1), told: map[crashKey]int{}, peers: map[egretflow.InstanceName]*peer{}}
 }
 
 // Peers returns the number of other instances.
@@ -141,7 +151,7 @@
 	if c.ReadAt.IsZero() {
 		return confirmed{AgeMS: -1}
 	}
-	return confirmed{Servers: c.Servers, Version: c.Version, AgeMS: now.Sub(c.ReadAt).Milliseconds()}
+	return confirmed{Servers: c.Servers, Version: c.Version, AgeMS: now.Sub(c.ReadAt).Milliseconds(), Deltas: c.Deltas}
 }
 
 // Members lists the other instances.
@@ -183,11 +193,12 @@
 		}
 		now := g.cfg.Clock()
 		body, empty := g.use(now)
-		if !told && bytes.Equal(body, last) && (empty || now.Sub(sentAt) < RepeatInterval) {
+		quiet := bytes.Equal(body, last) && (empty || now.Sub(sentAt) < RepeatInterval)
+		if !told && quiet && now.Sub(sentAt) < aliveInterval {
 			continue
 		}
 		last, sentAt = body, now
-		g.broadcast(now)
+		g.broadcast(now, told)
 	}
 }
 
@@ -199,13 +210,16 @@
 	return body, len(load.Backlogs) == 0 && len(load.Queues) == 0
 }
 
-func (g *Gossiper) broadcast(now time.Time) {
+// broadcast sends one message to all peers; news says that it also tells how the
+// servers have changed.
+func (g *Gossiper) broadcast(now time.Time, news bool) {
 	g.sequence++
 	m := message{From: g.cfg.Self.Name, Incarnation: g.cfg.Incarnation, Sequence: g.sequence, Load: g.cfg.State.PrefillLoad(now)}
-	for _, r := range g.cfg.State.Crashes(now) {
-		m.Crashes = append(m.Crashes, crash{Fingerprint: r.Fingerprint, Servers: r.Servers, LeftMS: r.ExpiresAt.Sub(now).Milliseconds()})
-	}
+	m.Crashes = g.newCrashes(now)
 	m.Confirmed = g.confirmed(now)
+	if !news {
+		m.Confirmed.Deltas = nil
+	}
 	data, err := cbor.Marshal(m)
 	if err != nil || len(data) > maxDatagram {
 		g.record(egretflow.EventGossipFailed, "Error", fmt.Sprintf("message of %d bytes: %v", len(data), err))
@@ -217,6 +231,30 @@
 	}
 }
 
+// newCrashes lists the crash reports that were told less than crashRepeats times.
+func (g *Gossiper) newCrashes(now time.Time) []crash {
+	reports := g.cfg.State.Crashes(now)
+	if len(reports) == 0 {
+		clear(g.told)
+	}
+	var crashes []crash
+	for _, r := range reports {
+		key := crashKey{r.Fingerprint, len(r.Servers)}
+		if g.told[key] >= crashRepeats || len(crashes) == maxCrashes {
+			continue
+		}
+		g.told[key]++
+		crashes = append(crashes, crash{Fingerprint: r.Fingerprint, Servers: r.Servers, LeftMS: r.ExpiresAt.Sub(now).Milliseconds()})
+	}
+	return crashes
+}
+
+// crashKey is what has been told of a crash.
+type crashKey struct {
+	fingerprint uint64
+	losses      int
+}
+
 // addresses lists the peers and forgets those that were not heard for long.
 func (g *Gossiper) addresses(now time.Time) []netip.AddrPort {
 	g.mu.Lock()
@@ -270,7 +308,7 @@
 	if m.Confirmed.AgeMS >= 0 && g.cfg.Hear != nil {
 		g.cfg.Hear(egretflow.Confirmation{
 			Servers: m.Confirmed.Servers, Version: m.Confirmed.Version,
-			ReadAt: now.Add(-time.Duration(m.Confirmed.AgeMS) * time.Millisecond),
+			ReadAt: now.Add(-time.Duration(m.Confirmed.AgeMS) * time.Millisecond), Deltas: m.Confirmed.Deltas,
 		})
 	}
 	if len(m.Crashes) > 0 {
--- a/gossiper/registration.go
+++ b/gossiper/registration.go
@@ -17,7 +17,7 @@
 	LeaseTTL     = 12 * time.Second
 	keepInterval = 4 * time.Second
 	// ListInterval is the time between two readings of the registrations.
-	ListInterval = 12 * time.Second
+	ListInterval = 30 * time.Second
 	// firstList is the time from the registration to the first reading, in which
 	// instances that start together register too.
 	firstList = time.Second
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -42,8 +42,30 @@
 	Percent int
 	// FloorPerSecond is earned without any request.
 	FloorPerSecond float64
+	// Burst is the number of attempts that the budget can hold; 0 means Burst.
+	Burst float64
 }
 
+func (c BudgetConfig) burst() float64 {
+	if c.Burst > 0 {
+		return c.Burst
+	}
+	return Burst
+}
+
+// Share is the part of one instance in a budget that a fleet shares without
+// talk: Slack extra attempts in each Window, besides a share of the requests.
+func Share(slack float64, window time.Duration, instances int) BudgetConfig {
+	own := slack / float64(max(1, instances))
+	return BudgetConfig{
+		FloorPerSecond: (1 - burstShare) * own / window.Seconds(),
+		Burst:          max(1, burstShare*own),
+	}
+}
+
+// burstShare of an instance's part may be spent at once, the rest over time.
+const burstShare = 0.5
+
 // Budget is a token bucket filled by requests.
 type Budget struct {
 	cfg      BudgetConfig
@@ -56,18 +78,23 @@
 	return &Budget{cfg: cfg, tokens: cfg.FloorPerSecond, filledAt: now}
 }
 
+// SetShare changes floor and burst.
+func (b *Budget) SetShare(cfg BudgetConfig) {
+	b.cfg.FloorPerSecond, b.cfg.Burst = cfg.FloorPerSecond, cfg.Burst
+}
+
 // SetPercent changes the share of extra attempts.
 func (b *Budget) SetPercent(percent int) { b.cfg.Percent = percent }
 
 // Earn adds the share of one first attempt.
 func (b *Budget) Earn() {
-	b.tokens = min(Burst, b.tokens+float64(b.cfg.Percent)/100)
+	b.tokens = min(b.cfg.burst(), b.tokens+float64(b.cfg.Percent)/100)
 }
 
 // Spend takes one attempt and reports whether there was one.
 func (b *Budget) Spend(now time.Time) bool {
 	if elapsed := now.Sub(b.filledAt).Seconds(); elapsed > 0 {
-		b.tokens = min(Burst, b.tokens+elapsed*b.cfg.FloorPerSecond)
+		b.tokens = min(b.cfg.burst(), b.tokens+elapsed*b.cfg.FloorPerSecond)
 		b.filledAt = now
 	}
 	if b.tokens < 1 {
--- a/registrar/reading.go
+++ b/registrar/reading.go
@@ -46,7 +46,12 @@
 func (r *reading) due(rank int) time.Time {
 	switch {
 	case r.failures > 0:
-		return r.readAt.Add(min(maxRetryInterval, time.Duration(r.failures)*retryInterval))
+		longest := maxRetryInterval
+		if rank > takeoverRanks {
+			// The first ones in rank tell when the platform is back.
+			longest *= 2
+		}
+		return r.readAt.Add(min(longest, time.Duration(r.failures)*retryInterval))
 	case rank == 0:
 		return r.readAt.Add(ReadInterval)
 	case r.mismatch:
@@ -76,7 +81,11 @@
 func (r *Registrar) Confirmation() egretflow.Confirmation {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return egretflow.Confirmation{Servers: r.state.fingerprint, Version: r.state.version(), ReadAt: r.reading.confirmedAt}
+	c := egretflow.Confirmation{Servers: r.state.fingerprint, Version: r.state.version(), ReadAt: r.reading.confirmedAt}
+	for _, d := range r.state.deltas {
+		c.Deltas = append(c.Deltas, d.ServersDelta)
+	}
+	return c
 }
 
 // Hear takes what a peer knows to be current.
@@ -87,9 +96,14 @@
 		r.reading.toldVersion = c.Version
 		notify(r.wakeConfiguration)
 	}
+	if c.Servers != r.state.fingerprint && r.state.everRead && c.ReadAt.After(r.reading.confirmedAt) {
+		if changes := r.state.follow(c.Deltas, r.cfg.Clock()); len(changes) > 0 {
+			r.took(changes)
+		}
+	}
 	switch {
 	case c.Servers == r.state.fingerprint && c.ReadAt.After(r.reading.confirmedAt):
-		r.reading.confirmedAt = c.ReadAt
+		r.reading.confirmedAt, r.reading.mismatch, r.reading.failures = c.ReadAt, false, 0
 	case c.Servers != r.state.fingerprint && c.ReadAt.After(r.reading.readAt) && !r.reading.mismatch:
 		r.reading.mismatch = true
 		notify(r.wakeServers)
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -173,6 +173,12 @@
 	r.reading.readAt, r.reading.confirmedAt = readAt, readAt
 	r.reading.mismatch, r.reading.failures = false, 0
 	changes := r.state.replace(entries, now)
+	r.took(changes)
+}
+
+// took records the changes of the servers and publishes the tables. The caller
+// holds mu.
+func (r *Registrar) took(changes []change) {
 	for _, c := range changes {
 		r.record(c.event, "Server", string(c.server), "Pool", string(c.pool))
 	}
--- a/registrar/state.go
+++ b/registrar/state.go
@@ -16,6 +16,7 @@
 	// fingerprint identifies servers.
 	fingerprint uint64
 	revision    egretflow.Revision
+	deltas      []timedDelta
 	// reachable says that the last reading of the servers worked, and graceUntil
 	// is when servers that are missing since an outage count as gone.
 	reachable  bool
@@ -30,6 +31,60 @@
 	pool   egretflow.PoolName
 }
 
+const (
+	// deltaLifetime is how long a delta is told, and maxChanges bounds the servers
+	// that one names. Peers that miss one read the platform.
+	deltaLifetime = 1500 * time.Millisecond
+	maxChanges    = 12
+)
+
+// timedDelta is a delta and when it was made.
+type timedDelta struct {
+	egretflow.ServersDelta
+	at time.Time
+}
+
+// noteDelta keeps what a reading changed.
+func (s *state) noteDelta(before uint64, changes []change, now time.Time) {
+	s.deltas = slices.DeleteFunc(s.deltas, func(d timedDelta) bool { return now.Sub(d.at) > deltaLifetime })
+	if len(changes) == 0 || len(changes) > maxChanges {
+		return
+	}
+	d := timedDelta{ServersDelta: egretflow.ServersDelta{Before: before, After: s.fingerprint}, at: now}
+	for _, c := range changes {
+		if entry, ok := s.servers[c.server]; ok {
+			d.Changed = append(d.Changed, entry)
+		} else {
+			d.Removed = append(d.Removed, c.server)
+		}
+	}
+	s.deltas = append(s.deltas, d)
+}
+
+// follow applies the deltas of a peer that begin at the known servers and returns
+// what changed.
+func (s *state) follow(deltas []egretflow.ServersDelta, now time.Time) []change {
+	var changes []change
+	for _, d := range deltas {
+		if d.Before != s.fingerprint || d.Before == d.After {
+			continue
+		}
+		entries := maps.Clone(s.servers)
+		for _, e := range d.Changed {
+			entries[e.Server.Name] = e
+		}
+		for _, name := range d.Removed {
+			delete(entries, name)
+		}
+		if fingerprint(entries) != d.After {
+			return changes
+		}
+		s.graceUntil = time.Time{}
+		changes = append(changes, s.replace(slices.Collect(maps.Values(entries)), now)...)
+	}
+	return changes
+}
+
 // configure takes a configuration and reports whether it is newer (rule 1).
 func (s *state) configure(c *egretflow.Configuration) bool {
 	if s.configuration != nil && c.Version <= s.configuration.Version {
@@ -84,7 +139,9 @@
 		}
 		changes = append(changes, change{egretflow.EventServerGone, name, old.Pool})
 	}
+	before := s.fingerprint
 	s.servers, s.fingerprint = next, fingerprint(next)
+	s.noteDelta(before, changes, now)
 	slices.SortFunc(changes, func(a, b change) int { return strings.Compare(string(a.server), string(b.server)) })
 	return changes
 }
--- a/relayer/failure.go
+++ b/relayer/failure.go
@@ -31,6 +31,8 @@
 	failureExpired failureKind = "KVExpired"
 	// failureFull: the server has no room for the request.
 	failureFull failureKind = "Full"
+	// failureGone: another server has the address.
+	failureGone failureKind = "Gone"
 	// failureError: the server ran the request and answered with an error.
 	failureError failureKind = "Error"
 	// failureRejected: the server rejects the request itself; no other server
@@ -62,12 +64,13 @@
 
 // ran reports whether the server may have done work.
 func (f *failure) ran() bool {
-	return f.kind != failureRefused && f.kind != failureExpired && f.kind != failureFull
+	return f.kind != failureRefused && f.kind != failureExpired && f.kind != failureFull && f.kind != failureGone
 }
 
 var observationOf = map[failureKind]egretflow.ObservationKind{
 	failureRefused:  egretflow.ObservationRefused,
 	failureFull:     egretflow.ObservationRefused,
+	failureGone:     egretflow.ObservationSilent,
 	failureBroken:   egretflow.ObservationFailed,
 	failureCrashed:  egretflow.ObservationCrashed,
 	failureStalled:  egretflow.ObservationSilent,
--- a/relayer/forward.go
+++ b/relayer/forward.go
@@ -238,8 +238,12 @@
 	if t.Stage != egretflow.StagePrefill {
 		f.runs--
 	}
+	kind := failureRefused
+	if terms.Gone {
+		kind = failureGone
+	}
 	return &failure{
-		kind: failureRefused, server: t.Server.Name, arrived: true, status: resp.StatusCode,
+		kind: kind, server: t.Server.Name, arrived: true, status: resp.StatusCode,
 		err: fmt.Errorf("status %d, stated as not run", resp.StatusCode),
 	}
 }
--- a/relayer/forwardstream.go
+++ b/relayer/forwardstream.go
@@ -114,8 +114,11 @@
 		return &failure{kind: failureFull, server: server.Name, err: err}
 	}
 	kind := unreachableKind(err)
-	if errors.Is(err, context.DeadlineExceeded) {
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
 		kind = failureStalled
+	case errors.Is(err, egretflow.ErrNotFound):
+		kind = failureGone
 	}
 	return &failure{kind: kind, server: server.Name, err: err}
 }
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -78,7 +78,7 @@
 		return true
 	}
 	if work.Retry {
-		if !r.retries.Spend(t.now) {
+		if !t.retries(work, r).Spend(t.now) {
 			t.refuse(w, http.StatusServiceUnavailable, egretflow.RefusalOverload, "the retry budget of the route is spent", admitter.Verdict{})
 			return false
 		}
@@ -91,7 +91,7 @@
 		t.refuse(w, http.StatusTooManyRequests, egretflow.RefusalTooManyStreams, "too many open streams", admitter.Verdict{})
 		return false
 	}
-	r.retries.Earn()
+	t.retries(work, r).Earn()
 	r.hedges.Earn()
 	return true
 }
--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -123,7 +123,7 @@
 		return
 	}
 	w.pool = a.pool
-	if r := t.routes[w.work.Route]; r != nil && !r.retries.Spend(t.now) {
+	if r := t.routes[w.work.Route]; r != nil && !t.retries(w.work, r).Spend(t.now) {
 		t.refuse(w, http.StatusServiceUnavailable, egretflow.RefusalOverload, "the retry budget of the route is spent", admitter.Verdict{})
 		return
 	}
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -37,6 +37,8 @@
 	totals   picker.Totals
 	totalsAt time.Time
 	prefill  admitter.Prefill
+	// retries is the budget of the pool when a fleet shares one.
+	retries *limiter.Budget
 	// peerQueues holds the queues that peers have named.
 	peerQueues map[egretflow.InstanceName]peerQueue
 	// blocked is the head of the queue that did not fit last.
@@ -70,6 +72,8 @@
 	unavailable map[egretflow.ServerName]bool
 	// changing holds the servers that change their role, until when.
 	changing map[egretflow.ServerName]time.Time
+	// sharedAt is when the shared budgets were last adapted.
+	sharedAt time.Time
 	// rotation moves demand between servers that are otherwise equal.
 	rotation int
 }
@@ -147,6 +151,7 @@
 func (t *task) tick() {
 	t.checkOverdue()
 	t.endChanges()
+	t.shareBudgets()
 	for _, p := range t.order {
 		t.shed(p)
 		t.dispatch(p)
