--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -98,6 +99,8 @@
 	sequence uint64
 	// told counts how often a crash was told; only the sender uses it.
 	told map[crashKey]int
+	// greet asks for a message to peers that do not know this instance yet.
+	greet atomic.Bool
 	// news wakes the sender.
 	news chan struct{}
 
@@ -188,7 +191,7 @@
 		case <-ctx.Done():
 			return
 		case <-g.news:
-			told = g.Rank() == 0
+			told = g.greet.Swap(false) || g.Rank() == 0
 		case <-time.After(interval):
 		}
 		now := g.cfg.Clock()
--- a/gossiper/registration.go
+++ b/gossiper/registration.go
@@ -18,11 +18,14 @@
 	keepInterval = 4 * time.Second
 	// ListInterval is the time between two readings of the registrations.
 	ListInterval = 30 * time.Second
-	// firstList is the time from the registration to the first reading, in which
-	// instances that start together register too.
-	firstList = time.Second
-	// retryInterval is the time after a failed call.
-	retryInterval = time.Second
+	// retryInterval is the time after a failed call. A lease outlives two of them,
+	// and in an outage every call of every instance would be in vain.
+	retryInterval = keepInterval
+	// leaveTimeout bounds the end of the registration at shutdown.
+	leaveTimeout = time.Second
+
+	// minPause is the least time between two steps.
+	minPause = time.Second
 
 	instancePrefix = "instances/"
 )
@@ -35,7 +38,7 @@
 }
 
 func (r *registration) run(ctx context.Context) {
-	r.listAt = r.cfg.Clock().Add(firstList)
+	r.listAt = r.cfg.Clock()
 	for ctx.Err() == nil {
 		next := keepInterval
 		if err := r.step(ctx); err != nil {
@@ -43,7 +46,7 @@
 			next = retryInterval
 		}
 		if left := r.listAt.Sub(r.cfg.Clock()); left < next {
-			next = max(left, retryInterval/2)
+			next = max(left, minPause)
 		}
 		select {
 		case <-ctx.Done():
@@ -66,6 +69,9 @@
 		return err
 	}
 	r.listAt = now.Add(ListInterval)
+	// The others learn of this instance by its first message.
+	r.greet.Store(true)
+	r.Tell()
 	return nil
 }
 
@@ -129,7 +135,7 @@
 	if r.lease.ID == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), retryInterval)
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
 	if err := r.cfg.Store.RevokeLease(ctx, r.lease.ID); err != nil {
 		r.record(egretflow.EventRegistrationFailed, "Error", err.Error())
