Tell refused callers to return when the queue is served

Cause: the pause was what the expected wait exceeds the caller's patience by, so callers came back within the same crest and were refused again. Change: with patience, the pause is the expected wait itself. Test: TestRefusedReturnAfterTheQueue fails before.

--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -321,7 +321,13 @@
 // that refused callers do not come back together.
 func (t *task) retryAt(work *egretflow.Work, v admitter.Verdict) time.Time {
 	after := minRetryAfter
-	if !v.FirstTokenAt.IsZero() && !work.FirstTokenBy.IsZero() {
+	switch {
+	case v.FirstTokenAt.IsZero() || work.FirstTokenBy.IsZero():
+	case !work.GiveUpBy.IsZero():
+		// The caller would have waited as long; it returns when the requests before
+		// it are served, and not in the same crest.
+		after = min(max(after, v.FirstTokenAt.Sub(t.now)), maxRetryAfter)
+	default:
 		after = min(max(after, v.FirstTokenAt.Sub(work.FirstTokenBy)), maxRetryAfter)
 	}
 	return t.now.Add(after + time.Duration(t.cfg.Rand.Int64N(int64(after))))
--- a/scheduler/late_test.go
+++ b/scheduler/late_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/egretflow/egretflow"
 	"github.com/egretflow/egretflow/picker"
 )
@@ -110,3 +112,32 @@
 		t.Errorf("%d of %d refusals came after an eighth of the target, want at most a tenth", refusedLate, refused)
 	}
 }
+
+// Guards against callers who are told to come back within the same crest: they
+// are refused again. What was queued when they were refused must be served first.
+func TestRefusedReturnAfterTheQueue(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := NewStepper(Config{
+		Instance: "i", Clock: func() time.Time { return now }, Rand: rand.New(rand.NewPCG(1, 2)), Recorder: fakeRecorder{},
+		Checker: fakeChecker{t}, Sharing: picker.SharingPeers,
+	})
+	s.Apply(&egretflow.Tables{Revision: 1, Routes: []egretflow.Route{{Name: "r", Pool: "desk"}}, Pools: []egretflow.Pool{{
+		Name: "desk", Kind: egretflow.PoolKindService, Servers: []egretflow.Server{{Name: "s", Role: egretflow.RoleService, Slots: 1}},
+	}}})
+	for n := range 40 {
+		wait := s.Acquire(&egretflow.Work{
+			Request: egretflow.RequestID(fmt.Sprint(n)), Route: "r", Pool: "desk", Importance: egretflow.ImportanceNormal, ArrivedAt: now,
+			FirstTokenBy: now.Add(300 * time.Millisecond), GiveUpBy: now.Add(2 * time.Second),
+		})
+		_, done, err := wait.Result()
+		var refusal *egretflow.Refusal
+		if !done || !errors.As(err, &refusal) {
+			continue
+		}
+		if after := refusal.RetryAt.Sub(now); after < 2*time.Second {
+			t.Errorf("request %d is told to return after %v, before the queue of 2 s is served", n, after)
+		}
+		return
+	}
+	t.Fatal("no request was refused")
+}
