Make events with fields in one place

Cause: four packages had the same function that makes an event of pairs. Change: egretflow.NewEvent.

--- a/cmd/egretflow/platform.go
+++ b/cmd/egretflow/platform.go
@@ -67,9 +67,8 @@
 		return fmt.Errorf("assemble instance: %w", err)
 	}
 	defer context.AfterFunc(ctx, func() { exitBy(s.Grace() - exitMargin) })()
-	cfg.Explainer.Record(egretflow.Event{Name: egretflow.EventStarted, At: cfg.Clock(), Instance: s.Name, Fields: []egretflow.EventField{
-		{Key: "FailureDomain", Value: string(s.FailureDomain)}, {Key: "Listen", Value: s.Listen.String()}, {Key: "Store", Value: s.Store.String()},
-	}})
+	cfg.Explainer.Record(egretflow.NewEvent(egretflow.EventStarted, cfg.Clock(), s.Name,
+		"FailureDomain", string(s.FailureDomain), "Listen", s.Listen.String(), "Store", s.Store.String()))
 	follower := &loader.Follower{Path: p.Config, Signals: signals, Clock: cfg.Clock, Recorder: cfg.Explainer, Settings: s}
 	tasks := append(inst.Tasks(), supervisor.Task{Name: "settings", Run: follower.Run})
 	if err := supervisor.Run(ctx, tasks); err != nil {
--- a/event.go
+++ b/event.go
@@ -77,6 +77,15 @@
 	Value string
 }
 
+// NewEvent returns an event whose fields are pairs of a key and a value.
+func NewEvent(name EventName, at time.Time, instance InstanceName, pairs ...string) Event {
+	e := Event{Name: name, At: at, Instance: instance}
+	for n := 0; n+1 < len(pairs); n += 2 {
+		e.Fields = append(e.Fields, EventField{Key: pairs[n], Value: pairs[n+1]})
+	}
+	return e
+}
+
 // Recorder takes events. Implementations must not block.
 type Recorder interface {
 	Record(e Event)
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -357,9 +357,5 @@
 
 // record writes an event with pairs of keys and values.
 func (g *Gossiper) record(name egretflow.EventName, pairs ...string) {
-	e := egretflow.Event{Name: name, At: g.cfg.Clock(), Instance: g.cfg.Self.Name}
-	for n := 0; n+1 < len(pairs); n += 2 {
-		e.Fields = append(e.Fields, egretflow.EventField{Key: pairs[n], Value: pairs[n+1]})
-	}
-	g.cfg.Recorder.Record(e)
+	g.cfg.Recorder.Record(egretflow.NewEvent(name, g.cfg.Clock(), g.cfg.Self.Name, pairs...))
 }
--- a/loader/follower.go
+++ b/loader/follower.go
@@ -82,9 +82,5 @@
 }
 
 func (f *Follower) record(name egretflow.EventName, pairs ...string) {
-	e := egretflow.Event{Name: name, At: f.Clock(), Instance: f.Settings.Name}
-	for n := 0; n+1 < len(pairs); n += 2 {
-		e.Fields = append(e.Fields, egretflow.EventField{Key: pairs[n], Value: pairs[n+1]})
-	}
-	f.Recorder.Record(e)
+	f.Recorder.Record(egretflow.NewEvent(name, f.Clock(), f.Settings.Name, pairs...))
 }
--- a/rebalancer/rebalancer.go
+++ b/rebalancer/rebalancer.go
@@ -251,10 +251,6 @@
 
 // record writes an event of a pool with pairs of keys and values.
 func (r *Rebalancer) record(name egretflow.EventName, pool egretflow.PoolName, pairs ...string) {
-	e := egretflow.Event{Name: name, At: r.cfg.Clock(), Instance: r.cfg.Instance}
-	e.Fields = append(e.Fields, egretflow.EventField{Key: "Pool", Value: string(pool)})
-	for n := 0; n+1 < len(pairs); n += 2 {
-		e.Fields = append(e.Fields, egretflow.EventField{Key: pairs[n], Value: pairs[n+1]})
-	}
-	r.cfg.Recorder.Record(e)
+	pairs = append([]string{"Pool", string(pool)}, pairs...)
+	r.cfg.Recorder.Record(egretflow.NewEvent(name, r.cfg.Clock(), r.cfg.Instance, pairs...))
 }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -226,9 +226,5 @@
 
 // record writes an event with pairs of keys and values.
 func (r *Registrar) record(name egretflow.EventName, pairs ...string) {
-	e := egretflow.Event{Name: name, At: r.cfg.Clock(), Instance: r.cfg.Instance}
-	for n := 0; n+1 < len(pairs); n += 2 {
-		e.Fields = append(e.Fields, egretflow.EventField{Key: pairs[n], Value: pairs[n+1]})
-	}
-	r.cfg.Recorder.Record(e)
+	r.cfg.Recorder.Record(egretflow.NewEvent(name, r.cfg.Clock(), r.cfg.Instance, pairs...))
 }
