Read the counts of the scripted servers under their lock

Cause: the race detector found that the tests of forwarded requests read what servers count while they still run. Change: locked reads.

--- a/relayer/forward_test.go
+++ b/relayer/forward_test.go
@@ -182,13 +182,13 @@
 		t.Errorf("refusal %v, want not run %s", err, want)
 	}
 	for pair := range strings.SplitSeq(s.want["runs"], ",") {
-		if name, count, ok := strings.Cut(pair, ":"); ok && strconv.Itoa(s.server(name).runs) != count {
-			t.Errorf("server %s ran the request %d times, want %s", name, s.server(name).runs, count)
+		if name, count, ok := strings.Cut(pair, ":"); ok && strconv.Itoa(s.server(name).counted()) != count {
+			t.Errorf("server %s ran the request %d times, want %s", name, s.server(name).counted(), count)
 		}
 	}
 	if from := s.want["from"]; from != "" {
 		name, id, _ := strings.Cut(from, ":")
-		if seen := s.server(name).from; len(seen) == 0 || seen[len(seen)-1] != id {
+		if seen := s.server(name).asked(); len(seen) == 0 || seen[len(seen)-1] != id {
 			t.Errorf("server %s was asked to continue after %v, want %s", name, seen, id)
 		}
 	}
@@ -227,6 +227,19 @@
 	return action
 }
 
+func (v *scriptedServer) counted() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.runs
+}
+
+// asked lists from which event on the server was asked, by request.
+func (v *scriptedServer) asked() []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return append([]string(nil), v.from...)
+}
+
 func (v *scriptedServer) ran() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
