Wait for streams that their engine has preempted

A preempted request is not among those that run, and one missing report was enough. Change: an engine at which requests wait is waited for; two examinations without a sign are needed. Test: resumable-preempted fails before.

--- a/relayer/forward_test.go
+++ b/relayer/forward_test.go
@@ -31,7 +31,7 @@
 //
 //	# why: the failure that the script guards against
 //	route kind=safe|unsafe|stream|resumable attempts=N
-//	server NAME stage=service|prefill|decode
+//	server NAME stage=service|prefill|decode [preempts=yes]
 //	on NAME ACTION...        one line per request that reaches the server
 //	want status=N body=TEXT|cut runs=NAME:N,... notrun=true|false
 //
@@ -52,10 +52,12 @@
 	mu          sync.Mutex
 	actions     [][]string
 	runs        int
-	freed       int
-	dropped     int
-	address     netip.AddrPort
-	from        []string
+	// preempts says that the server pauses its stream after the first event.
+	preempts bool
+	freed    int
+	dropped  int
+	address  netip.AddrPort
+	from     []string
 }
 
 func TestForwardScripts(t *testing.T) {
@@ -96,7 +98,7 @@
 				s.attempts, _ = strconv.Atoi(values["attempts"])
 			}
 		case "server":
-			s.servers = append(s.servers, &scriptedServer{name: words[1], stage: values["stage"]})
+			s.servers = append(s.servers, &scriptedServer{name: words[1], stage: values["stage"], preempts: values["preempts"] != ""})
 		case "on":
 			server := s.server(words[1])
 			server.actions = append(server.actions, words[2:])
@@ -340,6 +342,9 @@
 	for n := from; n <= to; n++ {
 		event := fmt.Sprintf("id: %d\ndata: e%d\n\n", n, n)
 		_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event)
+		if v.preempts && n == from {
+			time.Sleep(1200 * time.Millisecond)
+		}
 	}
 	if end == "cut" {
 		part := "id: 99\nda"
@@ -481,7 +486,12 @@
 	return nil, egretflow.ErrUnavailable
 }
 
-func (e *scriptedEngines) Progress(context.Context, *egretflow.Server, string) (egretflow.Progress, error) {
+// Progress answers as an engine at which the request was preempted if the server
+// is to pause, and not at all otherwise.
+func (e *scriptedEngines) Progress(_ context.Context, s *egretflow.Server, _ string) (egretflow.Progress, error) {
+	if e.script.server(string(s.Name)).preempts {
+		return egretflow.Progress{Waiting: 1}, nil
+	}
 	return egretflow.Progress{}, egretflow.ErrUnavailable
 }
 
--- a/relayer/forwardstream.go
+++ b/relayer/forwardstream.go
@@ -77,7 +77,7 @@
 	paceSince  time.Time
 	paceEvents int
 	// received counts the events of this attempt, for examine, and unknown says
-	// that the engine did not know the request at the last examination.
+	// that an earlier examination found no sign of the request.
 	received atomic.Int64
 	unknown  atomic.Bool
 }
@@ -217,8 +217,8 @@
 }
 
 // examine asks the engine of a silent stream. The stream is given up only when
-// the engine does not answer, does not know it, or has made events that did not
-// arrive; an engine that is only slow is waited for.
+// the engine has made events that did not arrive, or when it twice does not answer
+// or does not know the request while none waits; a slow engine is waited for.
 func (g *generation) examine(ctx context.Context, watch *stallWatch) {
 	p, err := g.r.cfg.Engines.Progress(ctx, g.a.Decode, g.call.Terms.ID)
 	if ctx.Err() != nil {
@@ -227,11 +227,13 @@
 	received := int(g.received.Load())
 	verdict := "Slow"
 	switch {
-	case err != nil:
+	case err != nil && g.unknown.Swap(true):
 		verdict = "Unreachable"
+	case err != nil:
 	case p.Running && p.Events > received:
 		verdict = "Silent"
-	case !p.Running && received > 0, !p.Running && p.Waiting == 0 && g.unknown.Swap(true):
+	case !p.Running && p.Waiting == 0 && g.unknown.Swap(true):
+		// A preempted request waits at its engine and is not among those that run.
 		verdict = "Unknown"
 	}
 	g.r.record(egretflow.EventSilentConnection, g.a.Work, g.a, field("server", g.a.Decode.Name), field("verdict", verdict),
