registrar: end the tests' messages before their bubble ends

Change: the goroutine waits for a tick or for its context, and the cleanup waits for the goroutine. The flag that silences a member is atomic.

--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -191,10 +192,16 @@
 		members[rank] = start(t, d, func() int { return rank })
 	}
 	ctx, cancel := context.WithCancel(t.Context())
-	t.Cleanup(cancel)
+	done := make(chan struct{})
+	t.Cleanup(func() { cancel(); <-done })
 	go func() {
-		for ctx.Err() == nil {
-			time.Sleep(50 * time.Millisecond)
+		defer close(done)
+		for tick := time.Tick(50 * time.Millisecond); ; {
+			select {
+			case <-ctx.Done():
+				return
+			case <-tick:
+			}
 			for from, m := range members {
 				c := m.Confirmation()
 				for to, other := range members {
@@ -215,8 +222,8 @@
 		d := newDirectory()
 		d.config = configuration(1)
 		d.servers = []egretflow.ServerEntry{server(1), server(2)}
-		silent := false
-		members := fleet(t, d, 8, func(rank int) bool { return silent && rank == 0 })
+		var silent atomic.Bool
+		members := fleet(t, d, 8, func(rank int) bool { return silent.Load() && rank == 0 })
 		time.Sleep(2 * time.Second)
 		before := d.readings()
 		time.Sleep(7 * time.Second)
@@ -234,7 +241,7 @@
 				t.Errorf("instance %d after 1 s: s1 takes work %v, version %d", n, m.TakesWork("s1"), versionOf(m))
 			}
 		}
-		silent = true
+		silent.Store(true)
 		d.set(func(d *directory) { d.servers, d.config = nil, configuration(3) })
 		time.Sleep(1900 * time.Millisecond)
 		for n, m := range members[1:] {
