scheduler: expect the ends of running calls of a service pool

Cause: the wait for a slot was the mean rate at which slots become free. The measured rate was also divided by the whole window while requests had waited for a part of it. Change: Capacity holds the expected end of each running call of a service pool; the rate is taken over the part of the window in which requests waited.

--- a/admitter/capacity.go
+++ b/admitter/capacity.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -20,6 +21,11 @@
 	FreeSlots int
 	// SlotsPerSecond is the rate at which decode slots become free.
 	SlotsPerSecond float64
+	// Ends holds the seconds until each used slot is expected to become free, in
+	// rising order, and Hold those for which the next request holds it. Without
+	// Ends the slots are expected to become free at even distances.
+	Ends []float64
+	Hold float64
 	// Overtaken is the time for which requests that are still to come are served
 	// before an item.
 	Overtaken time.Duration
@@ -35,11 +41,23 @@
 		if c.SlotsPerSecond <= 0 {
 			return maxWait
 		}
-		wait = max(wait, seconds(missing/c.SlotsPerSecond))
+		wait = max(wait, seconds(c.slotFree(missing)))
 	}
 	return wait + c.Overtaken
 }
 
+// slotFree returns the seconds until the given number of used slots have become
+// free. Requests of about equal length that started together also end together,
+// which the mean rate would hide.
+func (c Capacity) slotFree(missing float64) float64 {
+	if len(c.Ends) == 0 {
+		return missing / c.SlotsPerSecond
+	}
+	last := int(math.Ceil(missing)) - 1
+	turns := last / len(c.Ends)
+	return c.Ends[last%len(c.Ends)] + float64(turns)*c.Hold
+}
+
 func seconds(s float64) time.Duration {
 	if s >= maxWait.Seconds() {
 		return maxWait
--- a/admitter/doc.go
+++ b/admitter/doc.go
@@ -23,7 +23,8 @@
 //     prompt tokens to compute plus OutputCost per output token.
 //  2. Expected first token = now + wait + Item.Service. The wait is the longer
 //     of the time until a prefill server has computed the tokens ahead and of
-//     decode slots ahead over the rate at which slots become free. The tokens
+//     decode slots ahead over the rate at which slots become free, or of the
+//     expected ends of the running requests where these are known. The tokens
 //     ahead include those that wait at other instances in more important classes
 //     and half of those in the same class.
 //  3. An item whose expected first token is later than its FirstTokenBy is
--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -47,6 +47,7 @@
 		t.prefills = append(t.prefills, a)
 	}
 	p.running++
+	p.noteStart(t.now)
 	p.rates.begin(w.work, p.picker.Gap())
 	w.counted = false // the attempt owns the stream from here on
 	t.recordAssignment(a)
@@ -102,6 +103,7 @@
 	delete(t.attempts, r.Attempt)
 	p.picker.ReleaseAll(&a.placement, t.now)
 	p.running--
+	p.noteEnd(a.startedAt)
 	p.rates.end(t.now, a.placement.Slots, t.now.Sub(a.startedAt), a.produced || p.picker.Kind() == egretflow.PoolKindService)
 	work := a.assignment.Work
 	t.streams.Close(work)
--- a/scheduler/rates.go
+++ b/scheduler/rates.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/egretflow/egretflow"
@@ -121,12 +122,17 @@
 }
 
 // sum returns what was served and refused in the window.
-func (r *rates) sum(now time.Time) bucket {
+func (r *rates) sum(now time.Time) bucket { return r.sumSince(time.Time{}, now) }
+
+// sumSince returns what was served and refused in the part of the window that
+// begins with the bucket of since.
+func (r *rates) sumSince(since, now time.Time) bucket {
 	number := now.UnixNano() / int64(bucketTime)
+	first := max(number-rateBuckets+1, since.UnixNano()/int64(bucketTime))
 	var sum bucket
 	for n := range r.buckets {
 		b := &r.buckets[n]
-		if b.number <= number-rateBuckets || b.number > number {
+		if b.number < first || b.number > number {
 			continue
 		}
 		sum.prefills += b.prefills
@@ -141,6 +147,16 @@
 	return sum
 }
 
+// measuredFor is the part of the window in which requests waited. Before it the
+// servers had less to do than they can.
+func (r *rates) measuredFor(now time.Time) time.Duration {
+	first := now.Add(bucketTime - rateWindow).Truncate(bucketTime)
+	if since := r.saturatedSince.Truncate(bucketTime); since.After(first) {
+		first = since
+	}
+	return max(now.Sub(first), bucketTime)
+}
+
 // trust is the weight of the measured rates. They show the capacity only while
 // requests wait, and only when enough of them finished in the window.
 func (r *rates) trust(samples float64, now time.Time) float64 {
@@ -160,18 +176,19 @@
 		// Without a grant the capacity is unknown; requests wait for one.
 		return admitter.Capacity{FreeSlots: admitter.MaxItems}
 	}
-	served := p.rates.sum(t.now)
+	served := p.rates.sumSince(p.rates.saturatedSince, t.now)
 	used := p.picker.Used()
 	c := admitter.Capacity{FreeSlots: max(0, p.totals.Slots-used)}
 	if p.rates.hold > 0 {
 		c.SlotsPerSecond = float64(max(used, 1)) / p.rates.hold
-		measured := served.slots / rateWindow.Seconds()
+		measured := served.slots / p.rates.measuredFor(t.now).Seconds()
 		c.SlotsPerSecond += p.rates.trust(served.ends, t.now) * (measured - c.SlotsPerSecond)
+		p.expectEnds(&c, t.now)
 	}
 	if p.picker.Kind() == egretflow.PoolKindModel {
 		p.prefill.Reset()
 		p.picker.Lanes(t.now, p.prefill.Add)
-		p.prefill.Prepare(1 - p.rates.trust(served.prefills, t.now)*p.shortfall(served.tokens/rateWindow.Seconds()))
+		p.prefill.Prepare(1 - p.rates.trust(served.prefills, t.now)*p.shortfall(served.tokens/p.rates.measuredFor(t.now).Seconds()))
 		c.Prefill = &p.prefill
 		c.Ahead = p.waitingAtPeers(t.now)
 	}
@@ -186,3 +203,31 @@
 	}
 	return min(maxShortfall, max(0, 1-measured/(p.totals.PrefillRate*(1-rateNoise))))
 }
+
+// noteStart notes a new call of a service pool.
+func (p *pool) noteStart(now time.Time) {
+	if p.picker.Kind() == egretflow.PoolKindService {
+		p.starts = append(p.starts, now)
+	}
+}
+
+// noteEnd forgets a call of a service pool that started at the given time.
+func (p *pool) noteEnd(startedAt time.Time) {
+	if n := slices.IndexFunc(p.starts, startedAt.Equal); n >= 0 {
+		p.starts = slices.Delete(p.starts, n, n+1)
+	}
+}
+
+// expectEnds tells c when the running calls of a service pool are expected to
+// end. Calls take about the same time there; the streams of a model do not.
+func (p *pool) expectEnds(c *admitter.Capacity, now time.Time) {
+	if len(p.starts) == 0 || c.SlotsPerSecond <= 0 {
+		return
+	}
+	c.Hold = float64(len(p.starts)) / c.SlotsPerSecond
+	p.ends = p.ends[:0]
+	for _, at := range p.starts {
+		p.ends = append(p.ends, max(0, c.Hold-now.Sub(at).Seconds()))
+	}
+	c.Ends = p.ends
+}
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -33,6 +33,9 @@
 	// suspects holds the waits of crash suspects, oldest first.
 	suspects []*waiter
 	running  int
+	// starts holds when the running calls of a service pool started, in order.
+	starts   []time.Time
+	ends     []float64
 	rates    rates
 	totals   picker.Totals
 	totalsAt time.Time
