scheduler: take the retry ratio from the settings

On a deployment with another ratio the fleet would have exceeded its budget. Change: limiter.Shared holds ratio, slack and window; the scheduler's budget of a pool is the part of one instance in it.

--- a/assembler/forwarding.go
+++ b/assembler/forwarding.go
@@ -17,6 +17,7 @@
 	"github.com/egretflow/egretflow/explainer"
 	"github.com/egretflow/egretflow/frontend"
 	"github.com/egretflow/egretflow/gossiper"
+	"github.com/egretflow/egretflow/limiter"
 	"github.com/egretflow/egretflow/picker"
 	"github.com/egretflow/egretflow/rebalancer"
 	"github.com/egretflow/egretflow/recorder"
@@ -51,10 +52,8 @@
 	Store       egretflow.Store
 	PeerConn    net.PacketConn
 	Incarnation uint64
-	// RetrySlack and RetryWindow are the extra attempts that the fleet may make at
-	// a pool in each window.
-	RetrySlack  float64
-	RetryWindow time.Duration
+	// Retries is the budget for extra attempts at each pool of the whole fleet.
+	Retries limiter.Shared
 	// LeaseTTL is the lifetime of the lease for orders to engines.
 	LeaseTTL time.Duration
 
@@ -95,7 +94,7 @@
 	f.scheduler = scheduler.New(scheduler.Config{
 		Instance: name, Clock: cfg.Clock, Rand: cfg.newRand(), Recorder: cfg.Explainer, Checker: check,
 		Sharing: picker.SharingPeers, Policy: cfg.Policy,
-		RetrySlack: cfg.RetrySlack, RetryWindow: cfg.RetryWindow, Instances: f.instances,
+		SharedRetries: &scheduler.SharedRetries{Shared: cfg.Retries, Instances: f.instances},
 	})
 	f.relayer = relayer.New(relayer.Config{
 		Instance: name, Scheduler: f.scheduler, Recorder: cfg.Explainer, Checker: check, Clock: cfg.Clock,
--- a/cmd/egretflow/platform.go
+++ b/cmd/egretflow/platform.go
@@ -103,7 +103,7 @@
 		Self:  egretflow.Member{Name: s.Name, FailureDomain: s.FailureDomain, Region: s.Region, State: egretflow.MemberStateLive},
 		Clock: clock, Rand: newRand(), Dial: dialer.DialContext, Explainer: explainer.New(keptEvents, logger), Policy: p.Policy,
 		Store: store, Incarnation: uint64(clock().UnixNano()), LeaseTTL: s.LeaseTTL(),
-		RetrySlack: s.RetrySlack, RetryWindow: time.Duration(s.RetryWindowSeconds * float64(time.Second)),
+		Retries:   s.Retries(),
 		Directory: platform.NewDirectory(store, nil), Dialect: platform.Dialect{}, Engines: platform.NewEngines(client, clock),
 		Limits: frontend.Limits{LameDuck: lameDuck, DrainTimeout: s.Grace() - lameDuck - stopMargin},
 	}
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -53,12 +53,20 @@
 	return Burst
 }
 
-// Share is the part of one instance in a budget that a fleet shares without
-// talk: Slack extra attempts in each Window, besides a share of the requests.
-func Share(slack float64, window time.Duration, instances int) BudgetConfig {
-	own := slack / float64(max(1, instances))
+// Shared is a budget that a fleet shares without messages between its instances:
+// in each Window the extra attempts stay below Ratio of the requests plus Slack.
+type Shared struct {
+	Ratio  float64
+	Slack  float64
+	Window time.Duration
+}
+
+// Part is the part of one of the given number of instances.
+func (s Shared) Part(instances int) BudgetConfig {
+	own := s.Slack / float64(max(1, instances))
 	return BudgetConfig{
-		FloorPerSecond: (1 - burstShare) * own / window.Seconds(),
+		Percent:        int(100 * s.Ratio),
+		FloorPerSecond: (1 - burstShare) * own / s.Window.Seconds(),
 		Burst:          max(1, burstShare*own),
 	}
 }
@@ -78,10 +86,11 @@
 	return &Budget{cfg: cfg, tokens: cfg.FloorPerSecond, filledAt: now}
 }
 
-// SetShare changes floor and burst.
-func (b *Budget) SetShare(cfg BudgetConfig) {
-	b.cfg.FloorPerSecond, b.cfg.Burst = cfg.FloorPerSecond, cfg.Burst
-}
+// SetConfig changes the settings and keeps what was earned.
+func (b *Budget) SetConfig(cfg BudgetConfig) { b.cfg = cfg }
+
+// Left returns the attempts that may be spent now.
+func (b *Budget) Left() float64 { return b.tokens }
 
 // SetPercent changes the share of extra attempts.
 func (b *Budget) SetPercent(percent int) { b.cfg.Percent = percent }
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/limiter"
 )
 
 // Settings is the settings file.
@@ -86,9 +87,18 @@
 		{Name: "GraceSeconds", Missing: s.GraceSeconds <= 0},
 		{Name: "MemoryMegabytes", Missing: s.MemoryMegabytes <= 0},
 		{Name: "RetryWindowSeconds", Missing: s.RetryWindowSeconds <= 0},
+		{Name: "RetryRatio", Missing: s.RetryRatio < 0},
+		{Name: "RetrySlack", Missing: s.RetrySlack < 0},
 	})
 }
 
+// Retries is the budget for extra attempts.
+func (s *Settings) Retries() limiter.Shared {
+	return limiter.Shared{
+		Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: time.Duration(s.RetryWindowSeconds * float64(time.Second)),
+	}
+}
+
 // leaseMargin is how much longer than the platform asks a lease lives.
 const leaseMargin = time.Second
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -24,12 +24,8 @@
 	// Policy selects how servers are chosen; empty means picker.PolicyJoint.
 	// The other policies are baselines for load runs.
 	Policy picker.Policy
-	// RetrySlack and RetryWindow, if set, are the extra attempts that the whole
-	// fleet may make at a pool in each window besides a share of its requests, and
-	// Instances counts the instances that share them.
-	RetrySlack  float64
-	RetryWindow time.Duration
-	Instances   func() int
+	// SharedRetries, if set, replaces the retry budgets of the routes.
+	SharedRetries *SharedRetries
 	// MaxStreams bounds the open streams of one caller on a route that names no
 	// bound; 0 means DefaultMaxStreams.
 	MaxStreams int
