Metrics of queue, attempts, servers, memory and store; bounded log volume

Change: recorder.Watch adds servers by role and state, places, queues, budget left, age of the tables and dropped lines to each scrape; queue time, longest pause, failed attempts and store calls are counted. The scheduler's refusal of a place is PlaceRefused, so that Refused is the one line that tells what the caller got. One function tells of a failed attempt, and one builds the request to a server, in place of three and two.

--- a/assembler/forwarding.go
+++ b/assembler/forwarding.go
@@ -42,6 +42,7 @@
 	Rand      *rand.Rand
 	Dial      connector.DialFunc
 	Explainer *explainer.Explainer
+	Metrics   *recorder.Metrics
 	Policy    picker.Policy
 
 	Directory egretflow.Directory
@@ -70,7 +71,6 @@
 	scheduler *scheduler.Scheduler
 	relayer   *relayer.Relayer
 	frontend  *frontend.Frontend
-	metrics   *recorder.Metrics
 	gossiper  *gossiper.Gossiper
 	// rebalancer is nil without peers and a store.
 	rebalancer *rebalancer.Rebalancer
@@ -78,13 +78,9 @@
 
 // NewForwarding builds an instance that does nothing until its tasks run.
 func NewForwarding(cfg ForwardingConfig) (*Forwarding, error) {
-	metrics, err := recorder.New()
-	if err != nil {
-		return nil, wrapPart("metrics", err)
-	}
-	name := cfg.Self.Name
+	name, metrics := cfg.Self.Name, cfg.Metrics
 	check := checker.New(name, cfg.Clock, cfg.Explainer, metrics.InvariantViolated)
-	f := &Forwarding{cfg: cfg, metrics: metrics}
+	f := &Forwarding{cfg: cfg}
 	directory := registrar.Config{Instance: name, Directory: cfg.Directory, Clock: cfg.Clock, Recorder: cfg.Explainer}
 	if cfg.PeerConn != nil {
 		directory.Rank = func() int { return f.gossiper.Rank() }
@@ -98,13 +94,16 @@
 	})
 	f.relayer = relayer.New(relayer.Config{
 		Instance: name, Scheduler: f.scheduler, Recorder: cfg.Explainer, Checker: check, Clock: cfg.Clock,
-		Rand: cfg.newRand(), Dial: cfg.Dial, Wasted: metrics.WastedPrefill,
+		Rand: cfg.newRand(), Dial: cfg.Dial, Wasted: metrics.WastedPrefill, AttemptFailed: metrics.AttemptFailed,
 		Dialect: cfg.Dialect, Engines: cfg.Engines, TakesWork: f.registrar.TakesWork,
 	})
 	f.frontend = frontend.New(frontend.Config{
 		Instance: name, Relayer: f.relayer, Tables: f.registrar.Tables, Recorder: cfg.Explainer, Checker: check,
 		Metrics: metrics, Clock: cfg.Clock, Rand: cfg.newRand(), Limits: cfg.Limits, Dialect: cfg.Dialect,
 	})
+	if err := metrics.Watch(cfg.Clock, f.state); err != nil {
+		return nil, wrapPart("metrics", err)
+	}
 	if cfg.PeerConn != nil {
 		f.gossiper = gossiper.New(gossiper.Config{
 			Self: cfg.Self, Incarnation: cfg.Incarnation, Conn: cfg.PeerConn, Store: cfg.Store, State: f.scheduler,
@@ -116,6 +115,24 @@
 	return f, nil
 }
 
+// state is what the metrics tell of the instance.
+func (f *Forwarding) state() recorder.State {
+	return stateOf(f.scheduler, f.registrar, f.cfg.Explainer)
+}
+
+// stateOf reads the state of the parts for a scrape.
+func stateOf(s *scheduler.Scheduler, tables egretflow.TablesHolder, x *explainer.Explainer) recorder.State {
+	inForce := tables.Current()
+	state := recorder.State{Pools: s.Status(), ConfirmedAt: inForce.ConfirmedAt, DroppedLines: map[string]uint64{}}
+	if inForce.Tables != nil {
+		state.Revision = inForce.Tables.Revision
+	}
+	for level, n := range x.Dropped() {
+		state.DroppedLines[level.String()] = n
+	}
+	return state
+}
+
 // fewestInstances is assumed until the peers are known.
 const fewestInstances = 8
 
@@ -184,7 +201,7 @@
 
 func (f *Forwarding) metricsHandler() http.Handler {
 	e := echo.New()
-	e.GET(metricsPath, echo.WrapHandler(f.metrics.Handler()))
+	e.GET(metricsPath, echo.WrapHandler(f.cfg.Metrics.Handler()))
 	return e
 }
 
--- a/assembler/instance.go
+++ b/assembler/instance.go
@@ -71,9 +71,15 @@
 		i.tables = newStaticTables(cfg.Tables, cfg.Clock())
 	}
 	i.addRequestPath()
+	if err := i.Metrics.Watch(cfg.Clock, i.state); err != nil {
+		return nil, wrapPart("metrics", err)
+	}
 	return i, nil
 }
 
+// state is what the metrics tell of the instance.
+func (i *Instance) state() recorder.State { return stateOf(i.Scheduler, i.tables, i.Explainer) }
+
 // addStoreTables makes a single instance follow the tables in its store. It has
 // none until the store holds some and can be reached.
 func (i *Instance) addStoreTables() {
@@ -88,7 +94,7 @@
 	cfg := &i.cfg
 	i.relayer = relayer.New(relayer.Config{
 		Instance: cfg.Self.Name, Scheduler: i.tap(), Recorder: i.Explainer, Checker: i.Checker, Clock: cfg.Clock,
-		Rand: cfg.newRand(), Dial: cfg.Dial, Wasted: i.Metrics.WastedPrefill, TLS: cfg.ServerTLS, Claimer: i.claimer(),
+		Rand: cfg.newRand(), Dial: cfg.Dial, Wasted: i.Metrics.WastedPrefill, AttemptFailed: i.Metrics.AttemptFailed, TLS: cfg.ServerTLS, Claimer: i.claimer(),
 	})
 	i.frontend = frontend.New(frontend.Config{
 		Instance: cfg.Self.Name, Relayer: i.relayer, Tables: i.currentTables, Callers: cfg.Callers,
--- a/cmd/egretflow/platform.go
+++ b/cmd/egretflow/platform.go
@@ -21,6 +21,7 @@
 	"github.com/egretflow/egretflow/loader"
 	"github.com/egretflow/egretflow/picker"
 	"github.com/egretflow/egretflow/platform"
+	"github.com/egretflow/egretflow/recorder"
 	"github.com/egretflow/egretflow/supervisor"
 )
 
@@ -98,16 +99,19 @@
 	clock := egretflow.NewSteadyClock(egretflow.SystemClock)
 	dialer := connector.NewDialer()
 	client := platform.NewClient(dialer.DialContext)
-	store := platform.NewStore(platform.StoreConfig{Address: s.Store, Client: client, Clock: clock})
+	metrics, err := recorder.New()
+	if err != nil {
+		return assembler.ForwardingConfig{}, fmt.Errorf("make metrics: %w", err)
+	}
+	store := platform.NewStore(platform.StoreConfig{Address: s.Store, Client: client, Clock: clock, Observe: metrics.StoreCalled})
 	cfg := assembler.ForwardingConfig{
 		Self:  egretflow.Member{Name: s.Name, FailureDomain: s.FailureDomain, Region: s.Region, State: egretflow.MemberStateLive},
-		Clock: clock, Rand: newRand(), Dial: dialer.DialContext, Explainer: explainer.New(keptEvents, logger), Policy: p.Policy,
+		Clock: clock, Rand: newRand(), Dial: dialer.DialContext, Explainer: explainer.New(keptEvents, logger), Metrics: metrics, Policy: p.Policy,
 		Store: store, Incarnation: uint64(clock().UnixNano()), LeaseTTL: s.LeaseTTL(),
 		Retries:   s.Retries(),
 		Directory: platform.NewDirectory(store, nil), Dialect: platform.Dialect{}, Engines: platform.NewEngines(client, clock),
 		Limits: frontend.Limits{LameDuck: lameDuck, DrainTimeout: s.Grace() - lameDuck - stopMargin},
 	}
-	var err error
 	if cfg.CallerListener, err = listen("callers", s.Listen.String()); err != nil {
 		return cfg, err
 	}
--- a/event.go
+++ b/event.go
@@ -9,6 +9,7 @@
 const (
 	EventAdmitted            EventName = "Admitted"
 	EventRefused             EventName = "Refused"
+	EventPlaceRefused        EventName = "PlaceRefused"
 	EventAssigned            EventName = "Assigned"
 	EventPostponed           EventName = "Postponed"
 	EventPrefillDone         EventName = "PrefillDone"
@@ -52,6 +53,7 @@
 	EventConfigurationUnread EventName = "ConfigurationUnread"
 	EventStoreUnavailable    EventName = "StoreUnavailable"
 	EventStoreAvailable      EventName = "StoreAvailable"
+	EventLinesDropped        EventName = "LinesDropped"
 	EventInvariantViolated   EventName = "InvariantViolated"
 	EventReloaded            EventName = "Reloaded"
 	EventReloadFailed        EventName = "ReloadFailed"
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -11,7 +11,9 @@
 // # Rules
 //
 //  1. Record never blocks on output: lines go through a bounded channel to Run,
-//     and a full channel drops the line, counts it and keeps the event.
+//     and a full channel drops the line, counts it and keeps the event. Each
+//     second has room for a number of lines of each level; what is dropped is
+//     told by LinesDropped.
 //  2. A line has the keys time, event, instance, request, attempt, decision and
 //     then the fields of the event in their order.
 package explainer
@@ -21,7 +23,7 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
+	"time"
 
 	"github.com/egretflow/egretflow"
 	"github.com/sirupsen/logrus"
@@ -33,15 +35,20 @@
 // queuedLines bounds the log lines that wait for output.
 const queuedLines = 1024
 
+// reportInterval is the least time between two lines about dropped ones.
+const reportInterval = time.Second
+
 // Explainer implements egretflow.Recorder.
 type Explainer struct {
-	logger  *logrus.Logger
-	lines   chan egretflow.Event
-	dropped atomic.Uint64
-
-	mu   sync.Mutex
-	ring []egretflow.Event
-	next int
+	logger *logrus.Logger
+	lines  chan egretflow.Event
+	// reportedAt is when the log last told of dropped lines. Only Run uses it.
+	reportedAt time.Time
+
+	mu     sync.Mutex
+	ring   []egretflow.Event
+	next   int
+	limits []*lineLimit
 }
 
 var _ egretflow.Recorder = (*Explainer)(nil)
@@ -49,7 +56,9 @@
 // New returns an Explainer that keeps the given number of events. A nil logger
 // writes no lines.
 func New(events int, logger *logrus.Logger) *Explainer {
-	return &Explainer{logger: logger, lines: make(chan egretflow.Event, queuedLines), ring: make([]egretflow.Event, 0, events)}
+	return &Explainer{
+		logger: logger, lines: make(chan egretflow.Event, queuedLines), ring: make([]egretflow.Event, 0, events), limits: newLimits(),
+	}
 }
 
 // Record keeps e and queues its log line.
@@ -61,14 +70,20 @@
 		x.ring[x.next] = e
 		x.next = (x.next + 1) % len(x.ring)
 	}
+	limit := x.limitOf(e.Name)
+	allowed := limit.allow(e.At)
 	x.mu.Unlock()
 	if x.logger == nil {
 		return
 	}
+	if !allowed {
+		limit.dropped.Add(1)
+		return
+	}
 	select {
 	case x.lines <- e:
 	default:
-		x.dropped.Add(1)
+		limit.dropped.Add(1)
 	}
 }
 
@@ -77,7 +92,7 @@
 	for {
 		select {
 		case e := <-x.lines:
-			x.write(e)
+			x.emit(e)
 		case <-ctx.Done():
 			x.drain()
 			return nil
@@ -89,15 +104,18 @@
 	for {
 		select {
 		case e := <-x.lines:
-			x.write(e)
+			x.emit(e)
 		default:
 			return
 		}
 	}
 }
 
-// Dropped returns the number of log lines that were not written.
-func (x *Explainer) Dropped() uint64 { return x.dropped.Load() }
+// emit writes the line of e, and before it whether lines were dropped.
+func (x *Explainer) emit(e egretflow.Event) {
+	x.reportDropped(e.Instance, e.At)
+	x.write(e)
+}
 
 func (x *Explainer) write(e egretflow.Event) {
 	x.logger.WithTime(e.At).Log(level(e.Name), line(e))
@@ -107,7 +125,8 @@
 	switch name {
 	case egretflow.EventInvariantViolated:
 		return logrus.ErrorLevel
-	case egretflow.EventAccessDenied, egretflow.EventMismatch, egretflow.EventAttemptFailed, egretflow.EventStoreUnavailable:
+	case egretflow.EventAccessDenied, egretflow.EventMismatch, egretflow.EventAttemptFailed, egretflow.EventStoreUnavailable,
+		egretflow.EventLinesDropped:
 		return logrus.WarnLevel
 	}
 	return logrus.InfoLevel
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -1,9 +1,12 @@
 package explainer
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
+	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -50,13 +53,82 @@
 	}
 }
 
-// TestRecordDoesNotBlock guards against a slow log output that holds requests.
+// TestRecordDoesNotBlock guards against a reader of the log that stops reading
+// and holds requests by it, and against lines that are lost without a word.
 func TestRecordDoesNotBlock(t *testing.T) {
-	x := New(10, logrus.New())
-	for range queuedLines + 5 {
-		x.Record(egretflow.Event{Name: egretflow.EventAssigned})
+	r, w := io.Pipe()
+	logger := logrus.New()
+	logger.SetOutput(w)
+	logger.SetFormatter(Formatter{})
+	x := New(10, logger)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- x.Run(ctx) }()
+	const lost = 5
+	// One line is in the pipe, which nobody reads.
+	x.Record(egretflow.Event{Name: egretflow.EventAssigned, At: noon})
+	for len(x.lines) > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	for range queuedLines + lost {
+		x.Record(egretflow.Event{Name: egretflow.EventAssigned, At: noon})
+	}
+	if got := x.Dropped()[logrus.InfoLevel]; got != lost {
+		t.Errorf("%d lines dropped, want %d", got, lost)
+	}
+	cancel()
+	lines := make(chan string, 2*queuedLines)
+	go func() {
+		defer close(lines)
+		for s := bufio.NewScanner(r); s.Scan(); {
+			lines <- s.Text()
+		}
+	}()
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	w.Close()
+	told := false
+	for line := range lines {
+		told = told || strings.Contains(line, "event=LinesDropped Level=info Lines=5")
+	}
+	if !told {
+		t.Error("the log does not tell of the lines that were dropped")
+	}
+}
+
+// TestLinesPerSecond guards against a log that grows with the load of a crest, and
+// against requests that crowd out warnings.
+func TestLinesPerSecond(t *testing.T) {
+	var out bytes.Buffer
+	logger := logrus.New()
+	logger.SetOutput(&out)
+	logger.SetFormatter(Formatter{})
+	x := New(10, logger)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for second := range 3 {
+		at := noon.Add(time.Duration(second) * time.Second)
+		for range 2 * infoLinesPerSecond {
+			x.Record(egretflow.Event{Name: egretflow.EventAssigned, At: at})
+			if len(x.lines) == queuedLines {
+				if err := x.Run(ctx); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		x.Record(egretflow.Event{Name: egretflow.EventAttemptFailed, At: at})
+	}
+	if err := x.Run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := strings.Count(out.String(), "event=Assigned"), 3*infoLinesPerSecond; got != want {
+		t.Errorf("%d lines of level info in 3 s, want %d", got, want)
+	}
+	if got := strings.Count(out.String(), "event=AttemptFailed"); got != 3 {
+		t.Errorf("%d warnings written, want all 3", got)
 	}
-	if x.Dropped() != 5 {
-		t.Errorf("%d lines dropped, want 5", x.Dropped())
+	if got, want := x.Dropped()[logrus.InfoLevel], uint64(3*infoLinesPerSecond); got != want {
+		t.Errorf("%d dropped lines counted, want %d", got, want)
 	}
 }
--- a/frontend/completion.go
+++ b/frontend/completion.go
@@ -170,7 +170,7 @@
 	f.cfg.Metrics.Finished(recorder.Request{
 		Route: route.Name, Importance: route.Importance, Outcome: outcome,
 		ArrivedAt: work.ArrivedAt, FirstTokenAt: result.FirstTokenAt, LastTokenAt: result.LastTokenAt,
-		Tokens: result.Tokens, Retries: result.Retries,
+		Tokens: result.Tokens, Retries: result.Retries, Waited: result.Waited, LongestGap: result.LongestGap,
 		FirstTokenTarget: time.Duration(route.FirstTokenTarget), TokenTarget: time.Duration(route.TokenTarget),
 	})
 	if name != egretflow.EventRefused || c.Response().Committed {
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -34,12 +34,14 @@
 var (
 	firstTokenBuckets = []float64{.025, .05, .1, .2, .4, .6, .8, 1.1, 1.5, 2, 3, 5, 10, 30}
 	tokenGapBuckets   = []float64{.005, .01, .015, .02, .025, .031, .04, .05, .075, .1, .2, .5, 1}
+	waitBuckets       = []float64{.001, .005, .01, .025, .05, .1, .2, .3, .5, .9, 1.5, 3, 6}
 )
 
 // Metrics records what happens to requests. Its methods are safe for
 // concurrent use.
 type Metrics struct {
 	registry   *prometheus.Registry
+	meter      metric.Meter
 	requests   metric.Int64Counter
 	goodput    metric.Int64Counter
 	tokens     metric.Int64Counter
@@ -50,6 +52,11 @@
 	open       metric.Int64UpDownCounter
 	firstToken metric.Float64Histogram
 	tokenGap   metric.Float64Histogram
+	queueTime  metric.Float64Histogram
+	longestGap metric.Float64Histogram
+	attempts   metric.Int64Counter
+	calls      metric.Int64Counter
+	callTime   metric.Float64Histogram
 }
 
 // New returns metrics with their own registry.
@@ -59,7 +66,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("create exporter: %w", err)
 	}
-	meter := sdk.NewMeterProvider(sdk.WithReader(reader)).Meter("egretflow")
+	m.meter = sdk.NewMeterProvider(sdk.WithReader(reader)).Meter("egretflow")
 	for _, c := range []struct {
 		dst        *metric.Int64Counter
 		name, help string
@@ -70,32 +77,35 @@
 		{&m.wasted, "egretflow_wasted_prefill_tokens", "Prompt tokens that were computed and not used."},
 		{&m.retries, "egretflow_retries", "Further attempts after failed ones."},
 		{&m.denied, "egretflow_access_denied", "Wrong or missing credentials, by interface."},
+		{&m.attempts, "egretflow_attempts_failed", "Attempts that failed, by reason."},
+		{&m.calls, "egretflow_store_calls", "Calls of the key-value store, by kind and result."},
 		{&m.violations, "egretflow_invariant_violations", "Violations of the invariants of the design."},
 	} {
-		if *c.dst, err = meter.Int64Counter(c.name, metric.WithDescription(c.help)); err != nil {
+		if *c.dst, err = m.meter.Int64Counter(c.name, metric.WithDescription(c.help)); err != nil {
 			return nil, fmt.Errorf("create counter %s: %w", c.name, err)
 		}
 	}
-	if m.open, err = meter.Int64UpDownCounter("egretflow_open_requests", metric.WithDescription("Requests in progress.")); err != nil {
+	if m.open, err = m.meter.Int64UpDownCounter("egretflow_open_requests", metric.WithDescription("Requests in progress.")); err != nil {
 		return nil, fmt.Errorf("create gauge: %w", err)
 	}
-	if m.firstToken, err = histogram(meter, "egretflow_first_token", "Time to the first token or response byte.", firstTokenBuckets); err != nil {
-		return nil, err
-	}
-	if m.tokenGap, err = histogram(meter, "egretflow_token_gap", "Mean time between the tokens of a request.", tokenGapBuckets); err != nil {
-		return nil, err
+	for _, h := range []struct {
+		dst        *metric.Float64Histogram
+		name, help string
+		buckets    []float64
+	}{
+		{&m.firstToken, "egretflow_first_token", "Time to the first token or response byte.", firstTokenBuckets},
+		{&m.tokenGap, "egretflow_token_gap", "Mean time between the tokens of a request.", tokenGapBuckets},
+		{&m.queueTime, "egretflow_queue_time", "Time that a request waited for places, over all its attempts.", waitBuckets},
+		{&m.longestGap, "egretflow_longest_pause", "Longest time between two events of a stream.", waitBuckets},
+		{&m.callTime, "egretflow_store_call", "Time of a call of the key-value store.", waitBuckets},
+	} {
+		if *h.dst, err = m.meter.Float64Histogram(h.name, metric.WithDescription(h.help), metric.WithUnit("s"), metric.WithExplicitBucketBoundaries(h.buckets...)); err != nil {
+			return nil, fmt.Errorf("create histogram %s: %w", h.name, err)
+		}
 	}
 	return m, nil
 }
 
-func histogram(meter metric.Meter, name, help string, buckets []float64) (metric.Float64Histogram, error) {
-	h, err := meter.Float64Histogram(name, metric.WithDescription(help), metric.WithUnit("s"), metric.WithExplicitBucketBoundaries(buckets...))
-	if err != nil {
-		return nil, fmt.Errorf("create histogram %s: %w", name, err)
-	}
-	return h, nil
-}
-
 // Handler serves the metrics in the Prometheus text format.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
@@ -112,6 +122,9 @@
 	LastTokenAt  time.Time
 	Tokens       int
 	Retries      int
+	// Waited is the time in the queue, LongestGap the longest between two events.
+	Waited     time.Duration
+	LongestGap time.Duration
 	// FirstTokenTarget and TokenTarget decide on goodput; 0 means no target.
 	FirstTokenTarget time.Duration
 	TokenTarget      time.Duration
@@ -143,6 +156,10 @@
 	if gap := r.meanGap(); gap > 0 {
 		m.tokenGap.Record(ctx, gap.Seconds(), labels)
 	}
+	m.queueTime.Record(ctx, r.Waited.Seconds(), labels)
+	if r.LongestGap > 0 {
+		m.longestGap.Record(ctx, r.LongestGap.Seconds(), labels)
+	}
 	if r.withinTargets() {
 		m.goodput.Add(ctx, 1, labels)
 	}
@@ -171,6 +188,22 @@
 	m.wasted.Add(context.Background(), int64(tokens), labelsOf(w.Route, w.Importance))
 }
 
+// AttemptFailed counts an attempt that failed.
+func (m *Metrics) AttemptFailed(w *egretflow.Work, reason string) {
+	m.attempts.Add(context.Background(), 1, labelsOf(w.Route, w.Importance), metric.WithAttributes(attribute.String("reason", reason)))
+}
+
+// StoreCalled counts a call of the key-value store.
+func (m *Metrics) StoreCalled(kind string, took time.Duration, err error) {
+	result := "Answered"
+	if err != nil {
+		result = "Unavailable"
+	}
+	ctx, label := context.Background(), attribute.String("kind", kind)
+	m.calls.Add(ctx, 1, metric.WithAttributes(label, attribute.String("result", result)))
+	m.callTime.Record(ctx, took.Seconds(), metric.WithAttributes(label))
+}
+
 // AccessDenied counts a wrong or missing credential at an interface.
 func (m *Metrics) AccessDenied(listener string) {
 	m.denied.Add(context.Background(), 1, metric.WithAttributes(attribute.String("interface", listener)))
--- /dev/null
+++ b/recorder/recorder_test.go
@@ -0,0 +1,130 @@
+package recorder
+
+import (
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/egretflow/egretflow"
+)
+
+var noon = time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
+
+// scrape returns the lines of one reading of the metrics.
+func scrape(t *testing.T, m *Metrics) string {
+	t.Helper()
+	w := httptest.NewRecorder()
+	m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	return w.Body.String()
+}
+
+// largeState is what an instance believes of a fleet of 10,000 backend servers.
+func largeState() State {
+	s := State{Revision: 7, ConfirmedAt: noon, DroppedLines: map[string]uint64{"info": 3}}
+	for n := range 10 {
+		s.Pools = append(s.Pools, egretflow.PoolStatus{
+			Name: egretflow.PoolName(fmt.Sprintf("letters-%d", n)), UsablePlaces: 100, UsedPlaces: 20, PeerPlaces: 30,
+			Queued: 4, QueuedLate: 5, RetriesLeft: 1.5,
+			Servers: map[egretflow.ServerGroup]int{{Role: egretflow.RoleDecode, State: egretflow.ServerStateSuspect}: 999},
+		})
+	}
+	return s
+}
+
+// Guards against an operator who cannot see what the page of operations promises.
+func TestScrape(t *testing.T) {
+	m, err := New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := m.Watch(func() time.Time { return noon.Add(1500 * time.Millisecond) }, largeState); err != nil {
+		t.Fatal(err)
+	}
+	work := &egretflow.Work{Route: "letters", Importance: egretflow.ImportanceHigh}
+	m.Finished(Request{
+		Route: work.Route, Importance: work.Importance, Outcome: OutcomeServed, ArrivedAt: noon,
+		FirstTokenAt: noon.Add(300 * time.Millisecond), LastTokenAt: noon.Add(time.Second), Tokens: 10, Retries: 1,
+		Waited: 120 * time.Millisecond, LongestGap: 250 * time.Millisecond,
+	})
+	m.AttemptFailed(work, "Broken")
+	m.WastedPrefill(work, 300)
+	m.StoreCalled("Watch", 4*time.Millisecond, nil)
+	m.StoreCalled("Watch", 900*time.Millisecond, errors.New("timeout"))
+	const labels = `importance="High",`
+	got := scrape(t, m)
+	for _, want := range []string{
+		`egretflow_requests_total{` + labels + `outcome="Served",route="letters"} 1`,
+		`egretflow_queue_time_seconds_bucket{` + labels + `route="letters",le="0.2"} 1`,
+		`egretflow_longest_pause_seconds_bucket{` + labels + `route="letters",le="0.2"} 0`,
+		`egretflow_longest_pause_seconds_bucket{` + labels + `route="letters",le="0.3"} 1`,
+		`egretflow_attempts_failed_total{` + labels + `reason="Broken",route="letters"} 1`,
+		`egretflow_wasted_prefill_tokens_total{` + labels + `route="letters"} 300`,
+		`egretflow_store_calls_total{kind="Watch",result="Answered"} 1`,
+		`egretflow_store_calls_total{kind="Watch",result="Unavailable"} 1`,
+		`egretflow_store_call_seconds_count{kind="Watch"} 2`,
+		`egretflow_servers{pool="letters-3",role="Decode",state="Suspect"} 999`,
+		`egretflow_places{pool="letters-3",use="Peers"} 30`,
+		`egretflow_queued_requests{lane="Late",pool="letters-3"} 5`,
+		`egretflow_retries_left{pool="letters-3"} 1.5`,
+		`egretflow_tables_revision 7`,
+		`egretflow_tables_age_seconds 1.5`,
+		`egretflow_log_lines_dropped_total{level="info"} 3`,
+	} {
+		if !strings.Contains(got, want+"\n") {
+			t.Errorf("no line %s", want)
+		}
+	}
+	if t.Failed() {
+		t.Log(got)
+	}
+}
+
+// Guards against a scrape that grows with requests or with backend servers: only
+// pools, routes and enums are labels.
+func TestScrapeIsBounded(t *testing.T) {
+	m, err := New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := m.Watch(func() time.Time { return noon }, largeState); err != nil {
+		t.Fatal(err)
+	}
+	lines := 0
+	for round := range 3 {
+		for n := range 1000 {
+			work := &egretflow.Work{
+				Route: "letters", Importance: egretflow.ImportanceHigh,
+				Request: egretflow.RequestID(fmt.Sprint(round, n)), Caller: egretflow.CallerName(fmt.Sprint(n)),
+			}
+			m.Finished(Request{Route: work.Route, Importance: work.Importance, Outcome: OutcomeServed})
+			m.AttemptFailed(work, "Broken")
+		}
+		got := strings.Count(scrape(t, m), "\n")
+		if round > 0 && got != lines {
+			t.Errorf("%d lines after more requests, %d before", got, lines)
+		}
+		lines = got
+	}
+}
+
+// BenchmarkScrape is the cost of one reading with 100 routes and 10 pools, as
+// docs/CAPACITY.md states it.
+func BenchmarkScrape(b *testing.B) {
+	m, err := New()
+	if err != nil {
+		b.Fatal(err)
+	}
+	if err := m.Watch(func() time.Time { return noon }, largeState); err != nil {
+		b.Fatal(err)
+	}
+	for n := range 100 {
+		m.Finished(Request{Route: egretflow.RouteName(fmt.Sprint(n)), Importance: egretflow.ImportanceHigh, Outcome: OutcomeServed})
+	}
+	handler, r := m.Handler(), httptest.NewRequest("GET", "/metrics", nil)
+	for b.Loop() {
+		handler.ServeHTTP(httptest.NewRecorder(), r)
+	}
+}
--- /dev/null
+++ b/recorder/state.go
@@ -0,0 +1,92 @@
+package recorder
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/egretflow/egretflow"
+)
+
+// State is what an instance believes, as read for each scrape.
+type State struct {
+	Pools []egretflow.PoolStatus
+	// Revision is that of the tables in force; ConfirmedAt is when they were last
+	// known to be current.
+	Revision    egretflow.Revision
+	ConfirmedAt time.Time
+	// DroppedLines counts the log lines that were not written, by level.
+	DroppedLines map[string]uint64
+}
+
+// observables are the instruments that are read for each scrape.
+type observables struct {
+	servers, places, queued, left, revision, age metric.Float64ObservableGauge
+	dropped                                      metric.Float64ObservableCounter
+}
+
+// Watch adds what state returns to each scrape. It must be called at most once.
+func (m *Metrics) Watch(clock egretflow.Clock, state func() State) error {
+	var o observables
+	var err error
+	var all []metric.Observable
+	for _, g := range []struct {
+		dst              *metric.Float64ObservableGauge
+		name, help, unit string
+	}{
+		{&o.servers, "egretflow_servers", "Backend servers by pool, role and state.", ""},
+		{&o.places, "egretflow_places", "Slots, or blocks of engine memory: usable, used by own requests and used by other instances.", ""},
+		{&o.queued, "egretflow_queued_requests", "Requests that wait, in time for their target or late.", ""},
+		{&o.left, "egretflow_retries_left", "Extra attempts that this instance may make now.", ""},
+		{&o.revision, "egretflow_tables_revision", "Revision of the tables in force.", ""},
+		{&o.age, "egretflow_tables_age", "Time since the tables, with the backend servers, were last known to be current.", "s"},
+	} {
+		if *g.dst, err = m.meter.Float64ObservableGauge(g.name, metric.WithDescription(g.help), metric.WithUnit(g.unit)); err != nil {
+			return fmt.Errorf("create gauge %s: %w", g.name, err)
+		}
+		all = append(all, *g.dst)
+	}
+	o.dropped, err = m.meter.Float64ObservableCounter("egretflow_log_lines_dropped", metric.WithDescription("Log lines that were not written, by level."))
+	if err != nil {
+		return fmt.Errorf("create counter of dropped lines: %w", err)
+	}
+	read := func(_ context.Context, to metric.Observer) error {
+		o.observe(to, state(), clock())
+		return nil
+	}
+	if _, err := m.meter.RegisterCallback(read, append(all, o.dropped)...); err != nil {
+		return fmt.Errorf("register state: %w", err)
+	}
+	return nil
+}
+
+func (o *observables) observe(to metric.Observer, s State, now time.Time) {
+	to.ObserveFloat64(o.revision, float64(s.Revision))
+	if !s.ConfirmedAt.IsZero() {
+		to.ObserveFloat64(o.age, now.Sub(s.ConfirmedAt).Seconds())
+	}
+	for level, n := range s.DroppedLines {
+		to.ObserveFloat64(o.dropped, float64(n), metric.WithAttributes(attribute.String("level", level)))
+	}
+	for n := range s.Pools {
+		o.observePool(to, &s.Pools[n])
+	}
+}
+
+func (o *observables) observePool(to metric.Observer, p *egretflow.PoolStatus) {
+	gauge := func(g metric.Float64ObservableGauge, value float64, labels ...attribute.KeyValue) {
+		to.ObserveFloat64(g, value, metric.WithAttributes(append(labels, attribute.String("pool", string(p.Name)))...))
+	}
+	for group, count := range p.Servers {
+		gauge(o.servers, float64(count), attribute.String("role", string(group.Role)), attribute.String("state", string(group.State)))
+	}
+	gauge(o.places, float64(p.UsablePlaces), attribute.String("use", "Usable"))
+	gauge(o.places, float64(p.UsedPlaces), attribute.String("use", "Own"))
+	gauge(o.places, float64(p.PeerPlaces), attribute.String("use", "Peers"))
+	gauge(o.queued, float64(p.Queued), attribute.String("lane", "InTime"))
+	gauge(o.queued, float64(p.QueuedLate), attribute.String("lane", "Late"))
+	gauge(o.left, p.RetriesLeft)
+}
--- a/relayer/call.go
+++ b/relayer/call.go
@@ -84,7 +84,7 @@
 }
 
 func (c *callState) open(ctx context.Context, work *egretflow.Work) (*response, error) {
-	a, err := c.r.cfg.Scheduler.Acquire(ctx, work)
+	a, err := c.r.acquire(ctx, work, &c.result)
 	if err != nil {
 		return nil, err
 	}
@@ -198,7 +198,7 @@
 		if !errors.As(err, &f) {
 			f = brokenConnection(ctx, at.a.Decode, err)
 		}
-		at.failed(f)
+		at.r.attemptFailed(f, at.a)
 		return nil, f
 	}
 	return &response{attempt: at, Response: resp, held: held, whole: len(held) < heldBytes}, nil
@@ -216,7 +216,7 @@
 	if fresh {
 		do = at.r.client.Open
 	}
-	resp, used, err := do(at.request(ctx))
+	resp, used, err := do(at.call.request(ctx, server))
 	if err != nil && !used {
 		return nil, &failure{kind: unreachableKind(err), server: server.Name, err: err}
 	}
@@ -231,14 +231,14 @@
 	return resp, nil
 }
 
-func (at *callAttempt) request(ctx context.Context) *http.Request {
-	call := at.call
+// request builds the request to one server. Without GetBody, net/http cannot send
+// its body twice.
+func (call *Call) request(ctx context.Context, server *egretflow.Server) *http.Request {
 	target := *call.URL
-	target.Scheme, target.Host = "http", at.a.Decode.Address.String()
+	target.Scheme, target.Host = "http", server.Address.String()
 	if call.Pool.ServerTLS {
 		target.Scheme = "https"
 	}
-	// Without GetBody, net/http cannot send a body twice.
 	req := (&http.Request{
 		Method: call.Method, URL: &target, Host: call.Host, Header: http.Header{}, ContentLength: int64(len(call.Body)),
 	}).WithContext(ctx)
@@ -253,11 +253,6 @@
 	return req
 }
 
-func (at *callAttempt) failed(f *failure) {
-	at.r.observeFailure(f, at.a.Attempt)
-	at.r.record(egretflow.EventAttemptFailed, at.a.Work, at.a, field("server", f.server), field("reason", f.kind), field("error", f.err.Error()))
-}
-
 func (at *callAttempt) served(firstByteAt time.Time) {
 	at.r.cfg.Scheduler.Observe(egretflow.Observation{
 		Kind: egretflow.ObservationServed, Server: at.a.Decode.Name, Attempt: at.a.Attempt,
--- a/relayer/forward.go
+++ b/relayer/forward.go
@@ -1,7 +1,6 @@
 package relayer
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -133,7 +132,7 @@
 
 // attempt runs the call once.
 func (f *forwarding) attempt(ctx context.Context, work *egretflow.Work) (*wholeAnswer, error) {
-	a, err := f.r.cfg.Scheduler.Acquire(ctx, work)
+	a, err := f.r.acquire(ctx, work, &f.result)
 	if err != nil {
 		return nil, err
 	}
@@ -248,22 +247,9 @@
 	}
 }
 
-// request builds the request to one server. Its body cannot be sent twice.
+// request builds the request to one server.
 func (f *forwarding) request(ctx context.Context, t egretflow.ExchangeTerms) *http.Request {
-	call := f.call
-	target := *call.URL
-	target.Scheme, target.Host = "http", t.Server.Address.String()
-	req := (&http.Request{
-		Method: call.Method, URL: &target, Host: call.Host, Header: http.Header{}, ContentLength: int64(len(call.Body)),
-	}).WithContext(ctx)
-	if len(call.Body) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(call.Body))
-	}
-	connector.CopyHeader(req.Header, call.Header)
-	if req.Header.Get("User-Agent") == "" {
-		// An empty value keeps net/http from adding its own.
-		req.Header.Set("User-Agent", "")
-	}
+	req := f.call.request(ctx, t.Server)
 	f.r.cfg.Dialect.WriteExchange(req.Header, t, f.r.now())
 	return req
 }
@@ -274,8 +260,7 @@
 	if !errors.As(err, &cause) {
 		return err
 	}
-	f.r.observeFailure(cause, a.Attempt)
-	f.r.record(egretflow.EventAttemptFailed, a.Work, a, field("server", cause.server), field("reason", cause.kind), field("error", cause.err.Error()))
+	f.r.attemptFailed(cause, a)
 	return err
 }
 
--- a/relayer/forwardstream.go
+++ b/relayer/forwardstream.go
@@ -50,7 +50,7 @@
 
 // attempt runs the request under one assignment.
 func (f *forwardedStream) attempt(ctx context.Context, work *egretflow.Work) error {
-	a, err := f.r.cfg.Scheduler.Acquire(ctx, work)
+	a, err := f.r.acquire(ctx, work, &f.result)
 	if err != nil {
 		return err
 	}
@@ -306,7 +306,7 @@
 	if _, err := g.w.Write(event); err != nil {
 		return fmt.Errorf("write event: %w", err)
 	}
-	g.result.LastTokenAt = now
+	g.result.received(now)
 	g.generated++
 	g.received.Add(1)
 	g.result.Tokens++
@@ -355,6 +355,7 @@
 	defer cancel()
 	var err error
 	if g.handle != "" {
+		g.wasted()
 		err = g.r.cfg.Engines.FreePrefill(ctx, g.a.Prefill, g.handle)
 	}
 	if g.hold != "" {
@@ -366,6 +367,13 @@
 	}
 }
 
+// wasted counts a prompt that was computed and not used.
+func (g *generation) wasted() {
+	if g.r.cfg.Wasted != nil {
+		g.r.cfg.Wasted(g.a.Work, g.tokens)
+	}
+}
+
 // readEvent reads up to the empty line that ends an event. At the end of the
 // stream it returns what is left.
 func readEvent(r *bufio.Reader) ([]byte, error) {
--- a/relayer/hedge.go
+++ b/relayer/hedge.go
@@ -99,7 +99,7 @@
 // late and the scheduler grants a hedge, a second attempt runs beside the first
 // (5.4).
 func (p *progress) open(ctx context.Context, work *egretflow.Work) (*stream, error) {
-	a, err := p.r.cfg.Scheduler.Acquire(ctx, work)
+	a, err := p.r.acquire(ctx, work, &p.result)
 	if err != nil {
 		return nil, err
 	}
--- a/relayer/once.go
+++ b/relayer/once.go
@@ -110,7 +110,7 @@
 func (c *callState) attemptOnce(ctx context.Context, ticket *egretflow.ClaimTicket) (*egretflow.Outcome, error) {
 	work := c.call.Work
 	for attempts := 1; ; attempts++ {
-		a, err := c.r.cfg.Scheduler.Acquire(ctx, work)
+		a, err := c.r.acquire(ctx, work, &c.result)
 		if err != nil {
 			return nil, err
 		}
@@ -149,7 +149,7 @@
 		if !errors.As(err, &f) {
 			f = brokenConnection(detached, at.a.Decode, err)
 		}
-		at.failed(f)
+		at.r.attemptFailed(f, at.a)
 		return nil, f
 	}
 	at.served(c.r.now())
--- a/relayer/progress.go
+++ b/relayer/progress.go
@@ -102,7 +102,7 @@
 	p.result.Started = true
 	p.check(c)
 	if c.HasText() {
-		p.result.LastTokenAt = p.r.now()
+		p.result.received(p.r.now())
 	}
 	if c.HasUsage() && s.base > 0 {
 		p.correctUsage(s, c)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -31,6 +31,8 @@
 	// Wasted, if set, is called with prompt tokens whose computation was not
 	// used.
 	Wasted func(w *egretflow.Work, tokens int)
+	// AttemptFailed, if set, is called for each attempt that failed.
+	AttemptFailed func(w *egretflow.Work, reason string)
 	// TLS is used towards servers of pools with ServerTLS.
 	TLS *tls.Config
 	// Dialect is how forwarded requests speak to servers; nil without forwarded
@@ -91,10 +93,30 @@
 	Tokens       int
 	PromptTokens int
 	Retries      int
+	// Waited is the time in the queue over all attempts, LongestGap the longest
+	// between two events.
+	Waited     time.Duration
+	LongestGap time.Duration
 	// Started says that the sink has received a chunk.
 	Started bool
 }
 
+// received notes the time of an event.
+func (r *Result) received(now time.Time) {
+	if !r.LastTokenAt.IsZero() {
+		r.LongestGap = max(r.LongestGap, now.Sub(r.LastTokenAt))
+	}
+	r.LastTokenAt = now
+}
+
+// acquire waits for a place and adds the wait to result.
+func (r *Relayer) acquire(ctx context.Context, work *egretflow.Work, result *Result) (*egretflow.Assignment, error) {
+	startedAt := r.now()
+	a, err := r.cfg.Scheduler.Acquire(ctx, work)
+	result.Waited += r.now().Sub(startedAt)
+	return a, err
+}
+
 func (r *Relayer) now() time.Time { return r.cfg.Clock() }
 
 // jitter returns a duration between half of d and d.
--- a/relayer/release.go
+++ b/relayer/release.go
@@ -32,18 +32,20 @@
 	}
 	at.wastedTokens += at.unusedTokens
 	at.unusedTokens = 0
-	at.r.observeFailure(f, at.a.Attempt)
-	at.r.record(egretflow.EventAttemptFailed, at.a.Work, at.a, field("server", f.server), field("reason", f.kind), field("error", f.err.Error()))
+	at.r.attemptFailed(f, at.a)
 	return f
 }
 
-func (r *Relayer) observeFailure(f *failure, attempt egretflow.AttemptID) {
-	kind, ok := observationOf[f.kind]
-	if !ok {
-		return
-	}
+// attemptFailed tells the scheduler, the log and the metrics of a failure.
+func (r *Relayer) attemptFailed(f *failure, a *egretflow.Assignment) {
 	now := r.now()
-	r.cfg.Scheduler.Observe(egretflow.Observation{Kind: kind, Server: f.server, Attempt: attempt, StartedAt: now, EndedAt: now})
+	if kind, ok := observationOf[f.kind]; ok {
+		r.cfg.Scheduler.Observe(egretflow.Observation{Kind: kind, Server: f.server, Attempt: a.Attempt, StartedAt: now, EndedAt: now})
+	}
+	if r.cfg.AttemptFailed != nil {
+		r.cfg.AttemptFailed(a.Work, string(f.kind))
+	}
+	r.record(egretflow.EventAttemptFailed, a.Work, a, field("server", f.server), field("reason", f.kind), field("error", f.err.Error()))
 }
 
 // complete releases an attempt whose work ended at the engines.
--- a/scheduler/attempt_test.go
+++ b/scheduler/attempt_test.go
@@ -254,7 +254,7 @@
 		d, events := newDriver(t, 1, 1), &eventNames{}
 		d.task.cfg.Recorder = events
 		d.acquire(func(w *egretflow.Work) { w.Hedge, w.FirstTokenBy = hedge, d.now.Add(time.Millisecond) })
-		want := egretflow.EventRefused
+		want := egretflow.EventPlaceRefused
 		if hedge {
 			want = egretflow.EventHedgeRefused
 		}
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -129,7 +129,7 @@
 			egretflow.EventField{Key: "FirstTokenMs", Value: x.field(s, 0)},
 			egretflow.EventField{Key: "TargetMs", Value: x.field(s, 1)})
 	}
-	name := egretflow.EventRefused
+	name := egretflow.EventPlaceRefused
 	if work.Hedge {
 		// The first attempt of the request still runs.
 		name = egretflow.EventHedgeRefused
--- /dev/null
+++ b/scheduler/status.go
@@ -0,0 +1,27 @@
+package scheduler
+
+import "github.com/egretflow/egretflow"
+
+type statusMessage struct{ reply chan []egretflow.PoolStatus }
+
+func (statusMessage) isMessage() {}
+
+// Status returns what the instance believes of its pools, in their order in the
+// tables.
+func (s *Scheduler) Status() []egretflow.PoolStatus {
+	m := statusMessage{reply: make(chan []egretflow.PoolStatus, 1)}
+	return ask(s, m, m.reply)
+}
+
+func (t *task) status() []egretflow.PoolStatus {
+	var list []egretflow.PoolStatus
+	for _, p := range t.order {
+		status := egretflow.PoolStatus{Name: p.picker.Name(), Queued: p.queue.Len() + len(p.fifo), QueuedLate: p.late.Len()}
+		p.picker.Status(&status, t.now)
+		if p.retries != nil {
+			status.RetriesLeft = p.retries.Left()
+		}
+		list = append(list, status)
+	}
+	return list
+}
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -140,6 +140,8 @@
 		m.reply <- t.roleUse(m.pool)
 	case crashesMessage:
 		m.reply <- t.crashes.Reports(m.now)
+	case statusMessage:
+		m.reply <- t.status()
 	case poolRatesMessage:
 		m.reply <- t.poolRates(m.pool)
 	case changingMessage:
