relayer: a caller that leaves says nothing of its server; explain from log files

Cause: when a caller closed its connection or its time was up, the read error of the attempt was reported as a failure of the backend server, which became suspect. Change: the end of a request counts against its server only after a long silence of the server.

--- a/cmd/egretctl/explain.go
+++ b/cmd/egretctl/explain.go
@@ -4,18 +4,25 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/url"
+	"os"
 
 	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/explainer"
 )
 
 type explainCommand struct {
-	ID string `arg:"" help:"Id of a request, attempt or decision."`
+	ID  string   `arg:"" help:"Id of a request, attempt or decision."`
+	Log []string `type:"existingfile" help:"Log files to read instead of asking the instances."`
 }
 
 // Run implements the command. A request may have events on several instances,
 // because a caller can resume elsewhere.
 func (c *explainCommand) Run(ctx context.Context, a *app) error {
+	if len(c.Log) > 0 {
+		return c.readLogs(a)
+	}
 	i, err := a.instances(ctx)
 	if err != nil {
 		return err
@@ -39,3 +46,25 @@
 	}
 	return nil
 }
+
+// readLogs explains by log files alone.
+func (c *explainCommand) readLogs(a *app) error {
+	var files []io.ReadSeeker
+	for _, name := range c.Log {
+		file, err := os.Open(name)
+		if err != nil {
+			return fmt.Errorf("open log: %w", err)
+		}
+		defer file.Close()
+		files = append(files, file)
+	}
+	found, err := explainer.Investigate(c.ID, files)
+	if err != nil {
+		return fmt.Errorf("read logs: %w", err)
+	}
+	if a.JSON {
+		return a.printJSON(found)
+	}
+	_, err = found.WriteTo(&a.out)
+	return err
+}
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -7,6 +7,7 @@
 //	e := explainer.New(4096, logrus.StandardLogger())
 //	e.Record(egretflow.Event{Name: egretflow.EventAssigned, At: now, Request: id})
 //	events := e.Explain(string(id))
+//	found, err := explainer.Investigate(id, files) // in log files
 //
 // # Rules
 //
@@ -16,6 +17,8 @@
 //     told by LinesDropped.
 //  2. A line has the keys time, event, instance, request, attempt, decision and
 //     then the fields of the event in their order.
+//  3. Investigate needs nothing but log lines. The cause that it names comes from
+//     the last event of the request, its last failed attempt and its last place.
 package explainer
 
 import (
@@ -182,9 +185,7 @@
 func (x *Explainer) requests(id string) map[egretflow.RequestID]bool {
 	related := map[egretflow.RequestID]bool{}
 	for n := range x.ring {
-		e := &x.ring[n]
-		matches := string(e.Request) == id || string(e.Attempt) == id || string(e.Decision) == id
-		if e.Request != "" && (matches || callerID(e) == id) {
+		if e := &x.ring[n]; e.Request != "" && belongs(e, id) {
 			related[e.Request] = true
 		}
 	}
@@ -193,12 +194,3 @@
 
 // CallerIDField is the field that holds the X-Request-Id of the caller.
 const CallerIDField = "caller_request"
-
-func callerID(e *egretflow.Event) string {
-	for _, f := range e.Fields {
-		if f.Key == CallerIDField {
-			return f.Value
-		}
-	}
-	return ""
-}
--- a/frontend/forward.go
+++ b/frontend/forward.go
@@ -97,7 +97,9 @@
 	work := f.forwardedWork(x, route, pool, terms)
 	work.Fingerprint = fingerprint(x.caller, r.Method+" "+r.URL.RequestURI(), body)
 	f.record(egretflow.EventAdmitted, work.Request, field("route", string(route.Name)), field("pool", string(pool.Name)),
-		field("revision", strconv.FormatUint(uint64(tables.Revision), 10)), field("prompt", strconv.Itoa(work.PromptTokens)))
+		field("importance", string(work.Importance)), field("revision", strconv.FormatUint(uint64(tables.Revision), 10)),
+		number("prompt", work.PromptTokens), number("expected", work.ExpectedTokens),
+		milliseconds("target_ms", work.FirstTokenBy.Sub(x.arrived)), milliseconds("left_ms", work.Deadline.Sub(x.arrived)))
 	ctx, cancel := context.WithDeadlineCause(r.Context(), f.endOf(x, route), errDeadline)
 	defer cancel()
 	call := &relayer.Call{
--- a/frontend/refusal.go
+++ b/frontend/refusal.go
@@ -125,3 +125,9 @@
 func field(key, value string) egretflow.EventField {
 	return egretflow.EventField{Key: key, Value: value}
 }
+
+func number(key string, value int) egretflow.EventField { return field(key, strconv.Itoa(value)) }
+
+func milliseconds(key string, d time.Duration) egretflow.EventField {
+	return field(key, strconv.FormatInt(d.Milliseconds(), 10))
+}
--- a/relayer/forward.go
+++ b/relayer/forward.go
@@ -41,6 +41,8 @@
 	// generated counts the events that the caller has, lastID names the last.
 	generated int
 	lastID    string
+	// heardAt is when the server was last asked or heard.
+	heardAt time.Time
 }
 
 func (r *Relayer) newForwarding(ctx context.Context, call *Call) *forwarding {
@@ -184,16 +186,32 @@
 		err = fmt.Errorf("answer is larger than %d bytes", maxOnceBytes)
 	}
 	if err != nil {
-		return nil, broken(ctx, s, err)
+		return nil, f.broken(ctx, s, err)
 	}
 	return &wholeAnswer{status: resp.StatusCode, header: resp.Header, body: body}, nil
 }
 
-// broken classifies the error of a connection after the request was sent.
-func broken(ctx context.Context, s *egretflow.Server, err error) *failure {
-	f := brokenConnection(ctx, s, err)
-	f.arrived = true
-	return f
+// broken classifies the error of a connection after the request was sent. When
+// the request ended by its caller or its time, that says something of the server
+// only if the server had been silent for long.
+func (f *forwarding) broken(ctx context.Context, s *egretflow.Server, err error) error {
+	cause := context.Cause(ctx)
+	ended := cause != nil && !errors.Is(cause, errStalled)
+	if ended && f.r.now().Sub(f.heardAt) < f.silence() {
+		return fmt.Errorf("%w: %w", cause, err)
+	}
+	failure := brokenConnection(ctx, s, err)
+	if ended {
+		failure.kind = failureStalled
+	}
+	failure.arrived = true
+	return failure
+}
+
+// silence is how long a server may send nothing before it counts as stalled.
+func (f *forwarding) silence() time.Duration {
+	target := f.call.Work.FirstTokenBy.Sub(f.call.Work.ArrivedAt)
+	return max(minPatience, forwardPatienceFactor*target, eventStallFactor*f.call.EventGapTarget)
 }
 
 // send writes one request to the server of t and reads the header of the
@@ -203,6 +221,7 @@
 	if takes := f.r.cfg.TakesWork; takes != nil && !takes(t.Server.Name) {
 		return nil, &failure{kind: failureRefused, server: t.Server.Name, err: errors.New("the server is leaving")}
 	}
+	f.heardAt = f.r.now()
 	resp, used, err := f.r.client.Open(f.request(ctx, t))
 	if err != nil && !used {
 		if cause := context.Cause(ctx); cause != nil && !errors.Is(cause, errStalled) {
@@ -214,7 +233,7 @@
 		f.runs++
 	}
 	if err != nil {
-		return nil, broken(ctx, t.Server, err)
+		return nil, f.broken(ctx, t.Server, err)
 	}
 	if err := f.checkAnswer(a, t, resp); err != nil {
 		resp.Body.Close()
--- /dev/null
+++ b/relayer/forward_fakes_test.go
@@ -0,0 +1,173 @@
+package relayer_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/egretflow/egretflow"
+)
+
+// scriptedScheduler gives the servers in the order of the script, without those
+// to be avoided.
+type scriptedScheduler struct {
+	script *script
+	mu     sync.Mutex
+	nextID int
+	places map[egretflow.AttemptID]bool
+	failed []string
+}
+
+func (s *scriptedScheduler) held() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.places)
+}
+
+func (s *scriptedScheduler) pick(work *egretflow.Work, stage string) *egretflow.Server {
+	for _, v := range s.script.servers {
+		avoided := false
+		for _, name := range work.Avoid {
+			avoided = avoided || string(name) == v.name
+		}
+		if v.stage == stage && !avoided {
+			return &egretflow.Server{Name: egretflow.ServerName(v.name), Address: v.address, Slots: 1}
+		}
+	}
+	return nil
+}
+
+func (s *scriptedScheduler) Acquire(ctx context.Context, work *egretflow.Work) (*egretflow.Assignment, error) {
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextID++
+	a := &egretflow.Assignment{Attempt: egretflow.AttemptID(strconv.Itoa(s.nextID)), Work: work, FirstTokenAt: time.Now(), PrefillBy: time.Now()}
+	stage := "service"
+	if s.script.kind == "stream" || s.script.kind == "resumable" {
+		stage = "decode"
+		a.Prefill = s.pick(work, "prefill")
+	}
+	a.Decode = s.pick(work, stage)
+	if a.Decode == nil || stage == "decode" && a.Prefill == nil {
+		return nil, &egretflow.Refusal{Status: 503, Reason: egretflow.RefusalNoServer, RunState: egretflow.RunStateNotRun, Message: "no server"}
+	}
+	if s.places == nil {
+		s.places = map[egretflow.AttemptID]bool{}
+	}
+	s.places[a.Attempt] = true
+	return a, nil
+}
+
+func (s *scriptedScheduler) Replace(_ context.Context, a *egretflow.Assignment) (*egretflow.Assignment, error) {
+	next := *a
+	if next.Prefill = s.pick(a.Work, "prefill"); next.Prefill == nil {
+		return nil, &egretflow.Refusal{Status: 503, Reason: egretflow.RefusalNoServer, RunState: egretflow.RunStateNotRun, Message: "no server"}
+	}
+	return &next, nil
+}
+
+// Observe keeps the servers whose failure is told.
+func (s *scriptedScheduler) Observe(o egretflow.Observation) {
+	switch o.Kind {
+	case egretflow.ObservationFailed, egretflow.ObservationCrashed, egretflow.ObservationSilent:
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.failed = append(s.failed, string(o.Server))
+	}
+}
+
+// suspected lists the servers whose failure was told.
+func (s *scriptedScheduler) suspected() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return strings.Join(s.failed, ",")
+}
+
+func (s *scriptedScheduler) Release(r egretflow.Release) {
+	if r.PrefillOnly {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.places, r.Attempt)
+}
+
+// scriptedDialect carries only what the scripts look at.
+type scriptedDialect struct{}
+
+func (scriptedDialect) ReadRequest(*http.Request, time.Time) (egretflow.Terms, error) {
+	return egretflow.Terms{}, nil
+}
+
+func (scriptedDialect) WriteExchange(h http.Header, t egretflow.ExchangeTerms, _ time.Time) {
+	h.Set("After", t.ResumeAfter)
+}
+
+func (scriptedDialect) ReadAnswer(resp *http.Response) egretflow.AnswerTerms {
+	return egretflow.AnswerTerms{ID: resp.Header.Get("Request"), NotRun: resp.Header.Get("Not-Run") != ""}
+}
+
+func (scriptedDialect) WriteRefusal(http.Header, *egretflow.Refusal, time.Time) {}
+
+// scriptedEngines holds memory unless the next action of the server is full.
+type scriptedEngines struct{ script *script }
+
+func (e *scriptedEngines) TakeHold(_ context.Context, s *egretflow.Server, _ int, _ time.Time) (egretflow.HoldID, error) {
+	v := e.script.server(string(s.Name))
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if len(v.actions) > 0 && v.actions[0][0] == "full" {
+		v.actions = v.actions[1:]
+		return "", egretflow.ErrFull
+	}
+	return "h1", nil
+}
+
+func (e *scriptedEngines) DropHold(_ context.Context, s *egretflow.Server, _ egretflow.HoldID) error {
+	v := e.script.server(string(s.Name))
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.dropped++
+	return nil
+}
+
+func (e *scriptedEngines) ReadPrefill(body io.Reader) (egretflow.PrefillResult, error) {
+	data, err := io.ReadAll(body)
+	return egretflow.PrefillResult{Handle: egretflow.KVHandle(data), Tokens: 100}, err
+}
+
+func (e *scriptedEngines) FreePrefill(_ context.Context, s *egretflow.Server, _ egretflow.KVHandle) error {
+	v := e.script.server(string(s.Name))
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.freed++
+	return nil
+}
+
+func (e *scriptedEngines) Load(context.Context, *egretflow.Server) (*egretflow.LoadReport, error) {
+	return nil, egretflow.ErrUnavailable
+}
+
+// Progress answers as an engine at which the request was preempted if the server
+// is to pause, and not at all otherwise.
+func (e *scriptedEngines) Progress(_ context.Context, s *egretflow.Server, _ string) (egretflow.Progress, error) {
+	if e.script.server(string(s.Name)).preempts {
+		return egretflow.Progress{Waiting: 1}, nil
+	}
+	return egretflow.Progress{}, egretflow.ErrUnavailable
+}
+
+func (e *scriptedEngines) SetRole(context.Context, *egretflow.Server, egretflow.Role, egretflow.Holder) error {
+	return egretflow.ErrUnavailable
+}
+
+type discard struct{}
+
+func (discard) Record(egretflow.Event) {}
--- /dev/null
+++ b/relayer/forward_server_test.go
@@ -0,0 +1,217 @@
+package relayer_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// scriptedServer does what a script says.
+type scriptedServer struct {
+	name, stage string
+	mu          sync.Mutex
+	actions     [][]string
+	runs        int
+	// preempts says that the server pauses its stream after the first event.
+	preempts bool
+	freed    int
+	dropped  int
+	address  netip.AddrPort
+	from     []string
+	// closed receives when the client closed a connection that waits for it.
+	closed chan time.Time
+}
+
+func (v *scriptedServer) listen(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	v.address = netip.MustParseAddrPort(ln.Addr().String())
+	if len(v.actions) > 0 && v.actions[0][0] == "refuse" {
+		_ = ln.Close()
+		return
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go v.serve(conn)
+		}
+	}()
+}
+
+func (v *scriptedServer) next() []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if len(v.actions) == 0 {
+		return []string{"unexpected"}
+	}
+	action := v.actions[0]
+	v.actions = v.actions[1:]
+	return action
+}
+
+func (v *scriptedServer) counted() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.runs
+}
+
+// asked lists from which event on the server was asked, by request.
+func (v *scriptedServer) asked() []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return append([]string(nil), v.from...)
+}
+
+func (v *scriptedServer) ran() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.runs++
+}
+
+func (v *scriptedServer) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	req, err := http.ReadRequest(reader)
+	if err != nil {
+		return
+	}
+	action := v.next()
+	word := func(n int) string {
+		if n < len(action) {
+			return action[n]
+		}
+		return ""
+	}
+	if action[0] != "early" {
+		_, _ = io.Copy(io.Discard, req.Body)
+	}
+	v.mu.Lock()
+	v.from = append(v.from, req.Header.Get("After"))
+	v.mu.Unlock()
+	head := func(status int, extra string) string {
+		return fmt.Sprintf("HTTP/1.1 %d X\r\nRequest: r1\r\n%s", status, extra)
+	}
+	whole := func(status int, body string) {
+		_, _ = fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", head(status, ""), len(body), body)
+	}
+	reset := func() {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+	}
+	switch action[0] {
+	case "ok":
+		v.ran()
+		whole(200, word(1))
+	case "late":
+		ms, _ := strconv.Atoi(word(1))
+		time.Sleep(time.Duration(ms) * time.Millisecond)
+		v.ran()
+		whole(200, word(2))
+	case "status":
+		v.ran()
+		status, _ := strconv.Atoi(word(1))
+		whole(status, word(2))
+	case "notrun":
+		_, _ = fmt.Fprintf(conn, "%sNot-Run: 1\r\nContent-Length: 0\r\n\r\n", head(503, ""))
+	case "reset":
+		v.ran()
+		reset()
+	case "truncate":
+		v.ran()
+		_, _ = fmt.Fprintf(conn, "%sContent-Length: 100\r\n\r\npart", head(200, ""))
+	case "unframed":
+		v.ran()
+		_, _ = fmt.Fprintf(conn, "%sConnection: close\r\n\r\n%s", head(200, ""), word(1))
+	case "unframedreset":
+		v.ran()
+		_, _ = fmt.Fprintf(conn, "%sConnection: close\r\n\r\npart", head(200, ""))
+		time.Sleep(50 * time.Millisecond)
+		reset()
+	case "foreign":
+		v.ran()
+		_, _ = fmt.Fprint(conn, "HTTP/1.1 200 X\r\nRequest: r2\r\nContent-Length: 5\r\n\r\nother")
+	case "garbage":
+		v.ran()
+		_, _ = fmt.Fprint(conn, "\x16\x03\x01 no answer\r\n\r\n")
+	case "early":
+		whole(413, word(1))
+		time.Sleep(100 * time.Millisecond)
+	case "silent":
+		v.ran()
+		v.awaitClose(conn)
+	case "prefill":
+		_, _ = fmt.Fprintf(conn, "%sContent-Length: 2\r\n\r\nk1", head(200, ""))
+	case "events":
+		v.ran()
+		v.stream(conn, head, word(1), word(2))
+		if word(2) == "reset" {
+			reset()
+		}
+	default:
+		whole(599, strings.Join(action, " "))
+	}
+}
+
+// stream sends the events A to B, ended as an answer in chunks unless it is cut.
+func (v *scriptedServer) stream(conn net.Conn, head func(int, string) string, span, end string) {
+	first, last, _ := strings.Cut(span, "-")
+	from, _ := strconv.Atoi(first)
+	to, _ := strconv.Atoi(last)
+	_, _ = fmt.Fprint(conn, head(200, "Transfer-Encoding: chunked\r\n"), "\r\n")
+	for n := from; n <= to; n++ {
+		event := fmt.Sprintf("id: %d\ndata: e%d\n\n", n, n)
+		_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event)
+		if v.preempts && n == from {
+			time.Sleep(1200 * time.Millisecond)
+		}
+	}
+	if end == "cut" {
+		part := "id: 99\nda"
+		_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(part), part)
+		time.Sleep(50 * time.Millisecond)
+	}
+	if end == "" {
+		_, _ = fmt.Fprint(conn, "0\r\n\r\n")
+	}
+	switch end {
+	case "reset":
+		time.Sleep(50 * time.Millisecond)
+	case "hang":
+		v.awaitClose(conn)
+	}
+}
+
+// awaitClose waits until the client closes the connection.
+func (v *scriptedServer) awaitClose(conn net.Conn) {
+	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	_, _ = io.Copy(io.Discard, conn)
+	select {
+	case v.closed <- time.Now():
+	default:
+	}
+}
+
+// closedAfter is how long after a time the client closed its connection.
+func (v *scriptedServer) closedAfter(at time.Time) time.Duration {
+	select {
+	case closedAt := <-v.closed:
+		return closedAt.Sub(at)
+	case <-time.After(5 * time.Second):
+		return time.Hour
+	}
+}
--- a/relayer/forwardstream.go
+++ b/relayer/forwardstream.go
@@ -155,7 +155,7 @@
 	}
 	result, err := g.r.cfg.Engines.ReadPrefill(io.LimitReader(resp.Body, maxAnswerBytes))
 	if err != nil {
-		return broken(ctx, server, err)
+		return g.broken(ctx, server, err)
 	}
 	g.handle, g.tokens = result.Handle, result.Tokens
 	g.r.cfg.Scheduler.Observe(egretflow.Observation{
@@ -266,7 +266,7 @@
 			return g.complete()
 		}
 		if err != nil {
-			return broken(ctx, g.a.Decode, fmt.Errorf("read event: %w", err))
+			return g.broken(ctx, g.a.Decode, fmt.Errorf("read event: %w", err))
 		}
 		if err := g.pass(resp, event); err != nil {
 			return err
@@ -307,6 +307,7 @@
 		return fmt.Errorf("write event: %w", err)
 	}
 	g.result.received(now)
+	g.heardAt = now
 	g.generated++
 	g.received.Add(1)
 	g.result.Tokens++
