scheduler: do not charge requests with servers that were down before

Cause: a connection that was refused counted as a server lost by the request that wanted to connect. Change: an observation says that its attempt had not reached the server; the crash detector is charged only with attempts that had. One function makes the failure of a connection that was not made, in place of four.

--- a/decision.go
+++ b/decision.go
@@ -128,6 +128,9 @@
 	// StartedAt and EndedAt bound the observed work.
 	StartedAt time.Time
 	EndedAt   time.Time
+	// Unsent says that the attempt had not reached the server, which therefore did
+	// not fail by it.
+	Unsent bool
 	// Tokens is the number of prompt tokens computed, or of tokens generated.
 	Tokens int
 	// Generated is all that the attempt has generated, in tokens, if known.
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -197,7 +197,7 @@
 	req.Header.Set("X-Request-Id", string(at.a.Attempt))
 	resp, used, err := do(req)
 	if err != nil && !used && ctx.Err() == nil {
-		return nil, &failure{kind: unreachableKind(err), server: server.Name, err: err}
+		return nil, unreachable(server, err)
 	}
 	at.dispatched = at.dispatched || used
 	if err != nil {
--- a/relayer/call.go
+++ b/relayer/call.go
@@ -218,7 +218,7 @@
 	}
 	resp, used, err := do(at.call.request(ctx, server))
 	if err != nil && !used {
-		return nil, &failure{kind: unreachableKind(err), server: server.Name, err: err}
+		return nil, unreachable(server, err)
 	}
 	if err == nil && resp.Header.Get(runStateHeader) == string(egretflow.RunStateNotRun) {
 		resp.Body.Close()
--- a/relayer/failure.go
+++ b/relayer/failure.go
@@ -53,7 +53,9 @@
 	answer *wholeAnswer
 	// arrived says that the request reached the server, also if it was refused.
 	arrived bool
-	err     error
+	// unsent says that no connection to the server was made.
+	unsent bool
+	err    error
 }
 
 func (f *failure) Error() string {
@@ -138,10 +140,11 @@
 	return &failure{kind: kind, server: server.Name, err: err}
 }
 
-// unreachableKind classifies the error of a connection that was not made.
-func unreachableKind(err error) failureKind {
+// unreachable is the failure of a connection that was not made.
+func unreachable(server *egretflow.Server, err error) *failure {
+	f := &failure{kind: failureRefused, server: server.Name, unsent: true, err: err}
 	if connector.Refused(err) {
-		return failureCrashed
+		f.kind = failureCrashed
 	}
-	return failureRefused
+	return f
 }
--- a/relayer/forward.go
+++ b/relayer/forward.go
@@ -227,7 +227,7 @@
 		if cause := context.Cause(ctx); cause != nil && !errors.Is(cause, errStalled) {
 			return nil, cause
 		}
-		return nil, &failure{kind: unreachableKind(err), server: t.Server.Name, err: err}
+		return nil, unreachable(t.Server, err)
 	}
 	if t.Stage != egretflow.StagePrefill {
 		f.runs++
--- a/relayer/forwardstream.go
+++ b/relayer/forwardstream.go
@@ -113,14 +113,14 @@
 	case errors.Is(err, egretflow.ErrFull):
 		return &failure{kind: failureFull, server: server.Name, err: err}
 	}
-	kind := unreachableKind(err)
+	f := unreachable(server, err)
 	switch {
 	case errors.Is(err, context.DeadlineExceeded):
-		kind = failureStalled
+		f.kind = failureStalled
 	case errors.Is(err, egretflow.ErrNotFound):
-		kind = failureGone
+		f.kind = failureGone
 	}
-	return &failure{kind: kind, server: server.Name, err: err}
+	return f
 }
 
 // prefill computes the prompt at a prefill server and keeps the decode place
--- a/relayer/release.go
+++ b/relayer/release.go
@@ -40,7 +40,7 @@
 func (r *Relayer) attemptFailed(f *failure, a *egretflow.Assignment) {
 	now := r.now()
 	if kind, ok := observationOf[f.kind]; ok {
-		r.cfg.Scheduler.Observe(egretflow.Observation{Kind: kind, Server: f.server, Attempt: a.Attempt, StartedAt: now, EndedAt: now})
+		r.cfg.Scheduler.Observe(egretflow.Observation{Kind: kind, Server: f.server, Attempt: a.Attempt, StartedAt: now, EndedAt: now, Unsent: f.unsent})
 	}
 	if r.cfg.AttemptFailed != nil {
 		r.cfg.AttemptFailed(a.Work, string(f.kind))
--- a/scheduler/attempt_test.go
+++ b/scheduler/attempt_test.go
@@ -83,6 +83,25 @@
 	}
 }
 
+// Guards against requests that are refused because they met servers that were
+// down already: they did not run there.
+func TestUnsentRequestIsNotCharged(t *testing.T) {
+	d := newDriver(t, 1, 3)
+	for range 3 {
+		w := d.acquire(withFingerprint(7))
+		if w.assignment == nil {
+			t.Fatalf("no place: %v", w.err)
+		}
+		d.task.observe(&egretflow.Observation{
+			Kind: egretflow.ObservationCrashed, Server: w.assignment.Decode.Name, Attempt: w.assignment.Attempt, Unsent: true, StartedAt: d.now, EndedAt: d.now,
+		})
+		d.release(w.assignment)
+	}
+	if v := d.task.crashes.Verdict(7, d.now); v != crashdetector.Allow {
+		t.Errorf("the request is to %s", v)
+	}
+}
+
 // Two suspects on one server would both be charged with its next loss.
 func TestSuspectsRunApart(t *testing.T) {
 	d := newDriver(t, 3, 2)
--- a/scheduler/observe.go
+++ b/scheduler/observe.go
@@ -37,7 +37,9 @@
 		}
 		t.change(s, s.Speed.Observe(p.picker.ServiceRatio(o.EndedAt.Sub(o.StartedAt)), t.now))
 	case egretflow.ObservationCrashed:
-		t.crashed(s, a)
+		if !o.Unsent {
+			t.crashed(s, a)
+		}
 		t.change(s, s.Speed.Fail(t.now))
 	case egretflow.ObservationFailed, egretflow.ObservationSilent:
 		t.change(s, s.Speed.Fail(t.now))
