frontend: serve calls on kept connections while the instance stops; pass on earlier answers

Cause: callers keep connections to an instance that stops. Change: during the drain a call is served if the time of its route ends before the drain does. Streams are refused as before. TestCallsDuringDrain fails before. Completed names the status.

--- a/explainer/cause.go
+++ b/explainer/cause.go
@@ -50,7 +50,11 @@
 			longest, where = took, fmt.Sprintf("between %s and %s", i.Events[n].Name, i.Events[n+1].Name)
 		}
 	}
-	return fmt.Sprintf("served after %s; the longest part, %s, is %s%s", i.took(end), longest.Round(time.Millisecond), where, i.lastFailure())
+	verb := "served"
+	if status := fieldOf(end, "status"); strings.HasPrefix(status, "5") || strings.HasPrefix(status, "4") {
+		verb = "the backend server answered with status " + status + ", which was passed on,"
+	}
+	return fmt.Sprintf("%s after %s; the longest part, %s, is %s%s", verb, i.took(end), longest.Round(time.Millisecond), where, i.lastFailure())
 }
 
 // refused explains a rejection or a cut answer by its reason.
--- a/frontend/completion.go
+++ b/frontend/completion.go
@@ -174,7 +174,7 @@
 		FirstTokenTarget: time.Duration(route.FirstTokenTarget), TokenTarget: time.Duration(route.TokenTarget),
 	})
 	if name != egretflow.EventRefused || c.Response().Committed {
-		f.record(name, work.Request, field("outcome", outcome), number("events", result.Tokens), number("retries", result.Retries),
+		f.record(name, work.Request, field("outcome", outcome), number("status", result.Status), number("events", result.Tokens), number("retries", result.Retries),
 			milliseconds("waited_ms", result.Waited), milliseconds("pause_ms", result.LongestGap))
 	}
 }
--- /dev/null
+++ b/frontend/drain_test.go
@@ -0,0 +1,143 @@
+package frontend_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/checker"
+	"github.com/egretflow/egretflow/explainer"
+	"github.com/egretflow/egretflow/frontend"
+	"github.com/egretflow/egretflow/recorder"
+	"github.com/egretflow/egretflow/relayer"
+)
+
+// plainDialect reads nothing from headers and tells nothing in them.
+type plainDialect struct{}
+
+func (plainDialect) ReadRequest(*http.Request, time.Time) (egretflow.Terms, error) {
+	return egretflow.Terms{ID: "r1"}, nil
+}
+func (plainDialect) WriteExchange(http.Header, egretflow.ExchangeTerms, time.Time) {}
+func (plainDialect) ReadAnswer(*http.Response) egretflow.AnswerTerms               { return egretflow.AnswerTerms{} }
+func (plainDialect) WriteRefusal(http.Header, *egretflow.Refusal, time.Time)       {}
+
+const (
+	testLameDuck = 100 * time.Millisecond
+	testDrain    = 1500 * time.Millisecond
+	callLimit    = 500 * time.Millisecond
+)
+
+// forwarding serves a service route and a model route on a listener until stop is
+// called, and returns its address. The service answers at once, but for /reports,
+// which take until shortly before the end of a drain.
+func forwarding(t *testing.T) (address string, stop func()) {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/reports" {
+			time.Sleep(testLameDuck + testDrain - callLimit/2)
+		}
+		_, _ = io.WriteString(w, "done")
+	}))
+	t.Cleanup(server.Close)
+	backend := netip.MustParseAddrPort(server.Listener.Addr().String())
+	tables := &egretflow.Tables{Revision: 1, Pools: []egretflow.Pool{
+		{Name: "desk", Kind: egretflow.PoolKindService, Servers: []egretflow.Server{{Name: "s", Address: backend, Role: egretflow.RoleService, Slots: 4}}},
+		{Name: "letters", Kind: egretflow.PoolKindModel},
+	}, Routes: []egretflow.Route{
+		{Name: "orders", Host: "h", PathPrefix: "/orders", Pool: "desk", Timeout: egretflow.Duration(callLimit)},
+		{Name: "reports", Host: "h", PathPrefix: "/reports", Pool: "desk", Timeout: egretflow.Duration(time.Minute)},
+		{Name: "letters", Host: "h", PathPrefix: "/letters", Pool: "letters", Timeout: egretflow.Duration(callLimit)},
+	}}
+	metrics, err := recorder.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	events := explainer.New(16, nil)
+	check := checker.New("i", time.Now, events, nil)
+	source := rand.New(rand.NewPCG(1, 1))
+	scheduler := newFakeScheduler(tables, 1)
+	rel := relayer.New(relayer.Config{
+		Instance: "i", Scheduler: scheduler, Recorder: events, Checker: check, Clock: time.Now, Rand: source,
+		Dial: (&net.Dialer{}).DialContext, Dialect: plainDialect{},
+	})
+	f := frontend.New(frontend.Config{
+		Instance: "i", Relayer: rel, Tables: func() *egretflow.Tables { return tables }, Recorder: events, Checker: check, Metrics: metrics,
+		Clock: time.Now, Rand: source, Dialect: plainDialect{}, Limits: frontend.Limits{LameDuck: testLameDuck, DrainTimeout: testDrain},
+	})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- f.Serve(ctx, ln) }()
+	t.Cleanup(func() { cancel(); <-done; rel.Close() })
+	return ln.Addr().String(), cancel
+}
+
+// ask sends a request over a new connection and returns its status.
+func ask(t *testing.T, address, path string) (int, error) {
+	t.Helper()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address+path, strings.NewReader("{}"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h"
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err
+}
+
+// Guards against callers on kept connections who are refused by an instance that
+// stops although it has time to serve them, and against calls that it takes and
+// then cuts.
+func TestCallsDuringDrain(t *testing.T) {
+	address, stop := forwarding(t)
+	report := make(chan error, 1)
+	go func() {
+		status, err := ask(t, address, "/reports")
+		if status != http.StatusOK {
+			err = errors.Join(err, fmt.Errorf("status %d", status))
+		}
+		report <- err
+	}()
+	time.Sleep(testLameDuck / 2)
+	stop()
+	lastCall := time.Now().Add(testLameDuck + testDrain - callLimit)
+	time.Sleep(2 * testLameDuck)
+	for _, test := range []struct {
+		path string
+		want int
+	}{
+		{"/orders", http.StatusOK},
+		{"/reports", http.StatusServiceUnavailable},
+		{"/letters", http.StatusServiceUnavailable},
+	} {
+		if status, err := ask(t, address, test.path); status != test.want || err != nil {
+			t.Errorf("%s during the drain: status %d, error %v; want %d", test.path, status, err, test.want)
+		}
+	}
+	time.Sleep(time.Until(lastCall) + callLimit/10)
+	if status, err := ask(t, address, "/orders"); status != http.StatusServiceUnavailable || err != nil {
+		t.Errorf("a call that may outlast the drain: status %d, error %v; want 503", status, err)
+	}
+	if err := <-report; err != nil {
+		t.Errorf("the request that was open at the stop: %v", err)
+	}
+}
--- a/frontend/forward.go
+++ b/frontend/forward.go
@@ -54,8 +54,8 @@
 // serve any.
 func (f *Frontend) admitForwarded(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
-		if !f.open.enter() {
-			return f.refuseSoon(egretflow.RefusalDraining, "the instance is shutting down")
+		if !f.open.enterLate() {
+			return f.refuseDraining()
 		}
 		defer f.open.leave()
 		if f.open.draining() {
@@ -89,6 +89,9 @@
 	if !ok {
 		return f.refuseSoon(egretflow.RefusalNoServer, "the pool of the route is missing")
 	}
+	if f.open.closing() && !f.endsInTime(x, route, pool) {
+		return f.refuseDraining()
+	}
 	body, done, err := f.readBody(c)
 	if err != nil {
 		return err
@@ -119,6 +122,18 @@
 	return err
 }
 
+// refuseDraining refuses a request because the instance stops.
+func (f *Frontend) refuseDraining() error {
+	return f.refuseSoon(egretflow.RefusalDraining, "the instance is shutting down")
+}
+
+// endsInTime reports whether a request that arrives during the drain ends before
+// it does. Callers send on connections that they have kept, and a call of a plain
+// service is short; a refusal would cost them one of their attempts.
+func (f *Frontend) endsInTime(x *request, route *egretflow.Route, pool *egretflow.Pool) bool {
+	return pool.Kind == egretflow.PoolKindService && !f.endOf(x, route).After(f.drainEnds())
+}
+
 // endOf is when a request ends, by its caller or by its route.
 func (f *Frontend) endOf(x *request, route *egretflow.Route) time.Time {
 	limit := time.Duration(route.Timeout)
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/egretflow/egretflow"
@@ -111,6 +112,8 @@
 
 	open    *openRequests
 	waiting waitEstimator
+	// drainBy is when the drain ends, in nanoseconds since 1970.
+	drainBy atomic.Int64
 	// handover ends when open answers must end after the current event.
 	handover      context.Context
 	startHandover context.CancelFunc
--- a/frontend/open.go
+++ b/frontend/open.go
@@ -10,8 +10,10 @@
 	closed bool
 	// lame says that a drain will begin soon.
 	lame bool
-	// idle is closed when a drain has begun and no request is left.
-	idle chan struct{}
+	// idle is closed when a drain has begun and no request is left; ended says
+	// that it is.
+	idle  chan struct{}
+	ended bool
 }
 
 func newOpenRequests() *openRequests { return &openRequests{idle: make(chan struct{})} }
@@ -27,11 +29,29 @@
 	return true
 }
 
+// enterLate reports whether a request may start that ends before the drain does;
+// if so, leave must follow.
+func (o *openRequests) enterLate() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.ended {
+		return false
+	}
+	o.count++
+	return true
+}
+
 func (o *openRequests) leave() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.count--
-	if o.closed && o.count == 0 {
+	o.endIdle()
+}
+
+// endIdle ends a drain that has nothing left to wait for. The caller holds mu.
+func (o *openRequests) endIdle() {
+	if o.closed && o.count == 0 && !o.ended {
+		o.ended = true
 		close(o.idle)
 	}
 }
@@ -41,9 +61,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.closed = true
-	if o.count == 0 {
-		close(o.idle)
-	}
+	o.endIdle()
 	return o.idle
 }
 
@@ -54,6 +72,13 @@
 	o.lame = true
 }
 
+// closing reports whether a drain has begun.
+func (o *openRequests) closing() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.closed
+}
+
 // draining reports whether a drain has begun or was announced.
 func (o *openRequests) draining() bool {
 	o.mu.Lock()
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -46,9 +46,7 @@
 func (f *Frontend) announce() {
 	f.open.announce()
 	f.record(egretflow.EventShutdownStarted, "", field("lame_duck", f.cfg.Limits.LameDuck.String()))
-	if f.cfg.Limits.LameDuck > 0 {
-		time.Sleep(f.cfg.Limits.LameDuck)
-	}
+	<-time.After(f.cfg.Limits.LameDuck)
 }
 
 // cutServer closes the listener and what is left of the connections; open
@@ -83,6 +81,7 @@
 
 // drain rejects new work and waits for open requests.
 func (f *Frontend) drain() {
+	f.drainBy.Store(f.cfg.Clock().Add(f.cfg.Limits.DrainTimeout).UnixNano())
 	done := f.open.drain()
 	timer := time.NewTimer(f.cfg.Limits.DrainTimeout)
 	defer timer.Stop()
@@ -97,6 +96,9 @@
 	f.record(egretflow.EventShutdownDone, "")
 }
 
+// drainEnds is when the drain that has begun ends at the latest.
+func (f *Frontend) drainEnds() time.Time { return time.Unix(0, f.drainBy.Load()) }
+
 // awaitHandover waits for the end of open requests after the handover. Service
 // calls cannot be handed over; those that take longer are cut.
 func (f *Frontend) awaitHandover(done <-chan struct{}) {
--- a/relayer/call.go
+++ b/relayer/call.go
@@ -117,7 +117,7 @@
 // pass writes a response to the caller.
 func (c *callState) pass(w http.ResponseWriter, resp *response) (Result, error) {
 	defer resp.attempt.end(resp.Response)
-	c.result.Started = true
+	c.result.Started, c.result.Status = true, resp.StatusCode
 	c.result.FirstTokenAt = c.r.now()
 	connector.CopyHeader(w.Header(), resp.Header)
 	w.Header().Set(runStateHeader, string(egretflow.RunStateRan))
--- a/relayer/forward.go
+++ b/relayer/forward.go
@@ -41,6 +41,8 @@
 	// generated counts the events that the caller has, lastID names the last.
 	generated int
 	lastID    string
+	// answer is the newest whole answer of a server, with an error status.
+	answer *wholeAnswer
 	// heardAt is when the server was last asked or heard.
 	heardAt time.Time
 }
@@ -75,7 +77,10 @@
 		}
 		var cause *failure
 		if !errors.As(err, &cause) || ctx.Err() != nil {
-			return f.refusal(ctx, err)
+			return f.settle(ctx, w, err)
+		}
+		if cause.answer != nil {
+			f.answer = cause.answer
 		}
 		next, ok := f.next(work, cause)
 		if !ok {
@@ -115,13 +120,13 @@
 	return maxAttempts
 }
 
-// settle ends a request that failed: with the answer of the last server if it
-// gave one, otherwise with a refusal.
-func (f *forwarding) settle(ctx context.Context, w http.ResponseWriter, cause *failure) error {
-	if cause.answer != nil && !f.result.Started {
-		return f.pass(w, cause.answer)
+// settle ends a request that failed: with the newest answer if a server gave one,
+// otherwise with a refusal.
+func (f *forwarding) settle(ctx context.Context, w http.ResponseWriter, err error) error {
+	if f.answer != nil && !f.result.Started && ctx.Err() == nil {
+		return f.pass(w, f.answer)
 	}
-	return f.refusal(ctx, cause)
+	return f.refusal(ctx, err)
 }
 
 // refusal says whether the request has run: only servers know, and none was
@@ -285,7 +290,7 @@
 
 // pass writes a whole answer to the caller.
 func (f *forwarding) pass(w http.ResponseWriter, answer *wholeAnswer) error {
-	f.result.Started = true
+	f.result.Started, f.result.Status = true, answer.status
 	f.result.FirstTokenAt = f.r.now()
 	f.result.LastTokenAt = f.result.FirstTokenAt
 	writeHeader(w, answer.header, answer.status)
--- a/relayer/forwardstream.go
+++ b/relayer/forwardstream.go
@@ -300,7 +300,7 @@
 		g.firstEvent(now)
 	}
 	if !g.result.Started {
-		g.result.Started, g.result.FirstTokenAt = true, now
+		g.result.Started, g.result.Status, g.result.FirstTokenAt = true, resp.StatusCode, now
 		writeHeader(g.w, resp.Header, resp.StatusCode)
 	}
 	if _, err := g.w.Write(event); err != nil {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -99,6 +99,8 @@
 	LongestGap time.Duration
 	// Started says that the sink has received a chunk.
 	Started bool
+	// Status is that of the server's answer where it is passed on.
+	Status int
 }
 
 // received notes the time of an event.
