registrar: read less when a peer tells something old

Cause: an instance compared what a peer had read with its own last reading, not with what it last knew to be current. Change: only a newer confirmation counts, a difference is read after 200 ms in which a peer may tell what changed, and a reading for a difference does not read the configuration as well. TestOldConfirmationsCauseNoReading fails before (8 readings, now at most 4).

--- a/registrar/reading.go
+++ b/registrar/reading.go
@@ -19,8 +19,8 @@
 	takeoverAfter = 1200 * time.Millisecond
 	takeoverStep  = 150 * time.Millisecond
 	takeoverRanks = 3
-	// mismatchPause is the least time between two readings of an instance that
-	// hears of other servers than it knows.
+	// mismatchPause is how long an instance that hears of other servers than it
+	// knows waits for a peer that tells what changed, before it reads by itself.
 	mismatchPause = 200 * time.Millisecond
 	// maxRetryInterval bounds the time between failed readings in an outage.
 	maxRetryInterval = time.Second
@@ -33,8 +33,10 @@
 	// servers were last known to be current, by an own reading or by a peer.
 	readAt      time.Time
 	confirmedAt time.Time
-	// mismatch says that a peer has read other servers after readAt.
-	mismatch bool
+	// mismatch says that a peer has read other servers since confirmedAt, and
+	// mismatchAt when this became known.
+	mismatch   bool
+	mismatchAt time.Time
 	// toldVersion is the highest version of the configuration that a peer named.
 	toldVersion uint64
 	failures    int
@@ -50,7 +52,7 @@
 	case rank == 0:
 		return r.readAt.Add(ReadInterval)
 	case r.mismatch:
-		return r.readAt.Add(mismatchPause)
+		return r.mismatchAt.Add(mismatchPause)
 	}
 	return r.confirmedAt.Add(takeoverAfter + time.Duration(min(rank-1, takeoverRanks))*takeoverStep)
 }
@@ -109,8 +111,8 @@
 	switch {
 	case c.Servers == r.state.fingerprint && c.ReadAt.After(r.reading.confirmedAt):
 		r.reading.confirmedAt, r.reading.mismatch, r.reading.failures = c.ReadAt, false, 0
-	case c.Servers != r.state.fingerprint && c.ReadAt.After(r.reading.readAt) && !r.reading.mismatch:
-		r.reading.mismatch = true
+	case c.Servers != r.state.fingerprint && c.ReadAt.After(r.reading.confirmedAt) && !r.reading.mismatch:
+		r.reading.mismatch, r.reading.mismatchAt = true, r.cfg.Clock()
 		notify(r.wakeServers)
 	}
 }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -113,19 +113,29 @@
 
 func (r *Registrar) followServers(ctx context.Context) {
 	for ctx.Err() == nil {
-		startedAt := r.cfg.Clock()
+		startedAt, confirmed := r.cfg.Clock(), r.confirmed()
 		entries, err := r.cfg.Directory.Servers(ctx)
 		if err != nil {
 			r.serversFailed(ctx, startedAt, err)
 		} else {
 			r.takeServers(entries, startedAt)
 			r.tell()
-			r.readConfigurationToo()
+			if !confirmed {
+				r.readConfigurationToo()
+			}
 		}
 		r.awaitServers(ctx)
 	}
 }
 
+// confirmed reports whether peers tell what they read, so that an own reading only
+// follows a difference.
+func (r *Registrar) confirmed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.reading.mismatch
+}
+
 // readConfigurationToo makes an instance that reads the servers in place of the
 // first one read the configuration as well: nobody else confirms it then.
 func (r *Registrar) readConfigurationToo() {
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -186,7 +186,7 @@
 }
 
 // fleet joins registrars as messages do: every 50 ms each hears the others.
-func fleet(t *testing.T, d *directory, n int, cut func(rank int) bool) []*registrar.Registrar {
+func fleet(t *testing.T, d *directory, n int, cut func(from, to int) bool) []*registrar.Registrar {
 	members := make([]*registrar.Registrar, n)
 	for rank := range n {
 		members[rank] = start(t, d, func() int { return rank })
@@ -205,7 +205,7 @@
 			for from, m := range members {
 				c := m.Confirmation()
 				for to, other := range members {
-					if from != to && !cut(from) && !c.ReadAt.IsZero() {
+					if from != to && !cut(from, to) && !c.ReadAt.IsZero() {
 						other.Hear(c)
 					}
 				}
@@ -223,7 +223,7 @@
 		d.config = configuration(1)
 		d.servers = []egretflow.ServerEntry{server(1), server(2)}
 		var silent atomic.Bool
-		members := fleet(t, d, 8, func(rank int) bool { return silent.Load() && rank == 0 })
+		members := fleet(t, d, 8, func(from, _ int) bool { return silent.Load() && from == 0 })
 		time.Sleep(2 * time.Second)
 		before := d.readings()
 		time.Sleep(7 * time.Second)
@@ -251,3 +251,28 @@
 		}
 	})
 }
+
+// Guards against readings by the whole fleet because one instance has not yet
+// heard of a change and still tells what it knew before.
+func TestOldConfirmationsCauseNoReading(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDirectory()
+		d.config = configuration(1)
+		d.servers = []egretflow.ServerEntry{server(1), server(2)}
+		const deaf = 7
+		members := fleet(t, d, 8, func(_, to int) bool { return to == deaf })
+		time.Sleep(2 * time.Second)
+		d.set(func(d *directory) { d.servers = []egretflow.ServerEntry{server(2)} })
+		before := d.readings()
+		time.Sleep(time.Second)
+		// The first instance and the deaf one read for themselves.
+		if reads := d.readings() - before; reads > 4 {
+			t.Errorf("%d readings in 1 s after a change that one of 8 instances did not hear of", reads)
+		}
+		for n, m := range members[:deaf] {
+			if m.TakesWork("s1") {
+				t.Errorf("instance %d does not know of the change after 1 s", n)
+			}
+		}
+	})
+}
