registrar: order readings of the servers by the revision of the store

Cause: which of two instances knew the servers better was told by the age of their readings. Deltas could be followed only by instances that had seen each reading of the teller, so that under steady changes all instances read. Change: a reading has the revision of the store, which never falls. A lower one is ignored, also when the store itself answers with it (OldReading); deltas name their revision, and an instance applies those after its own. TestOldReadingIsIgnored and TestChangesAreFollowed.

--- a/dialect.go
+++ b/dialect.go
@@ -138,6 +138,14 @@
 	Leaving bool
 }
 
+// ServerList is all backend servers that are registered.
+type ServerList struct {
+	Entries []ServerEntry
+	// Revision of the platform's store as of which the list is complete. It never
+	// falls, so that it orders the readings of all instances without clocks.
+	Revision int64
+}
+
 // Configuration is what operators have written: routes, and pools without their
 // servers.
 type Configuration struct {
@@ -155,5 +163,5 @@
 	// AwaitChange returns after a change of the configuration that Configuration
 	// has not returned yet, or with an error.
 	AwaitChange(ctx context.Context) error
-	Servers(ctx context.Context) ([]ServerEntry, error)
+	Servers(ctx context.Context) (ServerList, error)
 }
--- a/event.go
+++ b/event.go
@@ -53,6 +53,7 @@
 	EventConfigurationUnread EventName = "ConfigurationUnread"
 	EventStoreUnavailable    EventName = "StoreUnavailable"
 	EventStoreAvailable      EventName = "StoreAvailable"
+	EventOldReading          EventName = "OldReading"
 	EventLinesDropped        EventName = "LinesDropped"
 	EventInvariantViolated   EventName = "InvariantViolated"
 	EventReloaded            EventName = "Reloaded"
--- a/fleet.go
+++ b/fleet.go
@@ -37,24 +37,24 @@
 
 // Confirmation is what an instance knows to be current on the platform.
 type Confirmation struct {
-	// Servers identifies the set of backend servers, Version the configuration.
-	Servers uint64
-	Version uint64
+	// Servers identifies the set of backend servers, and Revision is that of the
+	// platform's store as of which it is known. Version is the configuration.
+	Servers  uint64
+	Revision int64
+	Version  uint64
 	// ReadAt is when an instance last read both.
 	ReadAt time.Time
-	// Deltas lead from sets of servers that were current shortly before to this
-	// one, in order.
+	// Deltas are the newest changes of the set, in order.
 	Deltas []ServersDelta
 }
 
-// ServersDelta is the difference between two sets of backend servers.
+// ServersDelta is what a reading of the backend servers found changed.
 type ServersDelta struct {
 	_ struct{} `cbor:",toarray"`
-	// Before and After identify the sets.
-	Before  uint64
-	After   uint64
-	Changed []ServerEntry
-	Removed []ServerName
+	// Revision is that of the reading.
+	Revision int64
+	Changed  []ServerEntry
+	Removed  []ServerName
 }
 
 // TablesHolder holds the revision in force.
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -78,10 +78,11 @@
 // differ; the age is negative without one.
 type confirmed struct {
 	_       struct{} `cbor:",toarray"`
-	Servers uint64
-	Version uint64
-	AgeMS   int64
-	Deltas  []egretflow.ServersDelta
+	Servers  uint64
+	Revision int64
+	Version  uint64
+	AgeMS    int64
+	Deltas   []egretflow.ServersDelta
 }
 
 // crash is a crash report whose end is told as what is left of it, because the
@@ -154,7 +155,7 @@
 	if c.ReadAt.IsZero() {
 		return confirmed{AgeMS: -1}
 	}
-	return confirmed{Servers: c.Servers, Version: c.Version, AgeMS: now.Sub(c.ReadAt).Milliseconds(), Deltas: c.Deltas}
+	return confirmed{Servers: c.Servers, Revision: c.Revision, Version: c.Version, AgeMS: now.Sub(c.ReadAt).Milliseconds(), Deltas: c.Deltas}
 }
 
 // Members lists the other instances.
@@ -310,7 +311,7 @@
 	g.cfg.State.ApplyPrefillLoad(m.From, m.Load)
 	if m.Confirmed.AgeMS >= 0 && g.cfg.Hear != nil {
 		g.cfg.Hear(egretflow.Confirmation{
-			Servers: m.Confirmed.Servers, Version: m.Confirmed.Version,
+			Servers: m.Confirmed.Servers, Revision: m.Confirmed.Revision, Version: m.Confirmed.Version,
 			ReadAt: now.Add(-time.Duration(m.Confirmed.AgeMS) * time.Millisecond), Deltas: m.Confirmed.Deltas,
 		})
 	}
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -72,7 +72,7 @@
 }
 
 // burstShare of an instance's part may be spent at once, the rest over time.
-const burstShare = 0.5
+const burstShare = 0.9
 
 // Budget is a token bucket filled by requests.
 type Budget struct {
--- a/registrar/reading.go
+++ b/registrar/reading.go
@@ -33,10 +33,10 @@
 	// servers were last known to be current, by an own reading or by a peer.
 	readAt      time.Time
 	confirmedAt time.Time
-	// mismatch says that a peer has read other servers since confirmedAt, and
-	// mismatchAt when this became known.
-	mismatch   bool
-	mismatchAt time.Time
+	// toldRevision is that of the newest reading of a peer that found other
+	// servers, and mismatchAt when this became known.
+	toldRevision int64
+	mismatchAt   time.Time
 	// toldVersion is the highest version of the configuration that a peer named.
 	toldVersion uint64
 	failures    int
@@ -45,13 +45,16 @@
 }
 
 // due returns when the servers must be read.
-func (r *reading) due(rank int) time.Time {
+func (r *reading) due(rank int, mismatch bool) time.Time {
 	switch {
 	case r.failures > 0:
 		return r.readAt.Add(retryAfter(r.failures, rank))
 	case rank == 0:
 		return r.readAt.Add(ReadInterval)
-	case r.mismatch:
+	case mismatch && r.readAt.After(r.mismatchAt):
+		// The own reading was older than that of the peer.
+		return r.readAt.Add(mismatchPause)
+	case mismatch:
 		return r.mismatchAt.Add(mismatchPause)
 	}
 	return r.confirmedAt.Add(takeoverAfter + time.Duration(min(rank-1, takeoverRanks))*takeoverStep)
@@ -88,7 +91,9 @@
 func (r *Registrar) Confirmation() egretflow.Confirmation {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	c := egretflow.Confirmation{Servers: r.state.fingerprint, Version: r.state.version(), ReadAt: r.reading.confirmedAt}
+	c := egretflow.Confirmation{
+		Servers: r.state.fingerprint, Revision: r.state.readRevision, Version: r.state.version(), ReadAt: r.reading.confirmedAt,
+	}
 	for _, d := range r.state.deltas {
 		c.Deltas = append(c.Deltas, d.ServersDelta)
 	}
@@ -103,20 +108,34 @@
 		r.reading.toldVersion = c.Version
 		notify(r.wakeConfiguration)
 	}
-	if c.Servers != r.state.fingerprint && r.state.everRead && c.ReadAt.After(r.reading.confirmedAt) {
-		if changes := r.state.follow(c.Deltas, r.cfg.Clock()); len(changes) > 0 {
+	r.hearServers(&c)
+}
+
+// hearServers takes what a peer knows of the servers. What is older than the own
+// knowledge says nothing. The caller holds mu.
+func (r *Registrar) hearServers(c *egretflow.Confirmation) {
+	newer := c.Revision > r.state.readRevision
+	if newer && r.state.everRead && c.Servers != r.state.fingerprint {
+		if changes := r.state.follow(c, r.cfg.Clock()); len(changes) > 0 {
 			r.took(changes)
 		}
 	}
 	switch {
-	case c.Servers == r.state.fingerprint && c.ReadAt.After(r.reading.confirmedAt):
-		r.reading.confirmedAt, r.reading.mismatch, r.reading.failures = c.ReadAt, false, 0
-	case c.Servers != r.state.fingerprint && c.ReadAt.After(r.reading.confirmedAt) && !r.reading.mismatch:
-		r.reading.mismatch, r.reading.mismatchAt = true, r.cfg.Clock()
+	case c.Servers == r.state.fingerprint:
+		r.state.readRevision = max(r.state.readRevision, c.Revision)
+		if c.ReadAt.After(r.reading.confirmedAt) {
+			r.reading.confirmedAt, r.reading.failures = c.ReadAt, 0
+		}
+	case newer && !r.mismatch():
+		r.reading.toldRevision, r.reading.mismatchAt = c.Revision, r.cfg.Clock()
 		notify(r.wakeServers)
 	}
 }
 
+// mismatch reports whether a peer has told of servers that this instance does not
+// know. The caller holds mu.
+func (r *Registrar) mismatch() bool { return r.reading.toldRevision > r.state.readRevision }
+
 // notify wakes the task that waits on c, if it does not know yet.
 func notify(c chan struct{}) {
 	select {
@@ -138,7 +157,7 @@
 	for ctx.Err() == nil {
 		rank := r.rank()
 		r.mu.Lock()
-		left := r.reading.due(rank).Sub(r.cfg.Clock())
+		left := r.reading.due(rank, r.mismatch()).Sub(r.cfg.Clock())
 		r.mu.Unlock()
 		if left <= 0 {
 			return
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -114,11 +114,11 @@
 func (r *Registrar) followServers(ctx context.Context) {
 	for ctx.Err() == nil {
 		startedAt, confirmed := r.cfg.Clock(), r.confirmed()
-		entries, err := r.cfg.Directory.Servers(ctx)
+		list, err := r.cfg.Directory.Servers(ctx)
 		if err != nil {
 			r.serversFailed(ctx, startedAt, err)
 		} else {
-			r.takeServers(entries, startedAt)
+			r.takeServers(list, startedAt)
 			r.tell()
 			if !confirmed {
 				r.readConfigurationToo()
@@ -133,7 +133,7 @@
 func (r *Registrar) confirmed() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.reading.mismatch
+	return r.mismatch()
 }
 
 // readConfigurationToo makes an instance that reads the servers in place of the
@@ -173,16 +173,20 @@
 	r.publish()
 }
 
-func (r *Registrar) takeServers(entries []egretflow.ServerEntry, readAt time.Time) {
+func (r *Registrar) takeServers(list egretflow.ServerList, readAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.cfg.Clock()
+	if list.Revision < r.state.readRevision {
+		r.reading.readAt, r.reading.failures = readAt, 0
+		r.record(egretflow.EventOldReading, "Revision", strconv.FormatInt(list.Revision, 10), "Known", strconv.FormatInt(r.state.readRevision, 10))
+		return
+	}
 	if !r.state.reachable {
-		r.record(egretflow.EventStoreAvailable, "Servers", strconv.Itoa(len(entries)))
+		r.record(egretflow.EventStoreAvailable, "Servers", strconv.Itoa(len(list.Entries)))
 	}
-	r.reading.readAt, r.reading.confirmedAt = readAt, readAt
-	r.reading.mismatch, r.reading.failures = false, 0
-	changes := r.state.replace(entries, now)
+	r.reading.readAt, r.reading.confirmedAt, r.reading.failures = readAt, readAt, 0
+	changes := r.state.replace(list, now)
 	r.took(changes)
 }
 
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -21,7 +21,10 @@
 	servers []egretflow.ServerEntry
 	down    bool
 	reads   int
-	changed chan struct{}
+	// revision counts the changes; old, if set, is returned instead of servers.
+	revision int64
+	old      *egretflow.ServerList
+	changed  chan struct{}
 }
 
 func newDirectory() *directory { return &directory{changed: make(chan struct{}, 1)} }
@@ -30,6 +33,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	change(d)
+	d.revision++
 	select {
 	case d.changed <- struct{}{}:
 	default:
@@ -56,14 +60,17 @@
 	return nil
 }
 
-func (d *directory) Servers(context.Context) ([]egretflow.ServerEntry, error) {
+func (d *directory) Servers(context.Context) (egretflow.ServerList, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.reads++
 	if d.down {
-		return nil, egretflow.ErrUnavailable
+		return egretflow.ServerList{}, egretflow.ErrUnavailable
+	}
+	if d.old != nil {
+		return *d.old, nil
 	}
-	return append([]egretflow.ServerEntry(nil), d.servers...), nil
+	return egretflow.ServerList{Entries: append([]egretflow.ServerEntry(nil), d.servers...), Revision: d.revision}, nil
 }
 
 func (d *directory) readings() int {
@@ -276,3 +283,60 @@
 		}
 	})
 }
+
+// Guards against a server that takes work again because the platform answered
+// with what it knew some seconds ago.
+func TestOldReadingIsIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDirectory()
+		d.config = configuration(1)
+		d.servers = []egretflow.ServerEntry{server(1), server(2)}
+		r := start(t, d, nil)
+		time.Sleep(time.Second)
+		before, err := d.Servers(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		d.set(func(d *directory) { d.servers = []egretflow.ServerEntry{server(2)} })
+		time.Sleep(time.Second)
+		d.set(func(d *directory) { d.old = &before })
+		time.Sleep(time.Second)
+		if r.TakesWork("s1") {
+			t.Error("a server that is gone takes work after an old reading")
+		}
+		d.set(func(d *directory) { d.old, d.servers = nil, []egretflow.ServerEntry{server(3)} })
+		time.Sleep(time.Second)
+		if r.TakesWork("s2") || !r.TakesWork("s3") {
+			t.Error("a new reading after an old one has no effect")
+		}
+	})
+}
+
+// Guards against readings by the whole fleet while servers change all the time,
+// and against instances that miss a change then.
+func TestChangesAreFollowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDirectory()
+		d.config = configuration(1)
+		for n := range 30 {
+			d.servers = append(d.servers, server(n))
+		}
+		members := fleet(t, d, 20, func(int, int) bool { return false })
+		time.Sleep(3 * time.Second)
+		before := d.readings()
+		for n := range 20 {
+			d.set(func(d *directory) { d.servers = append(d.servers[1:len(d.servers):len(d.servers)], server(100+n)) })
+			time.Sleep(250 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		// The first instance reads every 700 ms for 6 s.
+		if reads := d.readings() - before; reads > 20 {
+			t.Errorf("%d readings in 6 s of changes by 20 instances", reads)
+		}
+		for n, m := range members {
+			if m.TakesWork("s19") || !m.TakesWork("s119") {
+				t.Errorf("instance %d missed a change", n)
+			}
+		}
+	})
+}
--- a/registrar/state.go
+++ b/registrar/state.go
@@ -15,8 +15,10 @@
 	servers       map[egretflow.ServerName]egretflow.ServerEntry
 	// fingerprint identifies servers.
 	fingerprint uint64
-	revision    egretflow.Revision
-	deltas      []timedDelta
+	// readRevision is that of the platform's store as of which servers are known.
+	readRevision int64
+	revision     egretflow.Revision
+	deltas       []timedDelta
 	// reachable says that the last reading of the servers worked, and graceUntil
 	// is when servers that are missing since an outage count as gone.
 	reachable  bool
@@ -45,12 +47,12 @@
 }
 
 // noteDelta keeps what a reading changed.
-func (s *state) noteDelta(before uint64, changes []change, now time.Time) {
+func (s *state) noteDelta(changes []change, now time.Time) {
 	s.deltas = slices.DeleteFunc(s.deltas, func(d timedDelta) bool { return now.Sub(d.at) > deltaLifetime })
 	if len(changes) == 0 || len(changes) > maxChanges {
 		return
 	}
-	d := timedDelta{ServersDelta: egretflow.ServersDelta{Before: before, After: s.fingerprint}, at: now}
+	d := timedDelta{ServersDelta: egretflow.ServersDelta{Revision: s.readRevision}, at: now}
 	for _, c := range changes {
 		if entry, ok := s.servers[c.server]; ok {
 			d.Changed = append(d.Changed, entry)
@@ -61,28 +63,26 @@
 	s.deltas = append(s.deltas, d)
 }
 
-// follow applies the deltas of a peer that begin at the known servers and returns
-// what changed.
-func (s *state) follow(deltas []egretflow.ServersDelta, now time.Time) []change {
-	var changes []change
-	for _, d := range deltas {
-		if d.Before != s.fingerprint || d.Before == d.After {
+// follow applies what a peer tells that changed since the own reading, and returns
+// it. It does nothing when that does not lead to the servers that the peer knows.
+func (s *state) follow(c *egretflow.Confirmation, now time.Time) []change {
+	entries := maps.Clone(s.servers)
+	for _, d := range c.Deltas {
+		if d.Revision <= s.readRevision {
 			continue
 		}
-		entries := maps.Clone(s.servers)
 		for _, e := range d.Changed {
 			entries[e.Server.Name] = e
 		}
 		for _, name := range d.Removed {
 			delete(entries, name)
 		}
-		if fingerprint(entries) != d.After {
-			return changes
-		}
-		s.graceUntil = time.Time{}
-		changes = append(changes, s.replace(slices.Collect(maps.Values(entries)), now)...)
 	}
-	return changes
+	if fingerprint(entries) != c.Servers {
+		return nil
+	}
+	s.graceUntil = time.Time{}
+	return s.replace(egretflow.ServerList{Entries: slices.Collect(maps.Values(entries)), Revision: c.Revision}, now)
 }
 
 // configure takes a configuration and reports whether it is newer (rule 1).
@@ -110,14 +110,14 @@
 }
 
 // replace takes a reading of the servers and returns what changed.
-func (s *state) replace(entries []egretflow.ServerEntry, now time.Time) []change {
+func (s *state) replace(list egretflow.ServerList, now time.Time) []change {
 	if !s.reachable && s.everRead {
 		s.graceUntil = now.Add(ReturnGrace)
 	}
 	s.reachable, s.everRead = true, true
-	next := make(map[egretflow.ServerName]egretflow.ServerEntry, len(entries))
+	next := make(map[egretflow.ServerName]egretflow.ServerEntry, len(list.Entries))
 	var changes []change
-	for _, e := range entries {
+	for _, e := range list.Entries {
 		next[e.Server.Name] = e
 		old, known := s.servers[e.Server.Name]
 		switch {
@@ -139,9 +139,8 @@
 		}
 		changes = append(changes, change{egretflow.EventServerGone, name, old.Pool})
 	}
-	before := s.fingerprint
-	s.servers, s.fingerprint = next, fingerprint(next)
-	s.noteDelta(before, changes, now)
+	s.servers, s.fingerprint, s.readRevision = next, fingerprint(next), list.Revision
+	s.noteDelta(changes, now)
 	slices.SortFunc(changes, func(a, b change) int { return strings.Compare(string(a.server), string(b.server)) })
 	return changes
 }
