--- a/cmd/egretctl/explain.go
+++ b/cmd/egretctl/explain.go
@@ -55,7 +55,7 @@
 		if err != nil {
 			return fmt.Errorf("open log: %w", err)
 		}
-		defer file.Close()
+		defer func() { _ = file.Close() }()
 		files = append(files, file)
 	}
 	found, err := explainer.Investigate(c.ID, files)
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -87,7 +87,9 @@
 	if err := <-done; err != nil {
 		t.Fatal(err)
 	}
-	w.Close()
+	if err := w.Close(); err != nil {
+		t.Fatal(err)
+	}
 	told := false
 	for line := range lines {
 		told = told || strings.Contains(line, "event=LinesDropped Level=info Lines=5")
--- a/frontend/drain_test.go
+++ b/frontend/drain_test.go
@@ -82,7 +82,13 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- f.Serve(ctx, ln) }()
-	t.Cleanup(func() { cancel(); <-done; rel.Close() })
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Errorf("serve: %v", err)
+		}
+		rel.Close()
+	})
 	return ln.Addr().String(), cancel
 }
 
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -77,7 +77,7 @@
 // confirmed is a confirmation with its age, because the clocks of instances
 // differ; the age is negative without one.
 type confirmed struct {
-	_       struct{} `cbor:",toarray"`
+	_        struct{} `cbor:",toarray"`
 	Servers  uint64
 	Revision int64
 	Version  uint64
