registrar: peers that could read end the time in which entries may return

Cause: an instance that could not read the platform for some seconds keeps missing servers for 2.2 s after its return. Change: while entries are kept the revision does not count as known, and a peer that knows exactly what was read ends that time.

--- a/registrar/doc.go
+++ b/registrar/doc.go
@@ -15,7 +15,8 @@
 //     as leaving, or no longer registered, takes no new work from then on (I6).
 //  3. While the platform cannot be read, the last tables stay in force. Entries
 //     may have expired meanwhile although their servers live; a server that is
-//     missing after the outage stays until ReturnGrace has passed.
+//     missing after the outage stays until ReturnGrace has passed, or until a
+//     peer knows exactly the servers that were read.
 //  4. Before the first configuration there are no tables.
 //  5. In a fleet the first instance in rank reads for all and tells the others a
 //     fingerprint of the servers and the version of the configuration. Another
--- a/registrar/reading.go
+++ b/registrar/reading.go
@@ -114,6 +114,9 @@
 // hearServers takes what a peer knows of the servers. What is older than the own
 // knowledge says nothing. The caller holds mu.
 func (r *Registrar) hearServers(c *egretflow.Confirmation) {
+	if changes := r.state.agree(c.Servers, r.cfg.Clock()); len(changes) > 0 {
+		r.took(changes)
+	}
 	newer := c.Revision > r.state.readRevision
 	if newer && r.state.everRead && c.Servers != r.state.fingerprint {
 		if changes := r.state.follow(c, r.cfg.Clock()); len(changes) > 0 {
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -97,7 +97,7 @@
 	}
 }
 
-func start(t *testing.T, d *directory, rank func() int) *registrar.Registrar {
+func start(t *testing.T, d egretflow.Directory, rank func() int) *registrar.Registrar {
 	r := registrar.New(registrar.Config{Instance: "i", Directory: d, Clock: time.Now, Recorder: discard{}, Rank: rank})
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
@@ -192,12 +192,30 @@
 	})
 }
 
+// cutDirectory is a directory that one instance may not reach.
+type cutDirectory struct {
+	*directory
+	cut atomic.Bool
+}
+
+func (d *cutDirectory) Servers(ctx context.Context) (egretflow.ServerList, error) {
+	if d.cut.Load() {
+		return egretflow.ServerList{}, egretflow.ErrUnavailable
+	}
+	return d.directory.Servers(ctx)
+}
+
 // fleet joins registrars as messages do: every 50 ms each hears the others.
 func fleet(t *testing.T, d *directory, n int, cut func(from, to int) bool) []*registrar.Registrar {
 	members := make([]*registrar.Registrar, n)
 	for rank := range n {
 		members[rank] = start(t, d, func() int { return rank })
 	}
+	join(t, members, cut)
+	return members
+}
+
+func join(t *testing.T, members []*registrar.Registrar, cut func(from, to int) bool) {
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	t.Cleanup(func() { cancel(); <-done })
@@ -219,7 +237,6 @@
 			}
 		}
 	}()
-	return members
 }
 
 // Guards against a fleet in which each instance reads for itself, and against
@@ -340,3 +357,35 @@
 		}
 	})
 }
+
+// Guards against an instance that keeps servers for long after it could not read
+// the platform for a while, although its peers could all the time and tell what
+// left.
+func TestPeersEndTheGrace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDirectory()
+		d.config = configuration(1)
+		d.servers = []egretflow.ServerEntry{server(1), server(2), server(3)}
+		lonely := &cutDirectory{directory: d}
+		var apart atomic.Bool
+		members := []*registrar.Registrar{start(t, d, nil), start(t, lonely, func() int { return 1 })}
+		join(t, members, func(int, int) bool { return apart.Load() })
+		time.Sleep(2 * time.Second)
+		lonely.cut.Store(true)
+		apart.Store(true)
+		time.Sleep(4 * time.Second)
+		d.set(func(d *directory) { d.servers = []egretflow.ServerEntry{server(2), server(3)} })
+		time.Sleep(time.Second)
+		lonely.cut.Store(false)
+		apart.Store(false)
+		time.Sleep(time.Second)
+		if members[1].TakesWork("s1") {
+			t.Error("a server that left meanwhile takes work 1 s after the return")
+		}
+		d.set(func(d *directory) { d.servers = []egretflow.ServerEntry{server(3)} })
+		time.Sleep(time.Second)
+		if members[1].TakesWork("s2") || !members[1].TakesWork("s3") {
+			t.Error("a change 1 s after the return is not known 1 s later")
+		}
+	})
+}
--- a/registrar/state.go
+++ b/registrar/state.go
@@ -24,6 +24,10 @@
 	reachable  bool
 	everRead   bool
 	graceUntil time.Time
+	// last is the newest reading and lastFingerprint identifies it; servers holds
+	// more while entries may return.
+	last            egretflow.ServerList
+	lastFingerprint uint64
 }
 
 // change is one difference between two readings.
@@ -85,6 +89,16 @@
 	return s.replace(egretflow.ServerList{Entries: slices.Collect(maps.Values(entries)), Revision: c.Revision}, now)
 }
 
+// agree ends the time in which entries may return, when a peer knows exactly the
+// servers of the own newest reading, and returns what changed.
+func (s *state) agree(servers uint64, now time.Time) []change {
+	if servers != s.lastFingerprint || servers == s.fingerprint {
+		return nil
+	}
+	s.graceUntil = time.Time{}
+	return s.replace(s.last, now)
+}
+
 // configure takes a configuration and reports whether it is newer (rule 1).
 func (s *state) configure(c *egretflow.Configuration) bool {
 	if s.configuration != nil && c.Version <= s.configuration.Version {
@@ -115,6 +129,7 @@
 		s.graceUntil = now.Add(ReturnGrace)
 	}
 	s.reachable, s.everRead = true, true
+	s.last = list
 	next := make(map[egretflow.ServerName]egretflow.ServerEntry, len(list.Entries))
 	var changes []change
 	for _, e := range list.Entries {
@@ -129,17 +144,23 @@
 			changes = append(changes, change{egretflow.EventServerChanged, e.Server.Name, e.Pool})
 		}
 	}
+	s.lastFingerprint = fingerprint(next)
+	kept := false
 	for name, old := range s.servers {
 		if _, ok := next[name]; ok {
 			continue
 		}
 		if now.Before(s.graceUntil) {
-			next[name] = old
+			next[name], kept = old, true
 			continue
 		}
 		changes = append(changes, change{egretflow.EventServerGone, name, old.Pool})
 	}
-	s.servers, s.fingerprint, s.readRevision = next, fingerprint(next), list.Revision
+	s.servers, s.fingerprint = next, fingerprint(next)
+	if !kept {
+		// Otherwise peers may know better.
+		s.readRevision = list.Revision
+	}
 	s.noteDelta(changes, now)
 	slices.SortFunc(changes, func(a, b change) int { return strings.Compare(string(a.server), string(b.server)) })
 	return changes
