--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -16,6 +16,14 @@
 
 var noon = time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
 
+// lineLogger writes lines as an instance does.
+func lineLogger(w io.Writer) *logrus.Logger {
+	logger := logrus.New()
+	logger.SetOutput(w)
+	logger.SetFormatter(Formatter{})
+	return logger
+}
+
 // TestRingIsBounded guards against memory that grows with the number of events.
 func TestRingIsBounded(t *testing.T) {
 	x := New(10, nil)
@@ -34,10 +42,7 @@
 // TestLine guards against values of callers that forge keys or lines of the log.
 func TestLine(t *testing.T) {
 	var out bytes.Buffer
-	logger := logrus.New()
-	logger.SetOutput(&out)
-	logger.SetFormatter(Formatter{})
-	x := New(10, logger)
+	x := New(10, lineLogger(&out))
 	x.Record(egretflow.Event{
 		Name: egretflow.EventRefused, At: noon, Instance: "entry-1", Request: "r1",
 		Fields: []egretflow.EventField{{Key: "error", Value: "a b\nlevel=info x=\"y\""}, {Key: "status", Value: "400"}},
@@ -57,10 +62,7 @@
 // and holds requests by it, and against lines that are lost without a word.
 func TestRecordDoesNotBlock(t *testing.T) {
 	r, w := io.Pipe()
-	logger := logrus.New()
-	logger.SetOutput(w)
-	logger.SetFormatter(Formatter{})
-	x := New(10, logger)
+	x := New(10, lineLogger(w))
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- x.Run(ctx) }()
@@ -103,10 +105,7 @@
 // against requests that crowd out warnings.
 func TestLinesPerSecond(t *testing.T) {
 	var out bytes.Buffer
-	logger := logrus.New()
-	logger.SetOutput(&out)
-	logger.SetFormatter(Formatter{})
-	x := New(10, logger)
+	x := New(10, lineLogger(&out))
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	for second := range 3 {
