--- a/registrar/doc.go
+++ b/registrar/doc.go
@@ -19,7 +19,10 @@
 //     peer knows exactly the servers that were read.
 //  4. Before the first configuration there are no tables.
 //  5. In a fleet the first instance in rank reads for all and tells the others a
-//     fingerprint of the servers and the version of the configuration. Another
-//     instance reads when it is told of something that it does not know, or when
-//     nobody has confirmed what it knows for some time, in order of rank.
+//     fingerprint of the servers, what changed lately, and the version of the
+//     configuration. Another instance applies the changes; it reads when they do
+//     not lead to the same servers, or when nobody has confirmed what it knows for
+//     some time, in order of rank.
+//  6. Readings are ordered by the revision of the platform's store. What is told or
+//     read of a lower revision than the known one is ignored.
 package registrar
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -113,14 +113,14 @@
 
 func (r *Registrar) followServers(ctx context.Context) {
 	for ctx.Err() == nil {
-		startedAt, confirmed := r.cfg.Clock(), r.confirmed()
+		startedAt, follows := r.cfg.Clock(), r.followsPeer()
 		list, err := r.cfg.Directory.Servers(ctx)
 		if err != nil {
 			r.serversFailed(ctx, startedAt, err)
 		} else {
 			r.takeServers(list, startedAt)
 			r.tell()
-			if !confirmed {
+			if !follows {
 				r.readConfigurationToo()
 			}
 		}
@@ -128,9 +128,9 @@
 	}
 }
 
-// confirmed reports whether peers tell what they read, so that an own reading only
-// follows a difference.
-func (r *Registrar) confirmed() bool {
+// followsPeer reports whether the next reading only follows what a peer has read,
+// which confirms the configuration as well.
+func (r *Registrar) followsPeer() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.mismatch()
