scheduler: withhold engines that cannot be reached, and tell peers

Cause: after a crash the memory of an engine looks free, so when the others are full every request tries it first. Each of 60 instances learned of each lost engine by itself. Change: an engine that refuses a connection takes no work for 1 s, one whose address another engine has for 4 s, and peers are told at once; a silent one is withheld by the instance alone.

--- a/assembler/forwarding.go
+++ b/assembler/forwarding.go
@@ -90,7 +90,7 @@
 	f.scheduler = scheduler.New(scheduler.Config{
 		Instance: name, Clock: cfg.Clock, Rand: cfg.newRand(), Recorder: cfg.Explainer, Checker: check,
 		Sharing: picker.SharingPeers, Policy: cfg.Policy,
-		SharedRetries: &scheduler.SharedRetries{Shared: cfg.Retries, Instances: f.instances},
+		SharedRetries: &scheduler.SharedRetries{Shared: cfg.Retries, Instances: f.instances}, Lost: f.tellLoss,
 	})
 	f.relayer = relayer.New(relayer.Config{
 		Instance: name, Scheduler: f.scheduler, Recorder: cfg.Explainer, Checker: check, Clock: cfg.Clock,
@@ -133,6 +133,13 @@
 	return state
 }
 
+// tellLoss lets the peers know soon which server was lost.
+func (f *Forwarding) tellLoss() {
+	if f.gossiper != nil {
+		f.gossiper.Tell()
+	}
+}
+
 // fewestInstances is assumed until the peers are known.
 const fewestInstances = 8
 
--- a/decision.go
+++ b/decision.go
@@ -115,9 +115,11 @@
 	ObservationFailed       ObservationKind = "Failed"
 	ObservationCrashed      ObservationKind = "Crashed"
 	ObservationSilent       ObservationKind = "Silent"
-	ObservationRefused      ObservationKind = "Refused"
-	ObservationLoad         ObservationKind = "Load"
-	ObservationCache        ObservationKind = "Cache"
+	// ObservationReplaced: another server answered at the address.
+	ObservationReplaced ObservationKind = "Replaced"
+	ObservationRefused  ObservationKind = "Refused"
+	ObservationLoad     ObservationKind = "Load"
+	ObservationCache    ObservationKind = "Cache"
 )
 
 // Observation is what one attempt, or a load report, showed of a server.
--- a/event.go
+++ b/event.go
@@ -32,6 +32,7 @@
 	EventServerChanged       EventName = "ServerChanged"
 	EventServerLeaving       EventName = "ServerLeaving"
 	EventServerGone          EventName = "ServerGone"
+	EventServerLost          EventName = "ServerLost"
 	EventGossipFailed        EventName = "GossipFailed"
 	EventRegistrationFailed  EventName = "RegistrationFailed"
 	EventMemberJoined        EventName = "MemberJoined"
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -129,7 +129,8 @@
 	return len(g.peers)
 }
 
-// Tell sends a message soon if this instance reads for all.
+// Tell sends a message soon if the own use has changed or if this instance reads
+// for all.
 func (g *Gossiper) Tell() {
 	select {
 	case g.news <- struct{}{}:
@@ -192,6 +193,7 @@
 		case <-ctx.Done():
 			return
 		case <-g.news:
+			time.Sleep(SendInterval - g.cfg.Clock().Sub(sentAt))
 			told = g.greet.Swap(false) || g.Rank() == 0
 		case <-time.After(interval):
 		}
--- a/peer.go
+++ b/peer.go
@@ -54,6 +54,18 @@
 	Queues   []Queue
 	// Changing lists servers that the sender has ordered to change their role.
 	Changing []ServerName
+	// Lost lists servers whose process the sender found gone.
+	Lost []LostServer
+}
+
+// LostServer is a backend server that refuses connections, or whose address
+// another one has.
+type LostServer struct {
+	_      struct{} `cbor:",toarray"`
+	Server ServerName
+	// LeftMS is the time in milliseconds until the server is tried again. It is a
+	// rest, because the clocks of instances differ.
+	LeftMS int64
 }
 
 // Grant gives a holder slots of one server until a deadline.
--- a/relayer/failure.go
+++ b/relayer/failure.go
@@ -72,7 +72,7 @@
 var observationOf = map[failureKind]egretflow.ObservationKind{
 	failureRefused:  egretflow.ObservationRefused,
 	failureFull:     egretflow.ObservationRefused,
-	failureGone:     egretflow.ObservationSilent,
+	failureGone:     egretflow.ObservationReplaced,
 	failureBroken:   egretflow.ObservationFailed,
 	failureCrashed:  egretflow.ObservationCrashed,
 	failureStalled:  egretflow.ObservationSilent,
--- a/scheduler/exchange.go
+++ b/scheduler/exchange.go
@@ -38,7 +38,8 @@
 	for _, p := range t.order {
 		p.picker.Servers(func(s *picker.Server) {
 			_, changing := t.changing[s.Spec.Name]
-			p.picker.SetUnavailable(s, t.unavailable[s.Spec.Name] || changing, t.now)
+			_, lost := t.lost[s.Spec.Name]
+			p.picker.SetUnavailable(s, t.unavailable[s.Spec.Name] || changing || lost, t.now)
 		})
 	}
 }
--- a/scheduler/observe.go
+++ b/scheduler/observe.go
@@ -24,6 +24,7 @@
 		return
 	}
 	a := t.attempts[o.Attempt]
+	t.lose(p, s, o)
 	switch o.Kind {
 	case egretflow.ObservationPrefillDone:
 		t.prefillDone(p, s, a, o)
@@ -41,7 +42,7 @@
 			t.crashed(s, a)
 		}
 		t.change(s, s.Speed.Fail(t.now))
-	case egretflow.ObservationFailed, egretflow.ObservationSilent:
+	case egretflow.ObservationFailed, egretflow.ObservationSilent, egretflow.ObservationReplaced:
 		t.change(s, s.Speed.Fail(t.now))
 	case egretflow.ObservationRefused:
 		p.picker.Pause(s, t.now)
--- a/scheduler/prefillload.go
+++ b/scheduler/prefillload.go
@@ -44,6 +44,7 @@
 		}
 	}
 	slices.Sort(l.Changing)
+	l.Lost = t.ownLosses(now)
 	return l
 }
 
@@ -60,6 +61,7 @@
 	for _, name := range l.Changing {
 		t.withhold(name, t.now.Add(queueLifetime))
 	}
+	t.hearLosses(l.Lost)
 }
 
 // waitingAtPeers returns the prompt tokens that wait at peers and are served
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -26,6 +26,9 @@
 	Policy picker.Policy
 	// SharedRetries, if set, replaces the retry budgets of the routes.
 	SharedRetries *SharedRetries
+	// Lost, if set, is called when a server is found gone that peers do not know of
+	// yet. It must not block.
+	Lost func()
 	// MaxStreams bounds the open streams of one caller on a route that names no
 	// bound; 0 means DefaultMaxStreams.
 	MaxStreams int
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -75,6 +75,8 @@
 	unavailable map[egretflow.ServerName]bool
 	// changing holds the servers that change their role, until when.
 	changing map[egretflow.ServerName]time.Time
+	// lost holds the engines that cannot be reached.
+	lost map[egretflow.ServerName]lostServer
 	// sharedAt is when the shared budgets were last adapted.
 	sharedAt time.Time
 	// rotation moves demand between servers that are otherwise equal.
@@ -94,6 +96,7 @@
 		isolated:    map[uint64]bool{},
 		unavailable: map[egretflow.ServerName]bool{},
 		changing:    map[egretflow.ServerName]time.Time{},
+		lost:        map[egretflow.ServerName]lostServer{},
 	}
 }
 
@@ -156,6 +159,7 @@
 func (t *task) tick() {
 	t.checkOverdue()
 	t.endChanges()
+	t.endLosses()
 	t.shareBudgets()
 	for _, p := range t.order {
 		t.shed(p)
