limiter: count the shared retry budget over a sliding window

Change: SharedBudget counts requests and extra attempts of the last window; the part of the slack grows over the first window after a start. Tests: TestSharedBudget, TestSharedBudgetHoldsInEachWindow.

--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -3,7 +3,7 @@
 // # Usage
 //
 //	retries := limiter.NewBudget(limiter.BudgetConfig{Percent: 10, FloorPerSecond: limiter.RetryFloorPerSecond}, now)
-//	retries.Earn() // once per first attempt
+//	retries.Earn(now) // once per first attempt
 //	if !retries.Spend(now) {
 //		return refusal
 //	}
@@ -13,7 +13,10 @@
 //  1. A budget earns Percent/100 of an attempt per first attempt, plus
 //     FloorPerSecond per second, and holds at most Burst attempts. During an
 //     outage extra load therefore stays at Percent of the requests.
-//  2. A stream counts against the limit of its caller and route from the moment
+//  2. A SharedBudget is an equal part of what a fleet may spend in any window. It
+//     counts the window exactly, so that a part that was not used early in the
+//     window can be spent at once when servers fail.
+//  3. A stream counts against the limit of its caller and route from the moment
 //     it is queued until it is released.
 package limiter
 
@@ -53,27 +56,6 @@
 	return Burst
 }
 
-// Shared is a budget that a fleet shares without messages between its instances:
-// in each Window the extra attempts stay below Ratio of the requests plus Slack.
-type Shared struct {
-	Ratio  float64
-	Slack  float64
-	Window time.Duration
-}
-
-// Part is the part of one of the given number of instances.
-func (s Shared) Part(instances int) BudgetConfig {
-	own := s.Slack / float64(max(1, instances))
-	return BudgetConfig{
-		Percent:        int(100 * s.Ratio),
-		FloorPerSecond: (1 - burstShare) * own / s.Window.Seconds(),
-		Burst:          max(1, burstShare*own),
-	}
-}
-
-// burstShare of an instance's part may be spent at once, the rest over time.
-const burstShare = 0.9
-
 // Budget is a token bucket filled by requests.
 type Budget struct {
 	cfg      BudgetConfig
@@ -86,17 +68,11 @@
 	return &Budget{cfg: cfg, tokens: cfg.FloorPerSecond, filledAt: now}
 }
 
-// SetConfig changes the settings and keeps what was earned.
-func (b *Budget) SetConfig(cfg BudgetConfig) { b.cfg = cfg }
-
-// Left returns the attempts that may be spent now.
-func (b *Budget) Left() float64 { return b.tokens }
-
 // SetPercent changes the share of extra attempts.
 func (b *Budget) SetPercent(percent int) { b.cfg.Percent = percent }
 
 // Earn adds the share of one first attempt.
-func (b *Budget) Earn() {
+func (b *Budget) Earn(time.Time) {
 	b.tokens = min(b.cfg.burst(), b.tokens+float64(b.cfg.Percent)/100)
 }
 
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -28,7 +28,7 @@
 			spent := 0
 			for second := range test.seconds {
 				for range test.requests / test.seconds {
-					b.Earn()
+					b.Earn(start)
 				}
 				for b.Spend(start.Add(time.Duration(second+1) * time.Second)) {
 					spent++
@@ -45,7 +45,7 @@
 func TestBudgetIsBounded(t *testing.T) {
 	b := NewBudget(BudgetConfig{Percent: 100, FloorPerSecond: 1}, time.Unix(0, 0))
 	for range 1000 {
-		b.Earn()
+		b.Earn(time.Unix(0, 0))
 	}
 	spent := 0
 	for b.Spend(time.Unix(3600, 0)) {
@@ -70,3 +70,68 @@
 		t.Errorf("%d callers kept after their streams closed", len(s.open))
 	}
 }
+
+// Guards against an instance that spends more than its part in some window, and
+// against one that loses what it did not spend early: when a server fails, all
+// its requests need another attempt at the same time.
+func TestSharedBudget(t *testing.T) {
+	shared := Shared{Ratio: 0.2, Slack: 40, Window: 10 * time.Second}
+	start := time.Unix(1000, 0)
+	tests := []struct {
+		name      string
+		age       time.Duration
+		perSecond int
+		failAt    time.Duration
+		want      int
+	}{
+		{"all at once after a calm window", time.Minute, 10, 20 * time.Second, 30},
+		{"few requests", time.Minute, 1, 20 * time.Second, 12},
+		{"just started", 0, 10, time.Second, 3},
+		{"started half a window ago", 0, 10, 5 * time.Second, 15},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := NewSharedBudget(shared, 4, start.Add(-test.age))
+			for n := range int(test.failAt.Seconds()) * test.perSecond {
+				b.Earn(start.Add(time.Duration(n) * time.Second / time.Duration(test.perSecond)))
+			}
+			spent := 0
+			for b.Spend(start.Add(test.failAt)) {
+				spent++
+			}
+			if spent > test.want || spent < test.want-2 {
+				t.Errorf("spent %d attempts at once, want %d", spent, test.want)
+			}
+		})
+	}
+}
+
+// Guards against a window that is exceeded because it does not begin where the
+// counted spans begin.
+func TestSharedBudgetHoldsInEachWindow(t *testing.T) {
+	shared := Shared{Ratio: 0.1, Slack: 20, Window: 10 * time.Second}
+	start := time.Unix(1000, 0)
+	b := NewSharedBudget(shared, 2, start.Add(-time.Minute))
+	const step = 70 * time.Millisecond
+	var spent []time.Duration
+	requests := 0
+	for at := time.Duration(0); at < time.Minute; at += step {
+		b.Earn(start.Add(at))
+		requests++
+		if b.Spend(start.Add(at)) {
+			spent = append(spent, at)
+		}
+	}
+	most := int(shared.Ratio*float64(shared.Window/step) + shared.Slack/2)
+	for n, from := range spent {
+		in := 0
+		for _, at := range spent[n:] {
+			if at-from < shared.Window {
+				in++
+			}
+		}
+		if in > most+1 {
+			t.Errorf("%d extra attempts in the window from %v, want at most %d", in, from, most)
+		}
+	}
+}
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -91,8 +91,8 @@
 		t.refuse(w, http.StatusTooManyRequests, egretflow.RefusalTooManyStreams, "too many open streams", admitter.Verdict{})
 		return false
 	}
-	t.retries(work, r).Earn()
-	r.hedges.Earn()
+	t.retries(work, r).Earn(t.now)
+	r.hedges.Earn(t.now)
 	return true
 }
 
--- a/scheduler/budget.go
+++ b/scheduler/budget.go
@@ -19,17 +19,21 @@
 	Instances func() int
 }
 
-func (s *SharedRetries) part() limiter.BudgetConfig { return s.Part(s.Instances()) }
+// retryBudget pays for attempts after the first.
+type retryBudget interface {
+	Earn(now time.Time)
+	Spend(now time.Time) bool
+}
 
 // retries returns the budget that pays for another attempt of work: that of its
 // pool when the fleet shares one, otherwise that of its route.
-func (t *task) retries(work *egretflow.Work, r *route) *limiter.Budget {
+func (t *task) retries(work *egretflow.Work, r *route) retryBudget {
 	p, ok := t.pools[work.Pool]
 	if t.cfg.SharedRetries == nil || !ok {
 		return r.retries
 	}
 	if p.retries == nil {
-		p.retries = limiter.NewBudget(t.cfg.SharedRetries.part(), t.now)
+		p.retries = limiter.NewSharedBudget(t.cfg.SharedRetries.Shared, t.cfg.SharedRetries.Instances(), t.startedAt)
 	}
 	return p.retries
 }
@@ -40,10 +44,10 @@
 		return
 	}
 	t.sharedAt = t.now
-	part := t.cfg.SharedRetries.part()
+	instances := t.cfg.SharedRetries.Instances()
 	for _, p := range t.order {
 		if p.retries != nil {
-			p.retries.SetConfig(part)
+			p.retries.SetInstances(instances)
 		}
 	}
 }
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -19,7 +19,7 @@
 		status := egretflow.PoolStatus{Name: p.picker.Name(), Queued: p.queue.Len() + len(p.fifo), QueuedLate: p.late.Len()}
 		p.picker.Status(&status, t.now)
 		if p.retries != nil {
-			status.RetriesLeft = p.retries.Left()
+			status.RetriesLeft = p.retries.Left(t.now)
 		}
 		list = append(list, status)
 	}
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -41,7 +41,7 @@
 	totalsAt time.Time
 	prefill  admitter.Prefill
 	// retries is the budget of the pool when a fleet shares one.
-	retries *limiter.Budget
+	retries *limiter.SharedBudget
 	// peerQueues holds the queues that peers have named.
 	peerQueues map[egretflow.InstanceName]peerQueue
 	// blocked is the head of the queue that did not fit last.
@@ -59,13 +59,14 @@
 
 // task holds the state of a Scheduler. Only the goroutine of Run touches it.
 type task struct {
-	cfg      Config
-	now      time.Time
-	pools    map[egretflow.PoolName]*pool
-	order    []*pool
-	poolOf   map[egretflow.ServerName]*pool
-	routes   map[egretflow.RouteName]*route
-	attempts map[egretflow.AttemptID]*attempt
+	cfg       Config
+	now       time.Time
+	startedAt time.Time
+	pools     map[egretflow.PoolName]*pool
+	order     []*pool
+	poolOf    map[egretflow.ServerName]*pool
+	routes    map[egretflow.RouteName]*route
+	attempts  map[egretflow.AttemptID]*attempt
 	// prefills lists the running attempts by start; finished ones leave at the
 	// next tick.
 	prefills    []*attempt
@@ -87,6 +88,7 @@
 	return &task{
 		cfg:         cfg,
 		now:         cfg.Clock(),
+		startedAt:   cfg.Clock(),
 		pools:       map[egretflow.PoolName]*pool{},
 		poolOf:      map[egretflow.ServerName]*pool{},
 		routes:      map[egretflow.RouteName]*route{},
