picker: a prompt that was not computed is not cached

Cause: the prefix of a placement was noted when it was reserved. When the decode engine then had no room, the next try expected most of the prompt in the cache of the same prefill server: 2,048 of 2,226 tokens in a log line. Change: an attempt that ends before its prompt is computed takes its prefix back; the mean prompt counts computed ones; prompts whose time is mostly that of the call do not teach the rate; the first observations weigh equally.

--- a/picker/pick.go
+++ b/picker/pick.go
@@ -74,9 +74,12 @@
 	Candidates int
 
 	startedAt time.Time
-	isolated  bool
-	matched   int
-	tokens    float64
+	// prefix was placed in the index of prefixes at placedAt.
+	prefix   []egretflow.PrefixHash
+	placedAt time.Time
+	isolated bool
+	matched  int
+	tokens   float64
 	// backlog is the time in seconds until the prefill was expected to start.
 	backlog float64
 	// slack is the time in seconds that a prompt of another instance may take
--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -241,3 +241,61 @@
 		t.Errorf("a prefill of 6 tokens in 4 ms has ratio %.2f, %t, want at most %.1f", ratio, ok, estimator.SuspectRatio)
 	}
 }
+
+// Guards against prompts that count as cached although no server computed them:
+// the next try then expects a short prefill, and peers are told of one, so that
+// prefill servers get more work than they are counted with.
+func TestPromptThatWasNotComputedIsNotCached(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		computed bool
+		want     int
+	}{
+		{"released before the prefill", false, 0},
+		{"computed", true, 2048},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			p, _ := testPool(2, 1, nil)
+			w := testWork(3000, 1, 2, 3, 4, 5, 6, 7, 8)
+			pl := mustPick(t, p, w, Options{})
+			p.Reserve(&pl, w, start)
+			if test.computed {
+				p.Computed(&pl)
+				p.FinishPrefill(&pl, start)
+			}
+			p.ReleaseAll(&pl, start)
+			if got := mustPick(t, p, w, Options{}).CachedTokens; got != test.want {
+				t.Errorf("%d tokens are expected in the cache, want %d", got, test.want)
+			}
+		})
+	}
+}
+
+// Guards against a wrong division of the roles: tries that computed nothing, and
+// prompts whose time is mostly that of the call, made prefill servers look three
+// times as fast as they are.
+func TestLearnedRatesFollowComputedPrompts(t *testing.T) {
+	const rate = 33_000 // tokens/s
+	p, table := testPool(2, 2, func(s *egretflow.Server) { s.PrefillTokensPerSecond = 0 })
+	p.sharing = SharingPeers
+	p.Apply(table, start)
+	for n := range 60 {
+		tokens := []int{200, 3000, 6000}[n%3]
+		w := testWork(tokens, egretflow.PrefixHash(n))
+		for range 3 {
+			refused := mustPick(t, p, w, Options{})
+			p.Reserve(&refused, w, start)
+			p.ReleaseAll(&refused, start)
+		}
+		pl := mustPick(t, p, w, Options{})
+		p.Reserve(&pl, w, start)
+		p.Computed(&pl)
+		const overhead = 5 * time.Millisecond
+		p.LearnPrefill(&pl, tokens, overhead+time.Duration(tokens)*time.Second/rate)
+		p.ReleaseAll(&pl, start)
+	}
+	got, _ := p.ServerRates(1, 1)
+	if want := rate / 3066.0; got < 0.8*want || got > 1.2*want {
+		t.Errorf("a prefill server serves %.1f requests/s by the rates, want %.1f", got, want)
+	}
+}
--- a/picker/pool.go
+++ b/picker/pool.go
@@ -26,6 +26,8 @@
 	// perPrefill is the mean of uncached tokens per prefill, perService the mean
 	// duration of a service call in seconds.
 	perPrefill float64
+	// prefills counts the computed prompts.
+	prefills int
 	perService float64
 	// outstanding is the sum over all servers.
 	outstanding float64
--- a/picker/prefix.go
+++ b/picker/prefix.go
@@ -175,6 +175,22 @@
 	}
 }
 
+// revoke drops s as holder of the chunks that were placed at the given time.
+func (x *prefixIndex) revoke(s *Server, prefix []egretflow.PrefixHash, at time.Time) {
+	for _, h := range prefix {
+		e, ok := x.get(h)
+		if !ok {
+			continue
+		}
+		for n := range e {
+			if e[n].server == s && e[n].at == at.UnixMilli() {
+				e[n] = holder{}
+				x.put(h, e)
+			}
+		}
+	}
+}
+
 // CacheEvent takes one event of the prefix cache of s.
 func (p *Pool) CacheEvent(s *Server, e *egretflow.CacheEvent, now time.Time) {
 	c := &s.cache
--- a/picker/reserve.go
+++ b/picker/reserve.go
@@ -41,10 +41,20 @@
 	if p.perPrefill == 0 {
 		p.perPrefill = pl.tokens
 	}
-	p.perPrefill += meanWeight * (pl.tokens - p.perPrefill)
+	pl.prefix, pl.placedAt = w.Prefix, now
 	p.prefixes.place(s, w.Prefix, now)
 }
 
+// Computed notes the prompt of a placement, which its server has computed.
+func (p *Pool) Computed(pl *Placement) {
+	p.prefills++
+	p.perPrefill += weightOf(p.prefills) * (pl.tokens - p.perPrefill)
+}
+
+// weightOf is the weight of the nth observation in a mean: equal ones at first,
+// then meanWeight.
+func weightOf(n int) float64 { return max(meanWeight, 1/float64(n)) }
+
 // compute changes the prompt tokens that s has to compute.
 func (p *Pool) compute(s *Server, tokens float64) {
 	s.outstanding = max(0, s.outstanding+tokens)
@@ -112,6 +122,10 @@
 	if !pl.heldPrefill {
 		return false
 	}
+	if pl.computing {
+		// The prompt was not computed, so the server does not hold it.
+		p.prefixes.revoke(pl.Prefill, pl.prefix, pl.placedAt)
+	}
 	p.FinishPrefill(pl, now)
 	pl.heldPrefill = false
 	if pl.isolated {
--- a/picker/sharing.go
+++ b/picker/sharing.go
@@ -27,6 +27,9 @@
 	// server, so lower observations weigh less.
 	fasterWeight = 0.3
 	slowerWeight = 0.02
+	// minComputing is the least time of a prefill that shows the rate, as a multiple
+	// of callOverhead, which is an estimate.
+	minComputing = 3
 )
 
 // learned holds the nominal values of a pool whose tables name none (rule 11).
@@ -42,7 +45,7 @@
 
 func (l *learned) observePrefill(tokens int, took time.Duration) {
 	computing := took.Seconds() - callOverhead
-	if tokens <= 0 || computing <= 0 {
+	if tokens <= 0 || computing < minComputing*callOverhead {
 		return
 	}
 	rate := float64(tokens) / computing
--- a/scheduler/observe.go
+++ b/scheduler/observe.go
@@ -69,6 +69,7 @@
 	if !computing(a, s) {
 		return
 	}
+	p.picker.Computed(&a.placement)
 	p.picker.LearnPrefill(&a.placement, o.Tokens, o.EndedAt.Sub(o.StartedAt))
 	if ratio, ok := a.placement.PrefillRatio(o.EndedAt.Sub(o.StartedAt), o.Tokens); ok {
 		t.change(s, s.Speed.Observe(ratio, t.now))
--- a/scheduler/rates.go
+++ b/scheduler/rates.go
@@ -76,9 +76,13 @@
 	if r.hold == 0 {
 		r.hold = hold
 	}
-	r.hold += holdWeight * (hold - r.hold)
+	r.hold += r.weight() * (hold - r.hold)
 }
 
+// weight is that of the newest finished request in a mean: equal weights at first,
+// then holdWeight.
+func (r *rates) weight() float64 { return max(holdWeight, 1/float64(max(1, r.finished))) }
+
 // end counts the slots of an attempt that ended. One that produced nothing does
 // not tell how long requests hold their slots.
 func (r *rates) end(now time.Time, slots int, held time.Duration, produced bool) {
@@ -91,11 +95,9 @@
 	if !r.measured {
 		r.measured, r.hold = true, 0
 	}
+	r.finished++
 	r.observeHold(max(held, time.Millisecond).Seconds())
-	if r.finished++; r.finished == 1 {
-		r.places = float64(slots)
-	}
-	r.places += holdWeight * (float64(slots) - r.places)
+	r.places += r.weight() * (float64(slots) - r.places)
 }
 
 // prefilled counts computed prompt tokens.
