scheduler: refuse at once what a full model pool cannot start in time

Cause: a request that could not meet its target waited up to 3 s behind the others. An engine's place is held for 3 to 4 s, so the wait was in vain. Change: a caller that was not refused before is refused at once, with a Retry-After of a fifth to a third of the time that it has left; one that returns waits as before. Tests: TestFullModelPoolRefusesAtOnce fails before; TestReturnedCallersWait.

--- a/decision.go
+++ b/decision.go
@@ -50,6 +50,8 @@
 	// Reacquired marks a further place for a request that has reached no server
 	// under the places before.
 	Reacquired bool
+	// Returned says that the caller was refused before.
+	Returned bool
 	// Retry marks an attempt after a failed one; it spends the retry budget.
 	Retry bool
 }
--- a/frontend/forward.go
+++ b/frontend/forward.go
@@ -155,7 +155,7 @@
 	work.PromptTokens, work.MaxTokens, work.ExpectedTokens = terms.PromptTokens, terms.MaxTokens, terms.ExpectedTokens
 	work.Prefix = terms.Prefix
 	waited := f.waiting.observe(route.Name, x.arrived, terms.Deadline)
-	work.FirstTokenBy = work.FirstTokenBy.Add(-waited)
+	work.FirstTokenBy, work.Returned = work.FirstTokenBy.Add(-waited), waited > 0
 	work.GiveUpBy = x.arrived.Add(time.Duration(giveUpShare * float64(route.Patience)))
 	if work.Deadline.Before(work.GiveUpBy) {
 		work.GiveUpBy = work.Deadline
--- a/picker/pool.go
+++ b/picker/pool.go
@@ -27,7 +27,7 @@
 	// duration of a service call in seconds.
 	perPrefill float64
 	// prefills counts the computed prompts.
-	prefills int
+	prefills   int
 	perService float64
 	// outstanding is the sum over all servers.
 	outstanding float64
--- a/rebalancer/plan.go
+++ b/rebalancer/plan.go
@@ -14,7 +14,7 @@
 	// toDecodeGain and toPrefillGain are the least ratios of what the pool would
 	// serve after a change, during which an engine is without use for seconds. One
 	// that leaves decode is for longer, because its streams run to their end first.
-	toDecodeGain  = 1.3
+	toDecodeGain  = 1.5
 	toPrefillGain = 2.0
 	// maxShare of the servers of a role may change at a time.
 	maxShare = 0.2
--- a/relayer/forward.go
+++ b/relayer/forward.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/admitter"
 	"github.com/egretflow/egretflow/connector"
 )
 
@@ -134,7 +135,21 @@
 func (f *forwarding) refusal(ctx context.Context, err error) error {
 	p := &progress{r: f.r, result: f.result}
 	p.mayHaveRun.Store(f.runs > 0)
-	return p.refusal(ctx, err)
+	err = p.refusal(ctx, err)
+	var refusal *egretflow.Refusal
+	if errors.As(err, &refusal) && f.returns(refusal) {
+		refusal.RetryAt = f.r.returnAt(f.call.Work)
+	}
+	return err
+}
+
+// returns reports whether the caller of a request that found no engine should
+// return after the crest.
+func (f *forwarding) returns(refusal *egretflow.Refusal) bool {
+	if refusal.Reason != egretflow.RefusalBackend || refusal.RunState != egretflow.RunStateNotRun {
+		return false
+	}
+	return f.call.Pool.Kind == egretflow.PoolKindModel && admitter.MayReturn(f.call.Work)
 }
 
 // attempt runs the call once.
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/admitter"
 	"github.com/egretflow/egretflow/connector"
 	"github.com/egretflow/egretflow/internal/openai"
 	"github.com/pkg/errors"
@@ -121,6 +122,13 @@
 
 func (r *Relayer) now() time.Time { return r.cfg.Clock() }
 
+// returnAt is when the caller of w should return after a refusal.
+func (r *Relayer) returnAt(w *egretflow.Work) time.Time {
+	r.randMu.Lock()
+	defer r.randMu.Unlock()
+	return admitter.ReturnAt(w, r.now(), r.cfg.Rand)
+}
+
 // jitter returns a duration between half of d and d.
 func (r *Relayer) jitter(d time.Duration) time.Duration {
 	r.randMu.Lock()
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -320,6 +320,9 @@
 // retryAt is when the backlog is expected to be short enough, with jitter so
 // that refused callers do not come back together.
 func (t *task) retryAt(work *egretflow.Work, v admitter.Verdict) time.Time {
+	if p, ok := t.pools[work.Pool]; ok && !v.FirstTokenAt.IsZero() && p.returns(work) {
+		return admitter.ReturnAt(work, t.now, t.cfg.Rand)
+	}
 	after := minRetryAfter
 	switch {
 	case v.FirstTokenAt.IsZero() || work.FirstTokenBy.IsZero():
--- a/scheduler/late.go
+++ b/scheduler/late.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/egretflow/egretflow"
 	"github.com/egretflow/egretflow/admitter"
 )
 
@@ -16,9 +17,11 @@
 
 // postpone queues a request that misses its target behind those that can still
 // meet theirs, if its caller waits long enough, and refuses it otherwise. A
-// request that is served ahead of its turn would only make another one late.
+// request that is served ahead of its turn would only make another one late. A
+// model pool that is full stays so for seconds, so a caller that may return after
+// them is refused at once instead of when it has waited in vain.
 func (t *task) postpone(w *waiter, v admitter.Verdict) {
-	if w.late || !w.work.GiveUpBy.After(t.now) {
+	if w.late || !w.work.GiveUpBy.After(t.now) || w.pool.returns(w.work) {
 		t.refuseLate(w, v)
 		return
 	}
@@ -35,6 +38,12 @@
 	}
 }
 
+// returns reports whether the caller of w, if the pool is full, should return
+// later instead of waiting.
+func (p *pool) returns(w *egretflow.Work) bool {
+	return p.picker.Kind() == egretflow.PoolKindModel && admitter.MayReturn(w)
+}
+
 // lateCapacity is the capacity that the requests in pool.late see: those that
 // can still meet their target go before them.
 func (t *task) lateCapacity(p *pool) admitter.Capacity {
--- a/scheduler/late_test.go
+++ b/scheduler/late_test.go
@@ -141,3 +141,49 @@
 	}
 	t.Fatal("no request was refused")
 }
+
+// fillModelPool asks for 80 places of a model pool that has 60 and returns the
+// refusals at arrival.
+func fillModelPool(t *testing.T, now time.Time, left time.Duration, returned bool) (refusals []*egretflow.Refusal) {
+	t.Helper()
+	s := peerStepper(t, &now)
+	for n := range 80 {
+		_, done, err := s.Acquire(&egretflow.Work{
+			Request: egretflow.RequestID(fmt.Sprint(n)), Route: "r", Pool: "letters", Importance: egretflow.ImportanceNormal,
+			PromptTokens: 3000, MaxTokens: 100, ArrivedAt: now, FirstTokenBy: now.Add(900 * time.Millisecond),
+			GiveUpBy: now.Add(3 * time.Second), Deadline: now.Add(left), Returned: returned,
+		}).Result()
+		var refusal *egretflow.Refusal
+		if done && errors.As(err, &refusal) {
+			refusals = append(refusals, refusal)
+		}
+	}
+	return refusals
+}
+
+// Guards against callers of a full model pool that wait in vain before they are
+// refused, and against ones that are told to return within the same crest.
+func TestFullModelPoolRefusesAtOnce(t *testing.T) {
+	const left = 14 * time.Second
+	now := time.Unix(1000, 0)
+	refusals := fillModelPool(t, now, left, false)
+	if len(refusals) == 0 {
+		t.Error("no request is refused at once")
+	}
+	for _, r := range refusals {
+		if r.RunState != egretflow.RunStateNotRun {
+			t.Errorf("refused with state %s", r.RunState)
+		}
+		if after := r.RetryAt.Sub(now); after < left/5 || after > left/3 {
+			t.Errorf("the caller is told to return after %v, want a fifth to a third of the %v that it has", after, left)
+		}
+	}
+}
+
+// Guards against callers that return and are refused again although they still
+// wait and the pool serves them in time.
+func TestReturnedCallersWait(t *testing.T) {
+	if refusals := fillModelPool(t, time.Unix(1000, 0), 10*time.Second, true); len(refusals) > 0 {
+		t.Errorf("%d callers are refused at once", len(refusals))
+	}
+}
--- a/scheduler/lost_test.go
+++ b/scheduler/lost_test.go
@@ -10,13 +10,14 @@
 )
 
 // peerStepper returns a scheduler with peers and a pool of one prefill and three
-// decode servers whose places are counted in blocks.
+// decode servers whose places are counted in blocks; prompts take no time.
 func peerStepper(t *testing.T, now *time.Time) *Stepper {
 	s := NewStepper(Config{
 		Instance: "i", Clock: func() time.Time { return *now }, Rand: rand.New(rand.NewPCG(1, 2)), Recorder: fakeRecorder{},
 		Checker: fakeChecker{t}, Sharing: picker.SharingPeers,
 	})
 	tables := testTables(1, 3, 20)
+	tables.Pools[0].Servers[0].Slots, tables.Pools[0].Servers[0].PrefillTokensPerSecond = 100, 1e6
 	s.Apply(tables)
 	return s
 }
