--- a/scheduler/rates.go
+++ b/scheduler/rates.go
@@ -127,10 +127,13 @@
 func (r *rates) sum(now time.Time) bucket { return r.sumSince(time.Time{}, now) }
 
 // sumSince returns what was served and refused in the part of the window that
-// begins with the bucket of since.
+// begins with the bucket of since; the zero time stands for the whole window.
 func (r *rates) sumSince(since, now time.Time) bucket {
 	number := now.UnixNano() / int64(bucketTime)
-	first := max(number-rateBuckets+1, since.UnixNano()/int64(bucketTime))
+	first := number - rateBuckets + 1
+	if !since.IsZero() {
+		first = max(first, since.UnixNano()/int64(bucketTime))
+	}
 	var sum bucket
 	for n := range r.buckets {
 		b := &r.buckets[n]
