--- a/cmd/egretctl/main.go
+++ b/cmd/egretctl/main.go
@@ -33,6 +33,7 @@
 
 	"github.com/alecthomas/kong"
 	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/internal/versioner"
 	"github.com/pkg/errors"
 )
 
@@ -64,6 +65,8 @@
 	Status  statusCommand  `cmd:"" help:"Show which revision is active on which instance."`
 	Wait    waitCommand    `cmd:"" help:"Wait until a revision is active on all instances."`
 	Explain explainCommand `cmd:"" help:"Show what instances know of a request, attempt or decision."`
+
+	Version kong.VersionFlag `env:"-" help:"Print the version and exit."`
 }
 
 // app holds the settings and the output of all commands.
@@ -75,7 +78,7 @@
 
 func main() {
 	var cli commandLine
-	k := kong.Parse(&cli, kong.Name("egretctl"), kong.DefaultEnvars("EGRETFLOW"),
+	k := kong.Parse(&cli, kong.Name("egretctl"), kong.DefaultEnvars("EGRETFLOW"), kong.Vars{"version": versioner.Version()},
 		kong.Description("Edits the tables of egretflow and shows what its instances do."))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
--- a/cmd/egretflow/main.go
+++ b/cmd/egretflow/main.go
@@ -19,6 +19,7 @@
 
 	"github.com/alecthomas/kong"
 	"github.com/egretflow/egretflow/authenticator"
+	"github.com/egretflow/egretflow/internal/versioner"
 )
 
 type commands struct {
@@ -26,13 +27,16 @@
 	Serve    serveCommand    `cmd:"" help:"Run an entry instance."`
 	Platform platformCommand `cmd:"" help:"Run an entry instance on the platform that the settings file describes."`
 	Hash     hashCommand     `cmd:"" help:"Read a key from standard input and print its hash for a key file."`
+
+	Version kong.VersionFlag `env:"-" help:"Print the version and exit."`
 }
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	var cli commands
-	command := kong.Parse(&cli, kong.Name("egretflow"), kong.DefaultEnvars("EGRETFLOW"), kong.BindTo(ctx, (*context.Context)(nil)))
+	command := kong.Parse(&cli, kong.Name("egretflow"), kong.DefaultEnvars("EGRETFLOW"), kong.BindTo(ctx, (*context.Context)(nil)),
+		kong.Vars{"version": versioner.Version()})
 	command.FatalIfErrorf(command.Run())
 }
 
