registrar: tell peers of own readings only

Each instance told on the age of the confirmation that it had heard, and each time the age lost the time on the way, so among 58 instances the confirmation aged at about half the pace of the clock. Change: an instance tells the age of its own last reading. Test: TestHeardConfirmationIsNotPassedOn fails before.

--- a/registrar/doc.go
+++ b/registrar/doc.go
@@ -23,6 +23,7 @@
 //     configuration. Another instance applies the changes; it reads when they do
 //     not lead to the same servers, or when nobody has confirmed what it knows for
 //     some time, in order of rank.
+//     An instance tells the age of its own last reading only, not what it heard.
 //  6. Readings are ordered by the revision of the platform's store. What is told or
 //     read of a lower revision than the known one is ignored.
 package registrar
--- a/registrar/reading.go
+++ b/registrar/reading.go
@@ -33,6 +33,9 @@
 	// servers were last known to be current, by an own reading or by a peer.
 	readAt      time.Time
 	confirmedAt time.Time
+	// tellAt is the last own reading that succeeded, the only one that peers are
+	// told of: each time that an age is passed on it loses the time on the way.
+	tellAt time.Time
 	// toldRevision is that of the newest reading of a peer that found other
 	// servers, and mismatchAt when this became known.
 	toldRevision int64
@@ -92,7 +95,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c := egretflow.Confirmation{
-		Servers: r.state.fingerprint, Revision: r.state.readRevision, Version: r.state.version(), ReadAt: r.reading.confirmedAt,
+		Servers: r.state.fingerprint, Revision: r.state.readRevision, Version: r.state.version(), ReadAt: r.reading.tellAt,
 	}
 	for _, d := range r.state.deltas {
 		c.Deltas = append(c.Deltas, d.ServersDelta)
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -185,7 +185,7 @@
 	if !r.state.reachable {
 		r.record(egretflow.EventStoreAvailable, "Servers", strconv.Itoa(len(list.Entries)))
 	}
-	r.reading.readAt, r.reading.confirmedAt, r.reading.failures = readAt, readAt, 0
+	r.reading.readAt, r.reading.confirmedAt, r.reading.tellAt, r.reading.failures = readAt, readAt, readAt, 0
 	changes := r.state.replace(list, now)
 	r.took(changes)
 }
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -389,3 +389,26 @@
 		}
 	})
 }
+
+// Guards against a confirmation that stays young while it is passed on among the
+// instances: each time its age loses the time on the way, so nobody takes over from
+// a reader that has lost the platform.
+func TestHeardConfirmationIsNotPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDirectory()
+		d.config = configuration(1)
+		d.servers = []egretflow.ServerEntry{server(1)}
+		r := start(t, d, func() int { return 5 })
+		time.Sleep(500 * time.Millisecond)
+		own := r.Confirmation()
+		heard := own
+		heard.ReadAt = time.Now()
+		r.Hear(heard)
+		if got := r.Confirmation().ReadAt; !got.Equal(own.ReadAt) {
+			t.Errorf("peers are told of a reading at %v, want the own one at %v", got, own.ReadAt)
+		}
+		if got := r.Current().ConfirmedAt; !got.Equal(heard.ReadAt) {
+			t.Errorf("confirmed at %v, want the time that a peer told, %v", got, heard.ReadAt)
+		}
+	})
+}
