admitter: callers of unknown patience are told when the backlog is short

The Retry-After of a fifth to a third of the time left also applied to the OpenAI interface, whose callers state no patience and were told when the backlog is expected to be short enough. Change: MayReturn asks for a known patience. Tests: TestMayReturn fails before, TestReturnsAreSpread.

--- a/admitter/retry.go
+++ b/admitter/retry.go
@@ -16,9 +16,10 @@
 )
 
 // MayReturn reports whether the caller of w, if refused, has the time to return
-// after the crest.
+// after the crest. Callers whose patience is not known are told when the backlog is
+// short enough instead.
 func MayReturn(w *egretflow.Work) bool {
-	return !w.Returned && !w.Deadline.IsZero()
+	return !w.Returned && !w.GiveUpBy.IsZero() && !w.Deadline.IsZero()
 }
 
 // ReturnAt is when the caller of w should return after a refusal at a crest. The
