frontend: record how long a cut answer was silent and whether the tables changed

A cut answer left one line with the last refusal, so that a silent server, a change of the configuration and a process that ended could not be told apart.

The last line of a request has silent_ms, the time since its last event, and revision, that of the tables at its end; Admitted has the one at its start. No line at all means that the process ended. egretflow_answers_cut counts cut answers by outcome.

--- a/frontend/completion.go
+++ b/frontend/completion.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -181,8 +182,31 @@
 		Tokens: result.Tokens, Retries: result.Retries, QueueTime: result.QueueTime, LongestGap: result.LongestGap,
 		FirstTokenTarget: time.Duration(route.FirstTokenTarget), TokenTarget: time.Duration(route.TokenTarget),
 	})
-	if name != egretflow.EventRefused || c.Response().Committed {
-		f.record(name, work.Request, field("outcome", outcome), number("status", result.Status), number("events", result.Tokens), number("retries", result.Retries),
-			milliseconds("waited_ms", result.QueueTime), milliseconds("pause_ms", result.LongestGap))
+	if name == egretflow.EventRefused && !c.Response().Committed {
+		return
 	}
+	if name == egretflow.EventRefused {
+		f.cfg.Metrics.AnswerCut(work, outcome)
+	}
+	f.record(name, work.Request, field("outcome", outcome), number("status", result.Status), number("events", result.Tokens), number("retries", result.Retries),
+		milliseconds("waited_ms", result.QueueTime), milliseconds("pause_ms", result.LongestGap), milliseconds("silent_ms", f.silence(result)),
+		field("revision", f.currentRevision()))
+}
+
+// silence returns the time since the last event of an answer, or 0 if it has none.
+func (f *Frontend) silence(result relayer.Result) time.Duration {
+	if result.LastTokenAt.IsZero() {
+		return 0
+	}
+	return f.cfg.Clock().Sub(result.LastTokenAt)
+}
+
+// currentRevision returns the revision of the tables in force. If it differs from
+// that of EventAdmitted, the tables changed while the request ran.
+func (f *Frontend) currentRevision() string {
+	tables := f.cfg.Tables()
+	if tables == nil {
+		return ""
+	}
+	return strconv.FormatUint(uint64(tables.Revision), 10)
 }
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -56,6 +56,7 @@
 	queueTime      metric.Float64Histogram
 	longestGap     metric.Float64Histogram
 	failedAttempts metric.Int64Counter
+	cutAnswers     metric.Int64Counter
 	storeCalls     metric.Int64Counter
 	storeCallTime  metric.Float64Histogram
 }
@@ -80,6 +81,7 @@
 		{&m.retries, "egretflow_retries", "Further attempts after failed ones."},
 		{&m.accessDenied, "egretflow_access_denied", "Wrong or missing credentials, by interface."},
 		{&m.failedAttempts, "egretflow_attempts_failed", "Attempts that failed, by reason."},
+		{&m.cutAnswers, "egretflow_answers_cut", "Answers that ended after their first event without their end, by outcome."},
 		{&m.storeCalls, "egretflow_store_calls", "Calls of the key-value store, by kind and result."},
 		{&m.violations, "egretflow_invariant_violations", "Violations of the invariants of the design."},
 	} {
@@ -204,6 +206,11 @@
 	m.failedAttempts.Add(context.Background(), 1, routeLabels(w.Route, w.Importance), metric.WithAttributes(attribute.String("reason", reason)))
 }
 
+// AnswerCut counts an answer that was cut off after its first event.
+func (m *Metrics) AnswerCut(w *egretflow.Work, outcome string) {
+	m.cutAnswers.Add(context.Background(), 1, routeLabels(w.Route, w.Importance), metric.WithAttributes(attribute.String("outcome", outcome)))
+}
+
 // StoreCalled records the result and duration of a call of the key-value store.
 func (m *Metrics) StoreCalled(kind string, took time.Duration, err error) {
 	result := "Answered"
