relayer: reserve another server before a silent one is given up

Callers saw streams that broke off, and calls answered 502 or 503, although their server was sound and only silent for about a second.

Cause: an attempt was given up at the first report that was ahead of the stream, or at the second check without an answer, even if an event had arrived between the two. A resource in use was given back before another was sure.

Change: a stream counts as stalled only if two checks in a row find it so with no event in between, and a stream or call is given up only once the servers of the next attempt, with the memory for it, are reserved. Otherwise it goes on waiting and tries again.

--- a/event.go
+++ b/event.go
@@ -17,6 +17,7 @@
 	EventCompleted           EventName = "Completed"
 	EventCancelled           EventName = "Cancelled"
 	EventRetried             EventName = "Retried"
+	EventReplacementRefused  EventName = "ReplacementRefused"
 	EventHedged              EventName = "Hedged"
 	EventHedgeRefused        EventName = "HedgeRefused"
 	EventResumed             EventName = "Resumed"
--- a/relayer/forward.go
+++ b/relayer/forward.go
@@ -50,6 +50,9 @@
 	lastResponse *completeResponse
 	// lastActivityAt is when a server was last sent a request or last sent an event.
 	lastActivityAt time.Time
+	// successor is the reserved next attempt, if a check of the running one has found
+	// that its server does not respond; nil otherwise.
+	successor *successor
 }
 
 func (r *Relayer) newForwardState(ctx context.Context, call *Call) *forwardState {
@@ -61,6 +64,7 @@
 // It writes only complete responses of servers.
 func (r *Relayer) Forward(ctx context.Context, call *Call, w http.ResponseWriter) (Result, error) {
 	f := r.newForwardState(ctx, call)
+	defer f.releaseSuccessor()
 	err := f.run(ctx, func(work *egretflow.Work) error {
 		resp, err := f.attempt(ctx, work)
 		if err != nil {
@@ -106,16 +110,13 @@
 	case f.runs >= f.maxRuns():
 		return nil, false
 	}
-	next := *work
-	if cause.kind != failureFull {
-		next.Avoid = append(work.Avoid[:len(work.Avoid):len(work.Avoid)], cause.server)
+	next := f.retryWork(work, cause, f.writtenEvents, f.lastEventAt())
+	if f.successor != nil {
+		next = f.successor.a.Work
 	}
-	next.Retry = cause.delivered
-	next.Reacquired = !next.Retry
-	next.PromptTokens = f.call.Work.PromptTokens + f.writtenEvents*f.call.Pool.EventTokens
 	f.result.Retries++
-	f.r.record(egretflow.EventRetried, &next, nil, field("reason", cause.kind), field("server", cause.server))
-	return &next, true
+	f.r.record(egretflow.EventRetried, next, nil, field("reason", cause.kind), field("server", cause.server))
+	return next, true
 }
 
 // maxRuns returns the maximum number of servers that may run the request.
@@ -161,7 +162,7 @@
 
 // attempt runs the call under one assignment.
 func (f *forwardState) attempt(ctx context.Context, work *egretflow.Work) (*completeResponse, error) {
-	a, err := f.r.acquire(ctx, work, &f.result)
+	a, _, err := f.acquire(ctx, work)
 	if err != nil {
 		return nil, err
 	}
@@ -195,17 +196,29 @@
 	return f.readResponse(sendCtx, a.Decode, resp)
 }
 
-// sendContext returns the context of an exchange. It ends with errStalled only if
-// the request may still be repeated at another server.
-func (f *forwardState) sendContext(ctx context.Context, a *egretflow.Assignment) (context.Context, context.CancelFunc) {
+// sendContext returns the context of an exchange. If the request may be repeated, a
+// server that does not respond in time is given up with errStalled as soon as another
+// server is reserved.
+func (f *forwardState) sendContext(ctx context.Context, a *egretflow.Assignment) (context.Context, func()) {
 	if !a.Work.Idempotent {
 		return context.WithDeadline(context.WithoutCancel(ctx), f.deadline)
 	}
 	if f.runs+1 >= f.maxRuns() {
 		return context.WithCancel(ctx)
 	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := f.giveUpAfter(ctx, a, f.responseTimeout(), cancel)
+	return ctx, func() {
+		cancel(context.Canceled)
+		stop()
+	}
+}
+
+// responseTimeout returns the time after which a server that may be replaced counts
+// as stalled if it has not responded.
+func (f *forwardState) responseTimeout() time.Duration {
 	target := f.call.Work.FirstTokenBy.Sub(f.call.Work.ArrivedAt)
-	return context.WithTimeoutCause(ctx, max(minStageTimeout, forwardTimeoutFactor*target), errStalled)
+	return max(minStageTimeout, forwardTimeoutFactor*target)
 }
 
 // readResponse reads a response to its end.
@@ -241,8 +254,7 @@
 // stallTimeout returns the time without data after which a server counts as
 // stalled.
 func (f *forwardState) stallTimeout() time.Duration {
-	target := f.call.Work.FirstTokenBy.Sub(f.call.Work.ArrivedAt)
-	return max(minStageTimeout, forwardTimeoutFactor*target, eventStallFactor*f.call.EventGapTarget)
+	return max(f.responseTimeout(), eventStallFactor*f.call.EventGapTarget)
 }
 
 // send sends one request to the server of t and reads the header of the response.
--- a/relayer/forward_fakes_test.go
+++ b/relayer/forward_fakes_test.go
@@ -158,11 +158,18 @@
 }
 
 // Progress responds like an engine that has preempted the request if the server
-// preempts its stream, and like an unreachable one otherwise.
+// preempts its stream, as the script says, and like an unreachable one otherwise.
 func (e *scriptedEngines) Progress(_ context.Context, s *egretflow.Server, _ string) (egretflow.Progress, error) {
-	if e.script.server(string(s.Name)).preempts {
+	v := e.script.server(string(s.Name))
+	if v.preempts {
 		return egretflow.Progress{Waiting: 1}, nil
 	}
+	switch v.reports {
+	case "Ahead":
+		return egretflow.Progress{Running: true, Events: 1000}, nil
+	case "Nothing":
+		return egretflow.Progress{}, nil
+	}
 	return egretflow.Progress{}, egretflow.ErrUnavailable
 }
 
--- a/relayer/forward_server_test.go
+++ b/relayer/forward_server_test.go
@@ -22,7 +22,12 @@
 	runs        int
 	// preempts makes the server pause its stream after the first event.
 	preempts bool
-	freed    int
+	// pause is how long the server sends nothing after each event but the last.
+	// reports is what it reports of its progress: Ahead means that it has generated
+	// all events, Nothing that it knows no request. Otherwise it does not respond.
+	pause   time.Duration
+	reports string
+	freed   int
 	// flooded counts the bytes that the last endless action could send. floods counts
 	// the endless actions that have not ended.
 	flooded     int
@@ -203,6 +208,9 @@
 		if v.preempts && n == from {
 			time.Sleep(1200 * time.Millisecond)
 		}
+		if n < to {
+			time.Sleep(v.pause)
+		}
 	}
 	if end == "cut" {
 		part := "id: 99\nda"
--- a/relayer/forward_test.go
+++ b/relayer/forward_test.go
@@ -26,7 +26,7 @@
 //
 //	# why: the failure that the script guards against
 //	route kind=safe|unsafe|stream|resumable attempts=N    safe and resumable are idempotent
-//	server NAME stage=service|prefill|decode [preempts=yes]
+//	server NAME stage=service|prefill|decode [preempts=yes] [pause=MS] [reports=Ahead|Nothing]
 //	on NAME ACTION...        one line per request that reaches the server
 //	caller leaves=MS         the caller disconnects after MS milliseconds
 //	want status=N body=TEXT|cut runs=NAME:N,... notrun=true|false
@@ -97,7 +97,11 @@
 				s.attempts, _ = strconv.Atoi(values["attempts"])
 			}
 		case "server":
-			s.servers = append(s.servers, &scriptedServer{name: words[1], stage: values["stage"], preempts: values["preempts"] != "", closed: make(chan time.Time, 1)})
+			s.servers = append(s.servers, &scriptedServer{name: words[1], stage: values["stage"], preempts: values["preempts"] != "", reports: values["reports"], closed: make(chan time.Time, 1)})
+			if values["pause"] != "" {
+				ms, _ := strconv.Atoi(values["pause"])
+				s.servers[len(s.servers)-1].pause = time.Duration(ms) * time.Millisecond
+			}
 		case "on":
 			server := s.server(words[1])
 			server.actions = append(server.actions, words[2:])
--- a/relayer/forwardstream.go
+++ b/relayer/forwardstream.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -42,6 +43,7 @@
 // incomplete and the connection to the caller must be aborted.
 func (r *Relayer) ForwardStream(ctx context.Context, call *Call, w http.ResponseWriter) (Result, error) {
 	f := &forwardedStream{forwardState: r.newForwardState(ctx, call), w: w}
+	defer f.releaseSuccessor()
 	err := f.run(ctx, func(work *egretflow.Work) error { return f.attempt(ctx, work) }, w)
 	return f.result, err
 }
@@ -54,20 +56,27 @@
 
 // attempt runs the request under one assignment.
 func (f *forwardedStream) attempt(ctx context.Context, work *egretflow.Work) error {
-	a, err := f.r.acquire(ctx, work, &f.result)
+	a, hold, err := f.acquire(ctx, work)
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(context.Canceled)
-	g := &streamAttempt{forwardedStream: f, a: a, cancel: cancel}
+	g := &streamAttempt{forwardedStream: f, a: a, hold: hold, cancel: cancel, earlierEvents: f.writtenEvents}
+	g.suspectedAfter.Store(notSuspected)
 	defer g.release()
-	if err := g.run(ctx); err != nil {
+	err = g.run(ctx)
+	cancel(context.Canceled)
+	g.checks.Wait()
+	if err != nil {
 		return f.reportFailure(g.a, err)
 	}
 	return nil
 }
 
+// notSuspected is the value of streamAttempt.suspectedAfter while no check has found
+// its server stalled.
+const notSuspected = -1
+
 // streamAttempt is one execution of a forwarded stream under one assignment.
 type streamAttempt struct {
 	*forwardedStream
@@ -83,12 +92,16 @@
 	observedSince time.Time
 	// events counts the events that this attempt sent to the caller.
 	events int
-	// receivedEvents equals events and is read by checkProgress on another
-	// goroutine.
+	// earlierEvents counts the events of earlier attempts.
+	earlierEvents int
+	// receivedEvents counts the events with an id, which comments have not. It is
+	// read by checkProgress on another goroutine.
 	receivedEvents atomic.Int64
-	// progressUnknown is set when an earlier checkProgress got no response or found
-	// no sign of the request.
-	progressUnknown atomic.Bool
+	// suspectedAfter is the value of receivedEvents at the last check, if that found
+	// the server stalled, and notSuspected otherwise.
+	suspectedAfter atomic.Int64
+	// checks runs checkProgress, which must end before the attempt does.
+	checks sync.WaitGroup
 }
 
 func (g *streamAttempt) run(ctx context.Context) error {
@@ -101,36 +114,42 @@
 	return g.decode(ctx)
 }
 
-// takeHold reserves a slot and memory at the decode server before the prompt is
+// takeHold reserves memory at the decode server unless it is reserved already.
+func (g *streamAttempt) takeHold(ctx context.Context) (err error) {
+	if g.hold == "" {
+		g.hold, err = g.r.takeHold(ctx, g.call.Pool, g.a)
+	}
+	return err
+}
+
+// takeHold reserves a slot and memory at the decode server of a before the prompt is
 // computed (5.2). It does nothing for pools without HoldTTL.
-func (g *streamAttempt) takeHold(ctx context.Context) error {
-	if g.call.Pool.HoldTTL == 0 {
-		return nil
+func (r *Relayer) takeHold(ctx context.Context, pool *egretflow.Pool, a *egretflow.Assignment) (egretflow.HoldID, error) {
+	if pool.HoldTTL == 0 {
+		return "", nil
 	}
-	now := g.r.now()
-	until := now.Add(time.Duration(g.call.Pool.HoldTTL))
-	if latest := g.a.FirstTokenAt.Add(holdMargin); latest.Before(until) {
+	now := r.now()
+	until := now.Add(time.Duration(pool.HoldTTL))
+	if latest := a.FirstTokenAt.Add(holdMargin); latest.Before(until) {
 		until = latest
 	}
-	server := g.a.Decode
-	id, err := g.r.cfg.Engines.TakeHold(ctx, server, g.a.Work.HoldTokens(), until)
+	id, err := r.cfg.Engines.TakeHold(ctx, a.Decode, a.Work.HoldTokens(), until)
 	switch {
 	case err == nil:
-		g.hold = id
-		return nil
+		return id, nil
 	case ctx.Err() != nil:
-		return context.Cause(ctx)
+		return "", context.Cause(ctx)
 	case errors.Is(err, egretflow.ErrFull):
-		return &failure{kind: failureFull, server: server.Name, err: err}
+		return "", &failure{kind: failureFull, server: a.Decode.Name, err: err}
 	}
-	f := dialFailure(server, err)
+	f := dialFailure(a.Decode, err)
 	switch {
 	case errors.Is(err, context.DeadlineExceeded):
 		f.kind = failureStalled
 	case errors.Is(err, egretflow.ErrNotFound):
 		f.kind = failureReplaced
 	}
-	return f
+	return "", f
 }
 
 // prefill computes the prompt at a prefill server. If that fails, it tries other
@@ -220,47 +239,6 @@
 	return g.relay(ctx, resp, watch)
 }
 
-// startStallWatch returns a watch that checks the progress of a stalled stream. A
-// stream that cannot be continued on another server is not checked.
-func (g *streamAttempt) startStallWatch(ctx context.Context) *stallWatch {
-	if !g.call.Work.Idempotent || g.runs+1 >= g.maxRuns() {
-		return newStallWatch(g.r.cfg.Clock, g.deadline.Sub(g.r.now())+time.Minute, func(*stallWatch) {})
-	}
-	wait := max(stageTimeout(g.a.FirstTokenAt.Sub(g.r.now())), eventStallFactor*g.call.EventGapTarget)
-	return newStallWatch(g.r.cfg.Clock, wait, func(w *stallWatch) { g.r.cleanups.Go(func() { g.checkProgress(ctx, w) }) })
-}
-
-// checkProgress queries the decode engine about a stream that sent nothing for the
-// stall timeout. It cancels the attempt if the engine has generated events that
-// did not arrive, or if for the second time the engine does not respond or neither
-// runs the request nor has waiting ones. Otherwise the engine is slow, and the
-// watch is restarted.
-func (g *streamAttempt) checkProgress(ctx context.Context, watch *stallWatch) {
-	p, err := g.r.cfg.Engines.Progress(ctx, g.a.Decode, g.call.Terms.ID)
-	if ctx.Err() != nil {
-		return
-	}
-	received := int(g.receivedEvents.Load())
-	verdict := "Slow"
-	switch {
-	case err != nil && g.progressUnknown.Swap(true):
-		verdict = "Unreachable"
-	case err != nil:
-	case p.Running && p.Events > received:
-		verdict = "Silent"
-	case !p.Running && p.Waiting == 0 && g.progressUnknown.Swap(true):
-		// A preempted request is waiting at its engine, so Running is false.
-		verdict = "Unknown"
-	}
-	g.r.record(egretflow.EventSilentConnection, g.a.Work, g.a, field("server", g.a.Decode.Name), field("verdict", verdict),
-		field("received", strconv.Itoa(received)), field("made", strconv.Itoa(p.Events)))
-	if verdict == "Slow" {
-		watch.restart()
-		return
-	}
-	g.cancel(errStalled)
-}
-
 // errorResponse reads a response with an error status and returns it as a *failure
 // whose response may be sent to the caller.
 func (g *streamAttempt) errorResponse(ctx context.Context, resp *http.Response) error {
@@ -334,10 +312,10 @@
 	g.result.noteEvent(now)
 	g.lastActivityAt = now
 	g.writtenEvents++
-	g.receivedEvents.Add(1)
 	g.result.Tokens++
 	if id != "" {
 		g.lastEventID = id
+		g.receivedEvents.Add(1)
 	}
 	if g.events++; g.events%eventsPerObservation == 0 {
 		g.reportTokens()
--- a/relayer/stall.go
+++ b/relayer/stall.go
@@ -18,8 +18,11 @@
 	mu      sync.Mutex
 	timeout time.Duration
 	timer   *time.Timer
-	// since is the start of the current wait; zero between waits.
+	// since is the start of the current wait, or of its last restart; zero between
+	// waits.
 	since time.Time
+	// begunAt is the start of the newest wait.
+	begunAt time.Time
 	// armed is false if the timer fired between two waits, so that begin must reset
 	// it.
 	armed bool
@@ -27,7 +30,8 @@
 
 // newStallWatch returns a watch whose first wait starts now.
 func newStallWatch(clock egretflow.Clock, timeout time.Duration, onStall func(w *stallWatch)) *stallWatch {
-	w := &stallWatch{clock: clock, onStall: onStall, timeout: timeout, since: clock(), armed: true}
+	now := clock()
+	w := &stallWatch{clock: clock, onStall: onStall, timeout: timeout, since: now, begunAt: now, armed: true}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(timeout, w.check)
@@ -39,6 +43,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.since = w.clock()
+	w.begunAt = w.since
 	if !w.armed {
 		w.armed = true
 		w.timer.Reset(w.timeout)
