relayer: give a retry the time that its caller still waits

Callers saw resumable streams and idempotent calls end with 502 or cut off, although other servers were free.

Cause: a retry kept the first-token target of the first attempt. After a silent or failed server that target has passed, so the scheduler took the retry for one that cannot be served in time and refused it.

Change: a retry of a request that reached a server has until its caller gives up, counted from the last event or, before that, from the arrival. It is still ordered by that later target, behind first attempts that can be in time.

Evidence: the scripts retry-after-target and retry-call-after-target failed before (cut after e2, 503).

--- a/relayer/forward_fakes_test.go
+++ b/relayer/forward_fakes_test.go
@@ -55,7 +55,8 @@
 		a.Prefill = s.pick(work, "prefill")
 	}
 	a.Decode = s.pick(work, stage)
-	if a.Decode == nil || stage == "decode" && a.Prefill == nil {
+	late := s.script.refusesLate && time.Now().After(work.FirstTokenBy)
+	if late || a.Decode == nil || stage == "decode" && a.Prefill == nil {
 		return nil, &egretflow.Refusal{Status: 503, Reason: egretflow.RefusalNoServer, RunState: egretflow.RunStateNotRun, Message: "no server"}
 	}
 	if s.assignments == nil {
--- a/relayer/forward_server_test.go
+++ b/relayer/forward_server_test.go
@@ -148,7 +148,9 @@
 		respond(status, argument(2))
 	case "notrun":
 		_, _ = fmt.Fprintf(conn, "%sNot-Run: 1\r\nContent-Length: 0\r\n\r\n", head(503, ""))
-	case "reset":
+	case "reset", "latereset":
+		ms, _ := strconv.Atoi(argument(1))
+		time.Sleep(time.Duration(ms) * time.Millisecond)
 		v.countRun()
 		reset()
 	case "truncate":
--- a/relayer/forward_test.go
+++ b/relayer/forward_test.go
@@ -27,6 +27,7 @@
 //	# why: the failure that the script guards against
 //	route kind=safe|unsafe|stream|resumable attempts=N    safe and resumable are idempotent
 //	server NAME stage=service|prefill|decode [preempts=yes] [pause=MS] [reports=Ahead|Nothing]
+//	scheduler refuses=late   the scheduler refuses work whose first-token target has passed
 //	on NAME ACTION...        one line per request that reaches the server
 //	caller leaves=MS         the caller disconnects after MS milliseconds
 //	want status=N body=TEXT|cut runs=NAME:N,... notrun=true|false
@@ -35,8 +36,9 @@
 //	want closed=NAME         closeLimit bounds the time until the server sees the disconnect
 //
 // Actions: ok [body], status N [body], notrun (states that it did not run), reset
-// (before any response), truncate (less than Content-Length), unframed [body] (no
-// length, ends with the connection), unframedreset, foreign (a response to another
+// (before any response), latereset MS (the same after a delay), truncate (less than
+// Content-Length), unframed [body] (no length, ends with the connection),
+// unframedreset, foreign (a response to another
 // request), garbage (not HTTP), late MS [body], early [body] (responds before it
 // reads the request body), silent, prefill, events A-B [cut|reset|hang], full (no
 // memory can be reserved), refuse (no process listens), endless WHAT (sends bytes
@@ -47,6 +49,8 @@
 	attempts int
 	servers  []*scriptedServer
 	want     map[string]string
+	// refusesLate makes the scheduler refuse work whose first-token target has passed.
+	refusesLate bool
 	// leavesAfter is the time after which the caller disconnects; 0 means never.
 	leavesAfter time.Duration
 	// leftAt is when the caller disconnected.
@@ -102,6 +106,8 @@
 				ms, _ := strconv.Atoi(values["pause"])
 				s.servers[len(s.servers)-1].pause = time.Duration(ms) * time.Millisecond
 			}
+		case "scheduler":
+			s.refusesLate = values["refuses"] == "late"
 		case "on":
 			server := s.server(words[1])
 			server.actions = append(server.actions, words[2:])
@@ -150,7 +156,7 @@
 	call := &relayer.Call{
 		Work: &egretflow.Work{
 			Request: "r1", Pool: "p", Idempotent: s.kind == "safe" || s.kind == "resumable", ArrivedAt: now, FirstTokenBy: now.Add(100 * time.Millisecond),
-			PromptTokens: 100, MaxTokens: 10,
+			GiveUpBy: now.Add(2 * time.Second), PromptTokens: 100, MaxTokens: 10,
 		},
 		Pool: pool, Method: http.MethodPost, URL: &url.URL{Path: "/a/b"}, Host: "h", Header: http.Header{},
 		Body: []byte(strings.Repeat("b", 20<<10)), Terms: egretflow.RequestMetadata{ID: "r1"}, MaxAttempts: s.attempts, EventGapTarget: 100 * time.Millisecond,
--- a/relayer/successor.go
+++ b/relayer/successor.go
@@ -125,9 +125,28 @@
 	next.Retry = cause.delivered
 	next.Reacquired = !next.Retry
 	next.PromptTokens = f.call.Work.PromptTokens + events*f.call.Pool.EventTokens
+	if next.Retry {
+		f.extendTarget(&next, lastEventAt)
+	}
 	return &next
 }
 
+// extendTarget lets a retry start for as long as its caller waits for the next event.
+// The target of the first attempt does not apply to it: what was missed cannot be made
+// up for, and a refusal would cut off an answer that has begun, or promise nothing to a
+// caller whose request may have run.
+func (f *forwardState) extendTarget(next *egretflow.Work, lastEventAt time.Time) {
+	if f.call.Work.GiveUpBy.IsZero() {
+		return
+	}
+	patience := f.call.Work.GiveUpBy.Sub(f.call.Work.ArrivedAt)
+	next.GiveUpBy = lastEventAt.Add(patience)
+	if !next.Deadline.IsZero() && next.Deadline.Before(next.GiveUpBy) {
+		next.GiveUpBy = next.Deadline
+	}
+	next.FirstTokenBy = next.GiveUpBy
+}
+
 // lastEventAt returns when the caller received the last event, or sent the request.
 func (f *forwardState) lastEventAt() time.Time {
 	if f.result.LastTokenAt.IsZero() {
