registrar, relayer: give no new work to servers that say they leave

Cause: only the registered state decided. A server whose registration is late, or read by nobody during an outage of the store, got new work although its own answers said that it was leaving.

Change: the dialect reads the statement, the relayer passes it to the gate (egretflow.ServerGate, implemented by the registrar), which closes the server until it is no longer listed or has started again.

Evidence: without the call of MarkLeaving the script leaving.txtar fails (call 9 of 40 goes to the leaving server) and so does leaving-stated.

--- a/assembler/forwarding.go
+++ b/assembler/forwarding.go
@@ -108,7 +108,7 @@
 	f.relayer = relayer.New(relayer.Config{
 		Instance: name, Scheduler: requests, Recorder: cfg.Explainer, Checker: check, Clock: cfg.Clock,
 		Rand: cfg.newRand(), Dial: cfg.Dial, PrefillWasted: metrics.WastedPrefill, AttemptFailed: metrics.AttemptFailed,
-		Dialect: cfg.Dialect, Engines: cfg.Engines, AcceptsWork: f.registrar.AcceptsWork,
+		Dialect: cfg.Dialect, Engines: cfg.Engines, Gate: f.registrar,
 	})
 	f.frontend = frontend.New(frontend.Config{
 		Instance: name, Relayer: f.relayer, Tables: f.registrar.Tables, Recorder: cfg.Explainer, Checker: check,
--- a/cmd/egretflow/platform_test.go
+++ b/cmd/egretflow/platform_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -19,6 +20,7 @@
 // instance.
 type standIns struct {
 	store   *platformtest.Store
+	servers map[string]*platformtest.Server
 	metrics string
 }
 
@@ -29,15 +31,17 @@
 // backend servers and writes the settings of an instance to FILE. FRONT and READY
 // name the variables with its listen addresses.
 func startStandIns(ts *testscript.TestScript, _ bool, args []string) {
-	s := &standIns{store: platformtest.NewStore()}
+	s := &standIns{store: platformtest.NewStore(), servers: map[string]*platformtest.Server{}}
 	address, stop := platformtest.Serve(s.store)
 	ts.Defer(stop)
-	for _, c := range []struct{ service, stage string }{{"desk", ""}, {"letters", "prefill"}, {"letters", "decode"}} {
-		name := "i-" + c.service + c.stage
-		server := platformtest.NewServer(platformtest.ServerConfig{Name: name, Stage: c.stage, Events: 3, Pause: 5 * time.Millisecond})
+	for _, c := range []struct{ name, service, stage string }{
+		{"i-desk", "desk", ""}, {"i-desk2", "desk", ""}, {"i-prefill", "letters", "prefill"}, {"i-decode", "letters", "decode"},
+	} {
+		server := platformtest.NewServer(platformtest.ServerConfig{Name: c.name, Stage: c.stage, Events: 3, Pause: 5 * time.Millisecond})
+		s.servers[c.name] = server
 		at, stopServer := platformtest.Serve(server)
 		ts.Defer(stopServer)
-		s.store.Put("servers/"+name, server.Registration(c.service, at, "ready"))
+		s.store.Put("servers/"+c.name, server.Registration(c.service, at, "ready"))
 	}
 	port := freePort(ts)
 	s.metrics = fmt.Sprintf("127.0.0.1:%d", port)
@@ -81,6 +85,34 @@
 	return ts.Value(standInsKey).(map[string]*standIns)["now"]
 }
 
+// stateLeaving implements "leaving NAME": the server states in its responses that it
+// is leaving. Its registration stays as it is.
+func stateLeaving(ts *testscript.TestScript, _ bool, args []string) {
+	currentStandIns(ts).servers[args[0]].SetLeaving(true)
+}
+
+// sendCalls implements "calls N FRONT NAME": it sends N calls, which the named server
+// must serve.
+func sendCalls(ts *testscript.TestScript, _ bool, args []string) {
+	n, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	for call := range n {
+		req, err := http.NewRequest(http.MethodGet, "http://"+args[1]+"/desk/1", nil)
+		ts.Check(err)
+		req.Host = "desk.example"
+		req.Header.Set("X-Request-Id", fmt.Sprintf("call-%s-%d", args[2], call))
+		req.Header.Set("X-Deadline-Ms", "2000")
+		resp, err := http.DefaultClient.Do(req)
+		ts.Check(err)
+		body, err := io.ReadAll(resp.Body)
+		ts.Check(err)
+		_ = resp.Body.Close()
+		if !strings.HasPrefix(string(body), args[2]+" served") {
+			ts.Fatalf("call %d: status %d, %s; want %s to serve it", call, resp.StatusCode, body, args[2])
+		}
+	}
+}
+
 // readMetrics implements "metrics": it checks that the metrics of the instance
 // include the request that it served.
 func readMetrics(ts *testscript.TestScript, _ bool, _ []string) {
--- a/cmd/egretflow/script_test.go
+++ b/cmd/egretflow/script_test.go
@@ -82,6 +82,7 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"freeports": freePorts, "eventually": eventually, "subst": subst,
 			"standins": startStandIns, "configure": writeConfiguration, "metrics": readMetrics,
+			"leaving": stateLeaving, "calls": sendCalls,
 		},
 	})
 }
--- a/dialect.go
+++ b/dialect.go
@@ -74,6 +74,25 @@
 	NotRun bool
 	// AddressReused reports whether the address now belongs to another server.
 	AddressReused bool
+	// Leaving reports whether the server states that it is leaving, so that it must
+	// get no new work.
+	Leaving bool
+}
+
+// ServerGate decides which backend servers may get new work of this instance, and
+// learns from what they state in their responses. It is safe for concurrent use.
+type ServerGate interface {
+	// AcceptsWork reports whether a server may get new work now.
+	AcceptsWork(name ServerName) bool
+	// MarkLeaving records that a server has stated that it is leaving.
+	MarkLeaving(name ServerName)
+	// Closed returns the servers of a pool that are closed by their own statements.
+	Closed(pool PoolName) ClosedServers
+}
+
+// ClosedServers holds the servers of a pool that get no new work of this instance.
+type ClosedServers struct {
+	Names []ServerName
 }
 
 // Dialect reads and writes the HTTP headers that egretflow uses.
--- a/registrar/doc.go
+++ b/registrar/doc.go
@@ -30,4 +30,7 @@
 //     confirmation that it has received.
 //  6. Reads are ordered by the revision of the platform's store. A list that was
 //     read or received with a lower revision than the known one is ignored.
+//  7. A server that states in a response that it is leaving gets no new work from
+//     this instance, whatever the list says, until it is no longer listed or has
+//     started again.
 package registrar
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -60,7 +60,7 @@
 
 // New returns a Registrar that has no tables until Run has read the directory.
 func New(cfg Config) *Registrar {
-	return &Registrar{cfg: cfg, wakeServers: make(chan struct{}, 1), wakeConfiguration: make(chan struct{}, 1)}
+	return &Registrar{cfg: cfg, state: state{statedLeaving: statements{}}, wakeServers: make(chan struct{}, 1), wakeConfiguration: make(chan struct{}, 1)}
 }
 
 // Current implements egretflow.TablesSource.
@@ -84,15 +84,6 @@
 	}
 }
 
-// AcceptsWork reports whether a server may get new work. It returns false for a
-// server that is leaving or unknown.
-func (r *Registrar) AcceptsWork(name egretflow.ServerName) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	entry, ok := r.state.servers[name]
-	return ok && !entry.Leaving
-}
-
 // Run reads the configuration and the servers of the directory until ctx ends. It
 // always returns nil.
 func (r *Registrar) Run(ctx context.Context) error {
--- a/registrar/state.go
+++ b/registrar/state.go
@@ -31,6 +31,8 @@
 	// Until graceUntil, servers may hold more servers than it.
 	lastList        egretflow.ServerList
 	lastFingerprint uint64
+	// statedLeaving is not part of servers, which the peers must know alike.
+	statedLeaving statements
 }
 
 // change is one difference between two server lists, with the event that reports
@@ -175,6 +177,7 @@
 		// confirmation of a peer that has read the same revision counts as newer.
 		s.storeRevision = list.Revision
 	}
+	s.dropStatements()
 	s.appendDelta(changes, now)
 	slices.SortFunc(changes, func(a, b change) int { return strings.Compare(string(a.server), string(b.server)) })
 	return changes
@@ -200,6 +203,7 @@
 		if !ok {
 			continue
 		}
+		entry.Leaving = s.isLeaving(&entry)
 		if server, ok := completeServer(&t.Pools[n], entry); ok {
 			t.Pools[n].Servers = append(t.Pools[n].Servers, server)
 		}
--- a/relayer/forward.go
+++ b/relayer/forward.go
@@ -261,7 +261,7 @@
 // A response that states that the request did not run is returned as a *failure.
 func (f *forwardState) send(ctx context.Context, a *egretflow.Assignment, t egretflow.ExchangeMetadata) (*http.Response, error) {
 	t.Deadline, t.ResumeAfter = f.deadline, f.lastEventID
-	if accepts := f.r.cfg.AcceptsWork; accepts != nil && !accepts(t.Server.Name) {
+	if gate := f.r.cfg.Gate; gate != nil && !gate.AcceptsWork(t.Server.Name) {
 		return nil, &failure{kind: failureRefused, server: t.Server.Name, err: errors.New("the server no longer accepts new work")}
 	}
 	f.lastActivityAt = f.r.now()
@@ -293,6 +293,9 @@
 		f.r.record(egretflow.EventAnswerMismatch, a.Work, a, field("server", t.Server.Name), field("got", terms.ID))
 		return &failure{kind: failureMismatch, server: t.Server.Name, delivered: true, err: fmt.Errorf("response belongs to request %q", terms.ID)}
 	}
+	if terms.Leaving && f.r.cfg.Gate != nil {
+		f.r.cfg.Gate.MarkLeaving(t.Server.Name)
+	}
 	if !terms.NotRun {
 		return nil
 	}
--- a/relayer/forward_fakes_test.go
+++ b/relayer/forward_fakes_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -101,6 +102,32 @@
 	delete(s.assignments, r.Attempt)
 }
 
+// scriptedGate closes the servers that the script names and those that state that they
+// are leaving.
+type scriptedGate struct {
+	mu     sync.Mutex
+	closed []egretflow.ServerName
+	stated []string
+}
+
+func (g *scriptedGate) AcceptsWork(name egretflow.ServerName) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !slices.Contains(g.closed, name)
+}
+
+func (g *scriptedGate) MarkLeaving(name egretflow.ServerName) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed, g.stated = append(g.closed, name), append(g.stated, string(name))
+}
+
+func (g *scriptedGate) Closed(egretflow.PoolName) egretflow.ClosedServers {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return egretflow.ClosedServers{Names: slices.Clone(g.closed)}
+}
+
 // scriptedDialect implements only the headers that the scripts check.
 type scriptedDialect struct{}
 
@@ -113,7 +140,7 @@
 }
 
 func (scriptedDialect) ReadResponse(resp *http.Response) egretflow.ResponseMetadata {
-	return egretflow.ResponseMetadata{ID: resp.Header.Get("Request"), NotRun: resp.Header.Get("Not-Run") != ""}
+	return egretflow.ResponseMetadata{ID: resp.Header.Get("Request"), NotRun: resp.Header.Get("Not-Run") != "", Leaving: resp.Header.Get("Leaving") != ""}
 }
 
 func (scriptedDialect) WriteRefusal(http.Header, *egretflow.Refusal, time.Time) {}
--- a/relayer/forward_test.go
+++ b/relayer/forward_test.go
@@ -28,14 +28,17 @@
 //	route kind=safe|unsafe|stream|resumable attempts=N    safe and resumable are idempotent
 //	server NAME stage=service|prefill|decode [preempts=yes] [pause=MS] [reports=Ahead|Nothing]
 //	scheduler refuses=late   the scheduler refuses work whose first-token target has passed
+//	gate closed=NAME         the server gets no new work of this instance
 //	on NAME ACTION...        one line per request that reaches the server
 //	caller leaves=MS         the caller disconnects after MS milliseconds
 //	want status=N body=TEXT|cut runs=NAME:N,... notrun=true|false
 //	want suspects=NAME,...|none    servers whose failure is reported to the scheduler
 //	want from=NAME:ID        the last request asks the server to continue after event ID
+//	want leaving=NAME,...    servers that have stated that they are leaving
 //	want closed=NAME         closeLimit bounds the time until the server sees the disconnect
 //
-// Actions: ok [body], status N [body], notrun (states that it did not run), reset
+// Actions: ok [body], status N [body], leaving [body] (status 500, states that the
+// server is leaving), notrun (states that it did not run), reset
 // (before any response), latereset MS (the same after a delay), truncate (less than
 // Content-Length), unframed [body] (no length, ends with the connection),
 // unframedreset, foreign (a response to another
@@ -51,6 +54,7 @@
 	want     map[string]string
 	// refusesLate makes the scheduler refuse work whose first-token target has passed.
 	refusesLate bool
+	gate        scriptedGate
 	// leavesAfter is the time after which the caller disconnects; 0 means never.
 	leavesAfter time.Duration
 	// leftAt is when the caller disconnected.
@@ -108,6 +112,8 @@
 			}
 		case "scheduler":
 			s.refusesLate = values["refuses"] == "late"
+		case "gate":
+			s.gate.closed = append(s.gate.closed, egretflow.ServerName(values["closed"]))
 		case "on":
 			server := s.server(words[1])
 			server.actions = append(server.actions, words[2:])
@@ -143,7 +149,7 @@
 	r := relayer.New(relayer.Config{
 		Instance: "entry-1", Scheduler: scheduler, Recorder: discardRecorder{}, Checker: checker.New("entry-1", time.Now, discardRecorder{}, nil),
 		Clock: time.Now, Rand: rand.New(rand.NewPCG(1, 1)), Dial: (&net.Dialer{}).DialContext,
-		Dialect: scriptedDialect{}, Engines: &scriptedEngines{script: s},
+		Dialect: scriptedDialect{}, Engines: &scriptedEngines{script: s}, Gate: &s.gate,
 	})
 	defer r.Close()
 	ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
@@ -224,6 +230,9 @@
 	if want := s.want["suspects"]; want != "" && scheduler.reportedFailures() != strings.TrimSuffix(want, "none") {
 		t.Errorf("failures of servers %q were reported to the scheduler, want %q", scheduler.reportedFailures(), want)
 	}
+	if want := s.want["leaving"]; want != "" && strings.Join(s.gate.stated, ",") != want {
+		t.Errorf("servers %v have stated that they are leaving, want %s", s.gate.stated, want)
+	}
 	if name := s.want["closed"]; name != "" {
 		if late := s.server(name).closedAfter(s.leftAt); late > closeLimit {
 			t.Errorf("server %s saw its connection closed %v after the caller disconnected, want at most %v", name, late, closeLimit)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -45,10 +45,10 @@
 	// Engines reserves and frees memory of engines and queries the progress of
 	// their requests, for forwarded streams only.
 	Engines egretflow.EngineClient
-	// AcceptsWork, if set, reports whether a server still accepts new work. It
-	// is called right before a forwarded request is sent, because the server
-	// may have started to drain since the scheduler chose it.
-	AcceptsWork func(name egretflow.ServerName) bool
+	// Gate, if set, is asked right before a forwarded request is sent, because the
+	// server may have started to drain since the scheduler chose it. It learns from
+	// the responses.
+	Gate egretflow.ServerGate
 }
 
 // Relayer executes requests on backend servers. Its methods are safe for
