registrar, relayer: leave servers alone that ask for a pause

Cause: a refusing server was passed over for 100 ms, whatever it asked for, and when all servers refused, each caller's request went to them again.

Change: the time is read from 503 responses of requests, prompt computations and memory reservations, at most 5 minutes. The gate closes the server for this instance until then; the scheduler that decides, maybe on another instance, is asked to avoid it. If all servers for a role have asked for a pause, callers are refused at once, not run, until the first of them opens. On the own interface the scheduler itself passes over the server for that long.

Evidence: with the call of PauseUntil removed, busy-asks-for-pause and busy.txtar fail (the caller never learns that no server wants work).

--- a/cmd/egretflow/platform_test.go
+++ b/cmd/egretflow/platform_test.go
@@ -91,6 +91,21 @@
 	currentStandIns(ts).servers[args[0]].SetLeaving(true)
 }
 
+// stateBusy implements "busy NAME DURATION": the server refuses all requests and asks
+// for a pause.
+func stateBusy(ts *testscript.TestScript, _ bool, args []string) {
+	d, err := time.ParseDuration(args[1])
+	ts.Check(err)
+	currentStandIns(ts).servers[args[0]].SetBusy(d)
+}
+
+// checkRefusals implements "refusals NAME N": the server has refused N requests.
+func checkRefusals(ts *testscript.TestScript, _ bool, args []string) {
+	if got := strconv.Itoa(currentStandIns(ts).servers[args[0]].Refusals()); got != args[1] {
+		ts.Fatalf("%s refused %s requests, want %s", args[0], got, args[1])
+	}
+}
+
 // sendCalls implements "calls N FRONT NAME": it sends N calls, which the named server
 // must serve.
 func sendCalls(ts *testscript.TestScript, _ bool, args []string) {
--- a/cmd/egretflow/script_test.go
+++ b/cmd/egretflow/script_test.go
@@ -58,6 +58,9 @@
 	}
 	defer res.Body.Close()
 	fmt.Println(res.Status)
+	if after := res.Header.Get("Retry-After"); after != "" {
+		fmt.Println("Retry-After: " + after)
+	}
 	if _, err := io.Copy(os.Stdout, res.Body); err != nil {
 		return fmt.Errorf("read response: %w", err)
 	}
@@ -82,7 +85,7 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"freeports": freePorts, "eventually": eventually, "subst": subst,
 			"standins": startStandIns, "configure": writeConfiguration, "metrics": readMetrics,
-			"leaving": stateLeaving, "calls": sendCalls,
+			"leaving": stateLeaving, "busy": stateBusy, "refusals": checkRefusals, "calls": sendCalls,
 		},
 	})
 }
--- a/decision.go
+++ b/decision.go
@@ -159,6 +159,9 @@
 	// Unsent is true if the attempt had not reached the server and therefore
 	// cannot have made it fail.
 	Unsent bool
+	// RetryAt is set if the server has refused the attempt and wants no work of
+	// this instance before then.
+	RetryAt time.Time
 	// Tokens is the number of prompt tokens computed, or of output tokens
 	// generated, in the observed time.
 	Tokens int
--- a/dialect.go
+++ b/dialect.go
@@ -77,6 +77,9 @@
 	// Leaving reports whether the server states that it is leaving, so that it must
 	// get no new work.
 	Leaving bool
+	// RetryAt is set if the server refused the request and wants no work of this
+	// instance before then.
+	RetryAt time.Time
 }
 
 // ServerGate decides which backend servers may get new work of this instance, and
@@ -86,6 +89,9 @@
 	AcceptsWork(name ServerName) bool
 	// MarkLeaving records that a server has stated that it is leaving.
 	MarkLeaving(name ServerName)
+	// PauseUntil records that a server has refused a request and wants no work of
+	// this instance before until.
+	PauseUntil(name ServerName, until time.Time)
 	// Closed returns the servers of a pool that are closed by their own statements.
 	Closed(pool PoolName) ClosedServers
 }
@@ -93,6 +99,9 @@
 // ClosedServers holds the servers of a pool that get no new work of this instance.
 type ClosedServers struct {
 	Names []ServerName
+	// OpensAt is when the pool can be used again, if all of its servers for one of
+	// its roles are closed until then; zero otherwise.
+	OpensAt time.Time
 }
 
 // Dialect reads and writes the HTTP headers that egretflow uses.
@@ -102,7 +111,8 @@
 	// WriteExchange sets the headers of a request to a server. h holds the
 	// headers of the caller; those that only egretflow may set are removed.
 	WriteExchange(h http.Header, t ExchangeMetadata, now time.Time)
-	ReadResponse(resp *http.Response) ResponseMetadata
+	// ReadResponse reads the metadata of a server's response at the given time.
+	ReadResponse(resp *http.Response, now time.Time) ResponseMetadata
 	// WriteRefusal sets the headers of a response that refuses a request.
 	WriteRefusal(h http.Header, r *Refusal, now time.Time)
 }
--- a/errors.go
+++ b/errors.go
@@ -26,6 +26,18 @@
 	ErrForbidden = errors.New("forbidden")
 )
 
+// BusyError means that a backend server has no capacity for a request and wants none
+// before RetryAt. It wraps ErrFull.
+type BusyError struct{ RetryAt time.Time }
+
+// Error implements error.
+func (e *BusyError) Error() string {
+	return fmt.Sprintf("%v before %s", ErrFull, e.RetryAt.Format(time.RFC3339Nano))
+}
+
+// Unwrap returns ErrFull.
+func (e *BusyError) Unwrap() error { return ErrFull }
+
 // FieldError names the field of a table, message or body for which it was
 // refused.
 type FieldError struct {
--- a/event.go
+++ b/event.go
@@ -33,6 +33,7 @@
 	EventServerChanged       EventName = "ServerChanged"
 	EventServerLeaving       EventName = "ServerLeaving"
 	EventServerGone          EventName = "ServerGone"
+	EventServerPaused        EventName = "ServerPaused"
 	EventServerLost          EventName = "ServerLost"
 	EventRegistrationFailed  EventName = "RegistrationFailed"
 	EventMemberJoined        EventName = "MemberJoined"
--- a/frontend/drain_test.go
+++ b/frontend/drain_test.go
@@ -30,7 +30,7 @@
 	return egretflow.RequestMetadata{ID: "r1"}, nil
 }
 func (emptyDialect) WriteExchange(http.Header, egretflow.ExchangeMetadata, time.Time) {}
-func (emptyDialect) ReadResponse(*http.Response) egretflow.ResponseMetadata {
+func (emptyDialect) ReadResponse(*http.Response, time.Time) egretflow.ResponseMetadata {
 	return egretflow.ResponseMetadata{}
 }
 func (emptyDialect) WriteRefusal(http.Header, *egretflow.Refusal, time.Time) {}
--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -72,7 +72,12 @@
 		{"draining server", func(p *Pool) {
 			p.ApplyLoadReport(p.servers["d1"], &egretflow.LoadReport{MeasuredAt: start, Draining: true}, start)
 		}, "", "d0"},
-		{"server that refused as full", func(p *Pool) { p.Pause(p.servers["d0"], start) }, "", "d1"},
+		{"server that refused as full", func(p *Pool) { p.Pause(p.servers["d0"], time.Time{}, start) }, "", "d1"},
+		{"server that wants no work for a second", func(p *Pool) {
+			p.Pause(p.servers["d0"], start.Add(-time.Second), start.Add(-2*time.Second))
+			p.Pause(p.servers["d0"], start.Add(time.Second), start.Add(-time.Second))
+			p.Pause(p.servers["d0"], time.Time{}, start.Add(-time.Second))
+		}, "", "d1"},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/picker/pool.go
+++ b/picker/pool.go
@@ -194,9 +194,16 @@
 	p.serverChanged(s, now)
 }
 
-// Pause excludes a server for refusedPause after it refused work because it was
-// full.
-func (p *Pool) Pause(s *Server, now time.Time) { s.pausedUntil = now.Add(refusedPause) }
+// Pause excludes a server after it refused work because it was full: until the given
+// time, or for refusedPause if that is longer.
+func (p *Pool) Pause(s *Server, until, now time.Time) {
+	if earliest := now.Add(refusedPause); until.Before(earliest) {
+		until = earliest
+	}
+	if until.After(s.pausedUntil) {
+		s.pausedUntil = until
+	}
+}
 
 // Outstanding returns the prompt tokens of this instance that are not computed
 // yet.
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -60,7 +60,7 @@
 
 // New returns a Registrar that has no tables until Run has read the directory.
 func New(cfg Config) *Registrar {
-	return &Registrar{cfg: cfg, state: state{statedLeaving: statements{}}, wakeServers: make(chan struct{}, 1), wakeConfiguration: make(chan struct{}, 1)}
+	return &Registrar{cfg: cfg, state: state{statedLeaving: statements{}, pausedUntil: map[egretflow.ServerName]time.Time{}}, wakeServers: make(chan struct{}, 1), wakeConfiguration: make(chan struct{}, 1)}
 }
 
 // Current implements egretflow.TablesSource.
--- a/registrar/state.go
+++ b/registrar/state.go
@@ -33,6 +33,8 @@
 	lastFingerprint uint64
 	// statedLeaving is not part of servers, which the peers must know alike.
 	statedLeaving statements
+	// pausedUntil holds the servers that want no work of this instance before then.
+	pausedUntil map[egretflow.ServerName]time.Time
 }
 
 // change is one difference between two server lists, with the event that reports
--- a/registrar/statement_test.go
+++ b/registrar/statement_test.go
@@ -43,3 +43,34 @@
 		}
 	})
 }
+
+// Guards against work for a server before it wants any, against one that gets none
+// afterwards, and against a pool that counts as open although one of its roles has no
+// server.
+func TestPausedServers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDirectory()
+		d.config = configuration(1)
+		d.servers = []egretflow.ServerEntry{server(1), server(2)}
+		r := start(t, d, nil)
+		time.Sleep(time.Second)
+		later := time.Now().Add(2 * time.Second)
+		r.PauseUntil("s1", later)
+		r.PauseUntil("s1", later.Add(-time.Second))
+		if got := r.Closed("desk"); r.AcceptsWork("s1") || !got.OpensAt.IsZero() || !slices.Equal(got.Names, []egretflow.ServerName{"s1"}) {
+			t.Errorf("s1 takes work: %v, closed %+v", r.AcceptsWork("s1"), got)
+		}
+		r.PauseUntil("s2", later.Add(time.Second))
+		if got := r.Closed("desk").OpensAt; !got.Equal(later) {
+			t.Errorf("the pool opens at %v, want %v", got, later)
+		}
+		r.MarkLeaving("s1")
+		if got := r.Closed("desk").OpensAt; !got.Equal(later.Add(time.Second)) {
+			t.Errorf("without s1 the pool opens at %v, want %v", got, later.Add(time.Second))
+		}
+		time.Sleep(3 * time.Second)
+		if got := r.Closed("desk"); !r.AcceptsWork("s2") || !got.OpensAt.IsZero() {
+			t.Errorf("after the pause s2 takes work: %v, closed %+v", r.AcceptsWork("s2"), got)
+		}
+	})
+}
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -223,7 +223,7 @@
 	at.r.observeLoad(server, resp)
 	if resp.StatusCode != http.StatusOK {
 		defer resp.Body.Close()
-		f := readErrorResponse(server.Name, resp)
+		f := readErrorResponse(server.Name, resp, at.r.now())
 		if f.code == codeTransferFailed {
 			f.server = at.a.Prefill.Name
 		}
--- a/relayer/call.go
+++ b/relayer/call.go
@@ -235,7 +235,8 @@
 	}
 	if err == nil && resp.Header.Get(runStateHeader) == string(egretflow.RunStateNotRun) {
 		resp.Body.Close()
-		return nil, &failure{kind: failureRefused, server: server.Name, err: fmt.Errorf("status %d, server stated that it did not run the request", resp.StatusCode)}
+		retryAt := connector.RetryAt(resp.StatusCode, resp.Header, at.r.now())
+		return nil, &failure{kind: failureRefused, server: server.Name, retryAt: retryAt, err: fmt.Errorf("status %d, server stated that it did not run the request", resp.StatusCode)}
 	}
 	at.mayHaveRun.Store(true)
 	if err != nil {
--- a/relayer/failure.go
+++ b/relayer/failure.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/egretflow/egretflow"
 	"github.com/egretflow/egretflow/connector"
@@ -63,7 +64,9 @@
 	delivered bool
 	// unsent reports whether no connection to the server was made.
 	unsent bool
-	err    error
+	// retryAt is set if the server wants no work of this instance before then.
+	retryAt time.Time
+	err     error
 }
 
 func (f *failure) Error() string {
@@ -109,7 +112,7 @@
 )
 
 // readErrorResponse reads and classifies an error response of an engine.
-func readErrorResponse(server egretflow.ServerName, resp *http.Response) *failure {
+func readErrorResponse(server egretflow.ServerName, resp *http.Response, now time.Time) *failure {
 	var body struct {
 		Error struct {
 			Code    any    `json:"code"`
@@ -122,7 +125,7 @@
 	code, _ := body.Error.Code.(string)
 	return &failure{
 		kind: errorResponseKind(resp.StatusCode, code), server: server, status: resp.StatusCode, code: code,
-		message: body.Error.Message, err: fmt.Errorf("status %d: %s %s", resp.StatusCode, code, body.Error.Message),
+		message: body.Error.Message, retryAt: connector.RetryAt(resp.StatusCode, resp.Header, now), err: fmt.Errorf("status %d: %s %s", resp.StatusCode, code, body.Error.Message),
 	}
 }
 
--- a/relayer/forward.go
+++ b/relayer/forward.go
@@ -261,8 +261,8 @@
 // A response that states that the request did not run is returned as a *failure.
 func (f *forwardState) send(ctx context.Context, a *egretflow.Assignment, t egretflow.ExchangeMetadata) (*http.Response, error) {
 	t.Deadline, t.ResumeAfter = f.deadline, f.lastEventID
-	if gate := f.r.cfg.Gate; gate != nil && !gate.AcceptsWork(t.Server.Name) {
-		return nil, &failure{kind: failureRefused, server: t.Server.Name, err: errors.New("the server no longer accepts new work")}
+	if err := f.r.checkAccepts(t.Server); err != nil {
+		return nil, err
 	}
 	f.lastActivityAt = f.r.now()
 	resp, used, err := f.r.client.Open(f.request(ctx, t))
@@ -288,14 +288,12 @@
 // checkResponse checks that the response belongs to the request and that the
 // server did not refuse the request.
 func (f *forwardState) checkResponse(a *egretflow.Assignment, t egretflow.ExchangeMetadata, resp *http.Response) error {
-	terms := f.r.cfg.Dialect.ReadResponse(resp)
+	terms := f.r.cfg.Dialect.ReadResponse(resp, f.r.now())
 	if terms.ID != "" && terms.ID != f.call.Terms.ID {
 		f.r.record(egretflow.EventAnswerMismatch, a.Work, a, field("server", t.Server.Name), field("got", terms.ID))
 		return &failure{kind: failureMismatch, server: t.Server.Name, delivered: true, err: fmt.Errorf("response belongs to request %q", terms.ID)}
 	}
-	if terms.Leaving && f.r.cfg.Gate != nil {
-		f.r.cfg.Gate.MarkLeaving(t.Server.Name)
-	}
+	f.r.noteStatements(t.Server, &terms)
 	if !terms.NotRun {
 		return nil
 	}
@@ -307,7 +305,7 @@
 		kind = failureReplaced
 	}
 	return &failure{
-		kind: kind, server: t.Server.Name, delivered: true, status: resp.StatusCode,
+		kind: kind, server: t.Server.Name, delivered: true, status: resp.StatusCode, retryAt: terms.RetryAt,
 		err: fmt.Errorf("status %d, server stated that it did not run the request", resp.StatusCode),
 	}
 }
--- a/relayer/forward_fakes_test.go
+++ b/relayer/forward_fakes_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/connector"
 )
 
 // scriptedScheduler assigns the first server of the script that has the required
@@ -108,6 +109,7 @@
 	mu     sync.Mutex
 	closed []egretflow.ServerName
 	stated []string
+	paused []string
 }
 
 func (g *scriptedGate) AcceptsWork(name egretflow.ServerName) bool {
@@ -122,6 +124,12 @@
 	g.closed, g.stated = append(g.closed, name), append(g.stated, string(name))
 }
 
+func (g *scriptedGate) PauseUntil(name egretflow.ServerName, until time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed, g.paused = append(g.closed, name), append(g.paused, string(name))
+}
+
 func (g *scriptedGate) Closed(egretflow.PoolName) egretflow.ClosedServers {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -139,8 +147,8 @@
 	h.Set("After", t.ResumeAfter)
 }
 
-func (scriptedDialect) ReadResponse(resp *http.Response) egretflow.ResponseMetadata {
-	return egretflow.ResponseMetadata{ID: resp.Header.Get("Request"), NotRun: resp.Header.Get("Not-Run") != "", Leaving: resp.Header.Get("Leaving") != ""}
+func (scriptedDialect) ReadResponse(resp *http.Response, now time.Time) egretflow.ResponseMetadata {
+	return egretflow.ResponseMetadata{ID: resp.Header.Get("Request"), NotRun: resp.Header.Get("Not-Run") != "", Leaving: resp.Header.Get("Leaving") != "", RetryAt: connector.RetryAt(resp.StatusCode, resp.Header, now)}
 }
 
 func (scriptedDialect) WriteRefusal(http.Header, *egretflow.Refusal, time.Time) {}
--- a/relayer/forward_server_test.go
+++ b/relayer/forward_server_test.go
@@ -149,6 +149,8 @@
 	case "leaving":
 		v.countRun()
 		_, _ = fmt.Fprintf(conn, "%sLeaving: 1\r\nContent-Length: %d\r\n\r\n%s", head(500, ""), len(argument(1)), argument(1))
+	case "busy":
+		_, _ = fmt.Fprintf(conn, "%sNot-Run: 1\r\nRetry-After: %s\r\nContent-Length: 0\r\n\r\n", head(503, ""), argument(1))
 	case "notrun":
 		_, _ = fmt.Fprintf(conn, "%sNot-Run: 1\r\nContent-Length: 0\r\n\r\n", head(503, ""))
 	case "reset", "latereset":
--- a/relayer/forward_test.go
+++ b/relayer/forward_test.go
@@ -35,10 +35,11 @@
 //	want suspects=NAME,...|none    servers whose failure is reported to the scheduler
 //	want from=NAME:ID        the last request asks the server to continue after event ID
 //	want leaving=NAME,...    servers that have stated that they are leaving
+//	want paused=NAME,...     servers that have asked for a pause
 //	want closed=NAME         closeLimit bounds the time until the server sees the disconnect
 //
 // Actions: ok [body], status N [body], leaving [body] (status 500, states that the
-// server is leaving), notrun (states that it did not run), reset
+// server is leaving), busy SECONDS (not run, asks for a pause), notrun (states that it did not run), reset
 // (before any response), latereset MS (the same after a delay), truncate (less than
 // Content-Length), unframed [body] (no length, ends with the connection),
 // unframedreset, foreign (a response to another
@@ -233,6 +234,9 @@
 	if want := s.want["leaving"]; want != "" && strings.Join(s.gate.stated, ",") != want {
 		t.Errorf("servers %v have stated that they are leaving, want %s", s.gate.stated, want)
 	}
+	if want := s.want["paused"]; want != "" && strings.Join(s.gate.paused, ",") != want {
+		t.Errorf("servers %v have asked for a pause, want %s", s.gate.paused, want)
+	}
 	if name := s.want["closed"]; name != "" {
 		if late := s.server(name).closedAfter(s.leftAt); late > closeLimit {
 			t.Errorf("server %s saw its connection closed %v after the caller disconnected, want at most %v", name, late, closeLimit)
--- a/relayer/forwardstream.go
+++ b/relayer/forwardstream.go
@@ -128,12 +128,16 @@
 	if pool.HoldTTL == 0 {
 		return "", nil
 	}
+	if err := r.checkAccepts(a.Decode); err != nil {
+		return "", err
+	}
 	now := r.now()
 	until := now.Add(time.Duration(pool.HoldTTL))
 	if latest := a.FirstTokenAt.Add(holdMargin); latest.Before(until) {
 		until = latest
 	}
 	id, err := r.cfg.Engines.TakeHold(ctx, a.Decode, a.Work.HoldTokens(), until)
+	r.noteBusy(a.Decode, err)
 	switch {
 	case err == nil:
 		return id, nil
--- a/relayer/release.go
+++ b/relayer/release.go
@@ -48,7 +48,7 @@
 func (r *Relayer) reportFailure(f *failure, a *egretflow.Assignment) {
 	now := r.now()
 	if kind, ok := observationKinds[f.kind]; ok {
-		r.cfg.Scheduler.Observe(egretflow.Observation{Kind: kind, Server: f.server, Attempt: a.Attempt, StartedAt: now, EndedAt: now, Unsent: f.unsent})
+		r.cfg.Scheduler.Observe(egretflow.Observation{Kind: kind, Server: f.server, Attempt: a.Attempt, StartedAt: now, EndedAt: now, Unsent: f.unsent, RetryAt: f.retryAt})
 	}
 	if r.cfg.AttemptFailed != nil {
 		r.cfg.AttemptFailed(a.Work, string(f.kind))
--- a/relayer/successor.go
+++ b/relayer/successor.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/egretflow/egretflow"
@@ -23,25 +22,14 @@
 		f.successor = nil
 		return s.a, s.hold, nil
 	}
-	a, err := f.r.acquire(ctx, f.withoutClosed(work), &f.result)
+	work, err := f.withoutClosed(work)
+	if err != nil {
+		return nil, "", err
+	}
+	a, err := f.r.acquire(ctx, work, &f.result)
 	return a, "", err
 }
 
-// withoutClosed returns work that avoids the servers that get no new work of this
-// instance. The scheduler that decides may be that of another instance.
-func (f *forwardState) withoutClosed(work *egretflow.Work) *egretflow.Work {
-	if f.r.cfg.Gate == nil {
-		return work
-	}
-	closed := f.r.cfg.Gate.Closed(work.Pool)
-	if len(closed.Names) == 0 {
-		return work
-	}
-	open := *work
-	open.Avoid = slices.Concat(work.Avoid, closed.Names)
-	return &open
-}
-
 // releaseSuccessor frees a successor that is not used.
 func (f *forwardState) releaseSuccessor() {
 	s := f.successor
@@ -111,7 +99,11 @@
 // reserve waits for servers for work and returns them, or nil if the request gets
 // none. It may run beside an attempt.
 func (f *forwardState) reserve(ctx context.Context, work *egretflow.Work) *successor {
-	a, err := f.r.cfg.Scheduler.Acquire(ctx, f.withoutClosed(work))
+	work, err := f.withoutClosed(work)
+	var a *egretflow.Assignment
+	if err == nil {
+		a, err = f.r.cfg.Scheduler.Acquire(ctx, work)
+	}
 	if err != nil {
 		if ctx.Err() == nil {
 			f.r.record(egretflow.EventReplacementRefused, work, nil, field("error", err.Error()))
--- a/scheduler/observe.go
+++ b/scheduler/observe.go
@@ -49,7 +49,7 @@
 	case egretflow.ObservationFailed, egretflow.ObservationSilent, egretflow.ObservationReplaced:
 		t.recordServerChange(s, s.Speed.ObserveFailure(t.now))
 	case egretflow.ObservationRefused:
-		p.picker.Pause(s, t.now)
+		p.picker.Pause(s, o.RetryAt, t.now)
 	case egretflow.ObservationLoad:
 		if o.Load != nil {
 			p.picker.ApplyLoadReport(s, o.Load, t.now)
