relayer: continue a stream only with an event stream

Callers of a resumable stream that broke off saw the JSON error or the page of the next server in the middle of their stream, which then ended as complete. A whole response of another type to a stream request was answered with 502.

Cause: a response with status 200 was split at its empty lines and written as events, whatever its type.

Change: a response of another type than text/event-stream does not continue a stream that has begun; the attempt counts as failed and another server is tried. As the first response it is read whole and passed on unchanged. A response without a type is still taken for a stream.

All scripts pass now, also with -race. New in the scripts: the action "raw", which sends exact bytes, and "want written", which compares what a caller has of a cut response.

--- a/relayer/forward_server_test.go
+++ b/relayer/forward_server_test.go
@@ -167,6 +167,13 @@
 	case "foreign":
 		v.countRun()
 		_, _ = fmt.Fprint(conn, "HTTP/1.1 200 X\r\nRequest: r2\r\nContent-Length: 5\r\n\r\nother")
+	case "raw":
+		v.countRun()
+		_, _ = io.WriteString(conn, decodeBody(argument(1)))
+		if argument(2) == "reset" {
+			time.Sleep(50 * time.Millisecond)
+			reset()
+		}
 	case "garbage":
 		v.countRun()
 		_, _ = fmt.Fprint(conn, "\x16\x03\x01 no answer\r\n\r\n")
--- a/relayer/forward_test.go
+++ b/relayer/forward_test.go
@@ -30,6 +30,7 @@
 //	scheduler refuses=late   the scheduler refuses work whose first-token target has passed
 //	on NAME ACTION...        one line per request that reaches the server
 //	caller leaves=MS         the caller disconnects after MS milliseconds
+//	want written=TEXT        what the caller has received, also of a response that is cut off
 //	want status=N body=TEXT|cut runs=NAME:N,... notrun=true|false
 //	want suspects=NAME,...|none    servers whose failure is reported to the scheduler
 //	want from=NAME:ID        the last request asks the server to continue after event ID
@@ -38,8 +39,8 @@
 // Actions: ok [body], status N [body], notrun (states that it did not run), reset
 // (before any response), latereset MS (the same after a delay), truncate (less than
 // Content-Length), unframed [body] (no length, ends with the connection),
-// unframedreset, foreign (a response to another
-// request), garbage (not HTTP), late MS [body], early [body] (responds before it
+// unframedreset, raw BYTES [reset] (exactly these bytes, as decodeBody reads them),
+// foreign (a response to another request), garbage (not HTTP), late MS [body], early [body] (responds before it
 // reads the request body), silent, prefill, events A-B [cut|reset|hang], full (no
 // memory can be reserved), refuse (no process listens), endless WHAT (sends bytes
 // until its connection is closed; WHAT is a key of floods), dribbles (one
@@ -196,6 +197,9 @@
 	} else if want != "" && (err != nil || encodeBody(w.Body.String()) != want) {
 		t.Errorf("body %q, error %v; want %q", w.Body.String(), err, want)
 	}
+	if want := s.want["written"]; want != "" && encodeBody(w.Body.String()) != want {
+		t.Errorf("the caller has received %q, want %q", w.Body.String(), want)
+	}
 	if want := s.want["notrun"]; want != "" && (!isRefusal || strconv.FormatBool(refusal.RunState == egretflow.RunStateNotRun) != want) {
 		t.Errorf("refusal %v, want not run %s", err, want)
 	}
@@ -236,3 +240,8 @@
 func encodeBody(body string) string {
 	return strings.NewReplacer("\n", "|", " ", "_").Replace(strings.TrimSpace(body))
 }
+
+// decodeBody reverses encodeBody; "^" is a carriage return.
+func decodeBody(text string) string {
+	return strings.NewReplacer("|", "\n", "_", " ", "^", "\r").Replace(text)
+}
--- a/relayer/forwardstream.go
+++ b/relayer/forwardstream.go
@@ -235,6 +235,9 @@
 	if resp.StatusCode != http.StatusOK {
 		return g.errorResponse(ctx, resp)
 	}
+	if !isEventStream(resp.Header) {
+		return g.plainResponse(ctx, resp)
+	}
 	g.observedSince = started
 	return g.relay(ctx, resp, watch)
 }
@@ -249,6 +252,25 @@
 	return &failure{kind: failureError, server: g.a.Decode.Name, response: response, delivered: true, err: fmt.Errorf("status %d", response.status)}
 }
 
+// plainResponse handles a response with status 200 that is not an event stream. It may
+// be sent to the caller, but not into a stream that has begun.
+func (g *streamAttempt) plainResponse(ctx context.Context, resp *http.Response) error {
+	if g.result.Started {
+		return g.mismatch("response of type %q continues a stream", resp.Header.Get("Content-Type"))
+	}
+	response, err := g.readResponse(ctx, g.a.Decode, resp)
+	if err != nil {
+		return err
+	}
+	return g.writeResponse(g.w, response)
+}
+
+// mismatch returns the failure of a decode server whose response is not, or not only,
+// the stream that was requested.
+func (g *streamAttempt) mismatch(format string, args ...any) *failure {
+	return &failure{kind: failureMismatch, server: g.a.Decode.Name, delivered: true, err: fmt.Errorf(format, args...)}
+}
+
 // relay sends complete events to the caller until the stream ends.
 func (g *streamAttempt) relay(ctx context.Context, resp *http.Response, watch *stallWatch) error {
 	events := bufio.NewReaderSize(resp.Body, eventBufferBytes)
