relayer: keep what is not an event of the stream out of it

Callers saw, in the middle of their stream, the error event of the next server, its text without a type, or the whole head of another response that followed a stream without a length. After an error event the stream ended as complete.

Cause: everything up to an empty line was taken for an event. Only the id was looked at, and a block without an id was always passed on.

Change: the fields of an event say what it is. A block without any field of an event ends the attempt. So does an event without an id that reports an error: it is not passed on, and the stream is continued elsewhere or cut. The first event of an attempt that continues a stream must have an id, because nothing else shows that it follows. Events with ids, comments, and in the first attempt events without ids, are passed on as before.

--- a/relayer/forwardstream.go
+++ b/relayer/forwardstream.go
@@ -2,13 +2,11 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	stderrors "errors"
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -279,19 +277,23 @@
 		if progress {
 			watch.begin()
 		}
-		event, err := readEvent(events)
+		data, err := readEvent(events)
+		event := parseEvent(data)
 		// An event without an id, such as a comment, is no progress: a stalled server
 		// may send some.
-		progress = eventIDOf(event) != ""
+		progress = event.id != ""
 		if progress || err != nil {
 			watch.end()
 		}
-		if errors.Is(err, io.EOF) && len(event) == 0 {
+		if errors.Is(err, io.EOF) && len(data) == 0 {
 			return g.complete()
 		}
 		if err != nil {
 			return g.connectionError(ctx, g.a.Decode, fmt.Errorf("read event: %w", err))
 		}
+		if err := g.checkEvent(event); err != nil {
+			return err
+		}
 		if err := g.writeEvent(resp, event); err != nil {
 			return err
 		}
@@ -314,9 +316,28 @@
 	return nil
 }
 
+// checkEvent returns an error if the event must not reach the caller: it is none, it
+// says that the server failed, or nothing shows that it follows the events of earlier
+// attempts.
+func (g *streamAttempt) checkEvent(event streamEvent) error {
+	switch {
+	case event.kind == eventInvalid:
+		return g.mismatch("the stream has other data than events")
+	case event.kind == eventError:
+		return &failure{kind: failureBroken, server: g.a.Decode.Name, delivered: true, err: errors.New("the stream has an error event")}
+	case event.kind == eventUnnumbered && g.continues() && g.receivedEvents.Load() == 0:
+		return g.mismatch("the stream is continued by an event without an id")
+	}
+	return nil
+}
+
+// continues reports whether the attempt continues a stream of which the caller has
+// events.
+func (g *streamAttempt) continues() bool { return g.earlierEvents > 0 }
+
 // writeEvent writes one event to the caller unless the caller already has it.
-func (g *streamAttempt) writeEvent(resp *http.Response, event []byte) error {
-	id := eventIDOf(event)
+func (g *streamAttempt) writeEvent(resp *http.Response, event streamEvent) error {
+	id := event.id
 	if id != "" && !follows(id, g.lastEventID) {
 		return nil
 	}
@@ -328,7 +349,7 @@
 		g.result.Started, g.result.Status, g.result.FirstTokenAt = true, resp.StatusCode, now
 		writeHeader(g.w, resp.Header, resp.StatusCode)
 	}
-	if _, err := g.w.Write(event); err != nil {
+	if _, err := g.w.Write(event.data); err != nil {
 		return fmt.Errorf("write event: %w", err)
 	}
 	g.result.noteEvent(now)
@@ -403,53 +424,3 @@
 		g.r.cfg.PrefillWasted(g.a.Work, g.prefillTokens)
 	}
 }
-
-// errLargeEvent means that a server sent an event above maxEventBytes, as one does
-// that sends bytes without end.
-var errLargeEvent = errors.New("event is too large")
-
-// readEvent reads one SSE event, up to and including its empty line. On an error,
-// such as io.EOF, it also returns the incomplete event.
-func readEvent(r *bufio.Reader) ([]byte, error) {
-	var event []byte
-	for {
-		line, err := r.ReadSlice('\n')
-		event = append(event, line...)
-		if len(event) > maxEventBytes {
-			return event, errLargeEvent
-		}
-		if errors.Is(err, bufio.ErrBufferFull) {
-			continue
-		}
-		if err != nil {
-			return event, err //nolint:wrapcheck // the caller compares it with io.EOF
-		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 && len(event) > len(line) {
-			return event, nil
-		}
-	}
-}
-
-// eventIDOf returns the id of an event, or "" if it has none.
-func eventIDOf(event []byte) string {
-	for line := range bytes.Lines(event) {
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(value))
-		}
-	}
-	return ""
-}
-
-// follows reports whether the event with the given id comes after the event last.
-// Ids that are not numbers follow each other if they differ.
-func follows(id, last string) bool {
-	if last == "" {
-		return true
-	}
-	a, errA := strconv.ParseUint(id, 10, 64)
-	b, errB := strconv.ParseUint(last, 10, 64)
-	if errA != nil || errB != nil {
-		return id != last
-	}
-	return a > b
-}
--- a/relayer/streamevent.go
+++ b/relayer/streamevent.go
@@ -1,10 +1,88 @@
 package relayer
 
 import (
+	"bufio"
+	"bytes"
+	"encoding/json"
 	"net/http"
+	"strconv"
 	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// eventKind says what the fields of an event make it.
+type eventKind string
+
+const (
+	// eventNumbered has an id, as every event of a stream on the platform.
+	eventNumbered eventKind = "Numbered"
+	// eventUnnumbered has no id.
+	eventUnnumbered eventKind = "Unnumbered"
+	// eventComment has no fields that callers see, only comments or empty lines.
+	eventComment eventKind = "Comment"
+	// eventError has no id and says that the server failed.
+	eventError eventKind = "Error"
+	// eventInvalid is not an event, for example the head of another response.
+	eventInvalid eventKind = "Invalid"
 )
 
+// streamEvent is an event with its empty line, as a server sent it.
+type streamEvent struct {
+	data []byte
+	kind eventKind
+	// id is empty if the event has none.
+	id string
+}
+
+// parseEvent reads the fields of an event. Fields other than those of SSE may stand
+// beside them.
+func parseEvent(data []byte) streamEvent {
+	e := streamEvent{data: data, kind: eventComment}
+	failed := false
+	for line := range bytes.Lines(data) {
+		name, value, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		value = bytes.TrimSpace(value)
+		switch string(name) {
+		case "", "retry":
+			continue
+		case "id":
+			if e.id == "" {
+				e.id = string(value)
+			}
+		case "event":
+			failed = failed || string(value) == "error"
+		case "data":
+			failed = failed || e.id == "" && isErrorObject(value)
+		default:
+			if e.kind == eventComment {
+				e.kind = eventInvalid
+			}
+			continue
+		}
+		e.kind = eventUnnumbered
+	}
+	switch {
+	case e.id != "":
+		e.kind = eventNumbered
+	case failed:
+		e.kind = eventError
+	}
+	return e
+}
+
+// isErrorObject reports whether data is a JSON object with an error, as engines with
+// the OpenAI API send it.
+func isErrorObject(data []byte) bool {
+	if !bytes.HasPrefix(data, []byte("{")) {
+		return false
+	}
+	var object struct {
+		Error any `json:"error"`
+	}
+	return json.Unmarshal(data, &object) == nil && object.Error != nil
+}
+
 // isEventStream reports whether a response with the header has a body of SSE events.
 // A body without a type is taken for one, because its events are checked as well.
 func isEventStream(h http.Header) bool {
@@ -12,3 +90,43 @@
 	mediaType = strings.TrimSpace(mediaType)
 	return mediaType == "" || strings.EqualFold(mediaType, "text/event-stream")
 }
+
+// errLargeEvent means that a server sent an event above maxEventBytes, as one does
+// that sends bytes without end.
+var errLargeEvent = errors.New("event is too large")
+
+// readEvent reads one SSE event, up to and including its empty line. On an error,
+// such as io.EOF, it also returns the incomplete event.
+func readEvent(r *bufio.Reader) ([]byte, error) {
+	var event []byte
+	for {
+		line, err := r.ReadSlice('\n')
+		event = append(event, line...)
+		if len(event) > maxEventBytes {
+			return event, errLargeEvent
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		if err != nil {
+			return event, err //nolint:wrapcheck // the caller compares it with io.EOF
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 && len(event) > len(line) {
+			return event, nil
+		}
+	}
+}
+
+// follows reports whether the event with the given id comes after the event last.
+// Ids that are not numbers follow each other if they differ.
+func follows(id, last string) bool {
+	if last == "" {
+		return true
+	}
+	a, errA := strconv.ParseUint(id, 10, 64)
+	b, errB := strconv.ParseUint(last, 10, 64)
+	if errA != nil || errB != nil {
+		return id != last
+	}
+	return a > b
+}
