relayer: send no header before the first event that is passed on

A caller that resumed its stream saw a 200 without the server's header and signature if the server repeated an event that the caller had. If that server then failed, the text of the refusal followed under this 200.

Cause: a repeated event is not written, but the response was flushed after it, and a flush without a header sends a default one.

Change: nothing is flushed before the response has started.

Evidence: the script resumed-repeats failed before (the response was signed by "", not by the server). That the refusal follows under the 200 was concluded from the code and not run by itself.

--- a/relayer/forward_server_test.go
+++ b/relayer/forward_server_test.go
@@ -169,7 +169,10 @@
 		_, _ = fmt.Fprint(conn, "HTTP/1.1 200 X\r\nRequest: r2\r\nContent-Length: 5\r\n\r\nother")
 	case "raw":
 		v.countRun()
-		_, _ = io.WriteString(conn, decodeBody(argument(1)))
+		for part := range strings.SplitSeq(decodeBody(argument(1)), "%") {
+			_, _ = io.WriteString(conn, part)
+			time.Sleep(10 * time.Millisecond)
+		}
 		if argument(2) == "reset" {
 			time.Sleep(50 * time.Millisecond)
 			reset()
--- a/relayer/forward_test.go
+++ b/relayer/forward_test.go
@@ -29,8 +29,9 @@
 //	server NAME stage=service|prefill|decode [preempts=yes] [pause=MS] [reports=Ahead|Nothing]
 //	scheduler refuses=late   the scheduler refuses work whose first-token target has passed
 //	on NAME ACTION...        one line per request that reaches the server
-//	caller leaves=MS         the caller disconnects after MS milliseconds
+//	caller leaves=MS resumes=ID    the caller disconnects after MS milliseconds, or resumes a stream after event ID
 //	want written=TEXT        what the caller has received, also of a response that is cut off
+//	want stamp=TEXT          the header Stamp, with which servers sign their responses
 //	want status=N body=TEXT|cut runs=NAME:N,... notrun=true|false
 //	want suspects=NAME,...|none    servers whose failure is reported to the scheduler
 //	want from=NAME:ID        the last request asks the server to continue after event ID
@@ -39,7 +40,8 @@
 // Actions: ok [body], status N [body], notrun (states that it did not run), reset
 // (before any response), latereset MS (the same after a delay), truncate (less than
 // Content-Length), unframed [body] (no length, ends with the connection),
-// unframedreset, raw BYTES [reset] (exactly these bytes, as decodeBody reads them),
+// unframedreset, raw BYTES [reset] (exactly these bytes, as decodeBody reads them, with a
+// pause at each "%"),
 // foreign (a response to another request), garbage (not HTTP), late MS [body], early [body] (responds before it
 // reads the request body), silent, prefill, events A-B [cut|reset|hang], full (no
 // memory can be reserved), refuse (no process listens), endless WHAT (sends bytes
@@ -54,6 +56,8 @@
 	refusesLate bool
 	// leavesAfter is the time after which the caller disconnects; 0 means never.
 	leavesAfter time.Duration
+	// resumeAfter is the id of the event after which the caller resumes its stream.
+	resumeAfter string
 	// leftAt is when the caller disconnected.
 	leftAt time.Time
 }
@@ -115,6 +119,7 @@
 		case "caller":
 			ms, _ := strconv.Atoi(values["leaves"])
 			s.leavesAfter = time.Duration(ms) * time.Millisecond
+			s.resumeAfter = values["resumes"]
 		case "want":
 			for key, value := range values {
 				s.want[key] = value
@@ -160,7 +165,7 @@
 			GiveUpBy: now.Add(2 * time.Second), PromptTokens: 100, MaxTokens: 10,
 		},
 		Pool: pool, Method: http.MethodPost, URL: &url.URL{Path: "/a/b"}, Host: "h", Header: http.Header{},
-		Body: []byte(strings.Repeat("b", 20<<10)), Terms: egretflow.RequestMetadata{ID: "r1"}, MaxAttempts: s.attempts, EventGapTarget: 100 * time.Millisecond,
+		Body: []byte(strings.Repeat("b", 20<<10)), Terms: egretflow.RequestMetadata{ID: "r1", ResumeAfter: s.resumeAfter}, MaxAttempts: s.attempts, EventGapTarget: 100 * time.Millisecond,
 	}
 	w := httptest.NewRecorder()
 	forward := r.Forward
@@ -200,6 +205,9 @@
 	if want := s.want["written"]; want != "" && encodeBody(w.Body.String()) != want {
 		t.Errorf("the caller has received %q, want %q", w.Body.String(), want)
 	}
+	if want := s.want["stamp"]; want != "" && w.Result().Header.Get("Stamp") != want {
+		t.Errorf("the response is signed by %q, want %q", w.Result().Header.Get("Stamp"), want)
+	}
 	if want := s.want["notrun"]; want != "" && (!isRefusal || strconv.FormatBool(refusal.RunState == egretflow.RunStateNotRun) != want) {
 		t.Errorf("refusal %v, want not run %s", err, want)
 	}
--- a/relayer/forwardstream.go
+++ b/relayer/forwardstream.go
@@ -297,7 +297,8 @@
 		if err := g.writeEvent(resp, event); err != nil {
 			return err
 		}
-		if events.Buffered() > 0 {
+		// A flush before the first event would send a header that is not the server's.
+		if events.Buffered() > 0 || !g.result.Started {
 			continue
 		}
 		if err := control.Flush(); err != nil {
