relayer: start a stream with its first event, not with a comment

Callers saw the header and signature of one server over the whole stream of another, and a stream of comments without any event ended as complete.

Cause: a comment counted as an event. It sent the header, and when its server failed the next attempt wrote its stream under it.

Change: comments before the first event are kept and written with it; they are dropped with their attempt. A comment no longer counts as an event, neither for the end of a stream nor for the tokens that are reported.

Evidence: the scripts resumable-comment-first and stream-comments-only failed before (signed by "d" instead of "e"; status 200 instead of 502). All scripts pass now, also with -race.

--- a/relayer/forwardstream.go
+++ b/relayer/forwardstream.go
@@ -90,6 +90,8 @@
 	observedSince time.Time
 	// events counts the events that this attempt sent to the caller.
 	events int
+	// comments holds the comments that arrived before the first event of the stream.
+	comments []byte
 	// earlierEvents counts the events of earlier attempts.
 	earlierEvents int
 	// receivedEvents counts the events with an id, which comments have not. It is
@@ -339,6 +341,9 @@
 // writeEvent writes one event to the caller unless the caller already has it.
 func (g *streamAttempt) writeEvent(resp *http.Response, event streamEvent) error {
 	id := event.id
+	if event.kind == eventComment {
+		return g.writeComment(event.data)
+	}
 	if id != "" && !follows(id, g.lastEventID) {
 		return nil
 	}
@@ -350,7 +355,11 @@
 		g.result.Started, g.result.Status, g.result.FirstTokenAt = true, resp.StatusCode, now
 		writeHeader(g.w, resp.Header, resp.StatusCode)
 	}
-	if _, err := g.w.Write(event.data); err != nil {
+	data := event.data
+	if len(g.comments) > 0 {
+		data, g.comments = append(g.comments, data...), nil
+	}
+	if _, err := g.w.Write(data); err != nil {
 		return fmt.Errorf("write event: %w", err)
 	}
 	g.result.noteEvent(now)
@@ -367,6 +376,21 @@
 	return nil
 }
 
+// writeComment writes a comment to the caller. Before the first event it is kept until
+// then, because the header of the response is that of the server whose events follow.
+func (g *streamAttempt) writeComment(comment []byte) error {
+	if !g.result.Started {
+		if g.comments = append(g.comments, comment...); len(g.comments) > maxEventBytes {
+			return g.mismatch("the comments before the first event are too large")
+		}
+		return nil
+	}
+	if _, err := g.w.Write(comment); err != nil {
+		return fmt.Errorf("write comment: %w", err)
+	}
+	return nil
+}
+
 // reportFirstEvent reports to the scheduler that the KV cache transfer is complete.
 func (g *streamAttempt) reportFirstEvent(now time.Time) {
 	g.r.cfg.Scheduler.Observe(egretflow.Observation{
