relayer: check where the attempt that continues a stream ends

A stream that had broken off ended as if it were complete when the next server closed its connection after the head of its response, or when it began again and ended before the events that the caller had.

Cause: any end counted as the end of the stream once an event had been written, by whichever attempt.

Change: an attempt whose last event lies before the caller's last one fails. So does one without events whose body ends only with its connection: nothing says that it is whole. An empty body with a length or a final chunk still ends the stream, because its server states that nothing follows.

Evidence: the scripts seam-ends-unframed and seam-falls-short failed before (not cut); seam-ends guards the last sentence and passed. All scripts pass now, also with -race.

--- a/relayer/forwardstream.go
+++ b/relayer/forwardstream.go
@@ -92,6 +92,9 @@
 	events int
 	// comments holds the comments that arrived before the first event of the stream.
 	comments []byte
+	// receivedID is the id of the last event that this attempt received, even if the
+	// caller already had it.
+	receivedID string
 	// earlierEvents counts the events of earlier attempts.
 	earlierEvents int
 	// receivedEvents counts the events with an id, which comments have not. It is
@@ -288,7 +291,7 @@
 			watch.end()
 		}
 		if errors.Is(err, io.EOF) && len(data) == 0 {
-			return g.complete()
+			return g.complete(resp)
 		}
 		if err != nil {
 			return g.connectionError(ctx, g.a.Decode, fmt.Errorf("read event: %w", err))
@@ -311,9 +314,14 @@
 
 // complete checks a stream that was read to its end and reports its last events to
 // the scheduler.
-func (g *streamAttempt) complete() error {
-	if g.writtenEvents == 0 {
+func (g *streamAttempt) complete(resp *http.Response) error {
+	switch {
+	case g.writtenEvents == 0:
 		return &failure{kind: failureBroken, server: g.a.Decode.Name, delivered: true, err: errors.New("the stream has no events")}
+	case g.events == 0 && g.receivedID == "" && !isFramed(resp):
+		return &failure{kind: failureBroken, server: g.a.Decode.Name, delivered: true, err: errors.New("the connection was closed before the first event")}
+	case g.receivedID != "" && g.receivedID != g.lastEventID:
+		return g.mismatch("the stream ends after event %s, but the caller has event %s", g.receivedID, g.lastEventID)
 	}
 	g.reportTokens()
 	return nil
@@ -344,6 +352,9 @@
 	if event.kind == eventComment {
 		return g.writeComment(event.data)
 	}
+	if id != "" {
+		g.receivedID = id
+	}
 	if id != "" && !follows(id, g.lastEventID) {
 		return nil
 	}
--- a/relayer/streamevent.go
+++ b/relayer/streamevent.go
@@ -91,6 +91,12 @@
 	return mediaType == "" || strings.EqualFold(mediaType, "text/event-stream")
 }
 
+// isFramed reports whether the response says where its body ends, other than by the
+// end of its connection.
+func isFramed(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
+
 // errLargeEvent means that a server sent an event above maxEventBytes, as one does
 // that sends bytes without end.
 var errLargeEvent = errors.New("event is too large")
