relayer: notice a gap where another server continues a stream

A caller whose stream broke off after event 2 saw event 4 next when the server that continued it left one out, and the stream ended as complete.

Cause: any greater id counted as the next one.

Change: if the ids of a stream have increased by one each time, the first event of another server must have the next id; otherwise the attempt fails. Streams with other steps are not checked, and neither are gaps within the response of one server, which is passed on as it is.

Evidence: the script seam-gap failed before (events 4 and 5 after 2, not cut); seam-other-steps passes before and after. All scripts pass now, also with -race.

--- a/relayer/forward.go
+++ b/relayer/forward.go
@@ -45,6 +45,9 @@
 	writtenEvents int
 	// lastEventID is the id of the last event that the caller has; empty if none.
 	lastEventID string
+	// consecutive reports whether the ids of the events have increased by one each time
+	// so far, so that a gap shows that events are missing.
+	consecutive bool
 	// lastResponse is the newest complete error response of a server; nil if there
 	// is none.
 	lastResponse *completeResponse
--- a/relayer/forwardstream.go
+++ b/relayer/forwardstream.go
@@ -338,6 +338,8 @@
 		return &failure{kind: failureBroken, server: g.a.Decode.Name, delivered: true, err: errors.New("the stream has an error event")}
 	case event.kind == eventUnnumbered && g.continues() && g.receivedEvents.Load() == 0:
 		return g.mismatch("the stream is continued by an event without an id")
+	case g.continues() && g.events == 0 && g.consecutive && idStep(g.lastEventID, event.id) > 1:
+		return g.mismatch("the stream is continued after event %s by event %s", g.lastEventID, event.id)
 	}
 	return nil
 }
@@ -378,6 +380,7 @@
 	g.writtenEvents++
 	g.result.Tokens++
 	if id != "" {
+		g.consecutive = idStep(g.lastEventID, id) == 1 && (g.consecutive || g.writtenEvents == 1)
 		g.lastEventID = id
 		g.receivedEvents.Add(1)
 	}
--- a/relayer/streamevent.go
+++ b/relayer/streamevent.go
@@ -123,6 +123,20 @@
 	}
 }
 
+// idStep returns the difference between the id of an event and the one before it, or 0
+// if they are not increasing numbers. The first event follows event 0.
+func idStep(last, id string) uint64 {
+	if last == "" {
+		last = "0"
+	}
+	a, errA := strconv.ParseUint(last, 10, 64)
+	b, errB := strconv.ParseUint(id, 10, 64)
+	if errA != nil || errB != nil || b <= a {
+		return 0
+	}
+	return b - a
+}
+
 // follows reports whether the event with the given id comes after the event last.
 // Ids that are not numbers follow each other if they differ.
 func follows(id, last string) bool {
