relayer: do not continue a stream after an event without an id

A caller whose stream had an event without an id after the last numbered one saw the next server go on from the numbered one, so that an event could come twice; for a stream without ids the whole request ran again for nothing.

Cause: a continuation names the last id only, and says nothing of events after it.

Change: a stream that has had an event without an id ends where it breaks off. On the platform every event has an id.

Evidence: the scripts resumable-unnumbered and resumable-unnumbered-between failed before (a second server ran the request; its events followed). All scripts pass now, also with -race.

--- a/relayer/forward.go
+++ b/relayer/forward.go
@@ -45,6 +45,9 @@
 	writtenEvents int
 	// lastEventID is the id of the last event that the caller has; empty if none.
 	lastEventID string
+	// unnumbered reports whether the caller has an event without an id, after which no
+	// server can be asked to continue.
+	unnumbered bool
 	// consecutive reports whether the ids of the events have increased by one each time
 	// so far, so that a gap shows that events are missing.
 	consecutive bool
@@ -110,7 +113,7 @@
 		return nil, false
 	case f.runs > 0 && !f.call.Work.Idempotent:
 		return nil, false
-	case f.runs >= f.maxRuns():
+	case f.runs >= f.maxRuns(), f.unnumbered:
 		return nil, false
 	}
 	next := f.retryWork(work, cause, f.writtenEvents, f.lastEventAt())
