relayer: take no encoded body for the server's

Callers, who ask for no encoding, got a success whose body was encoded; one came also into the middle of a stream that another server continued. By PROTOCOL.md such a body is not the replica's.

Cause: the header Content-Encoding was not looked at.

Change: a success with an encoding other than identity fails the attempt. Safe requests and resumable streams go on at another server, others get 502, which promises nothing. Errors with an encoding are passed on as they are.

Evidence: the scripts safe-encoded, unsafe-encoded and seam-encoded failed before (the encoded body with status 200, or in the stream); safe-encoded-error and safe-identity passed. All scripts pass now, also with -race.

--- a/relayer/forward.go
+++ b/relayer/forward.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -300,7 +301,7 @@
 		return &failure{kind: failureMismatch, server: t.Server.Name, delivered: true, err: fmt.Errorf("response belongs to request %q", terms.ID)}
 	}
 	if !terms.NotRun {
-		return nil
+		return checkEncoding(t.Server, resp)
 	}
 	if t.Stage != egretflow.StagePrefill {
 		f.runs--
@@ -315,6 +316,16 @@
 	}
 }
 
+// checkEncoding returns a failure if a success has an encoded body. Callers ask for
+// none, so that it is not the body that the server made.
+func checkEncoding(s *egretflow.Server, resp *http.Response) error {
+	encoding := resp.Header.Get("Content-Encoding")
+	if resp.StatusCode >= http.StatusMultipleChoices || encoding == "" || strings.EqualFold(encoding, "identity") {
+		return nil
+	}
+	return &failure{kind: failureMismatch, server: s.Name, delivered: true, err: fmt.Errorf("response has encoding %q", encoding)}
+}
+
 // request builds the request to the server of t.
 func (f *forwardState) request(ctx context.Context, t egretflow.ExchangeMetadata) *http.Request {
 	req := f.call.request(ctx, t.Server)
