relayer: answer a caller that resumes a stream after its last event

A caller whose connection broke after the last event and before the end of its stream got 502 when it resumed there, although the server stated that nothing follows.

Cause: a stream without events always counted as failed.

Change: where the caller resumes its stream, an empty body with a length or a final chunk ends it. An empty body that ends with its connection still fails, and so does a stream without events that is not resumed.

Evidence: the script resumed-complete failed before (502); resumed-nothing-unframed and stream-nothing guard the other two cases.

--- a/relayer/forwardstream.go
+++ b/relayer/forwardstream.go
@@ -316,14 +316,18 @@
 // the scheduler.
 func (g *streamAttempt) complete(resp *http.Response) error {
 	switch {
-	case g.writtenEvents == 0:
+	case g.writtenEvents == 0 && g.lastEventID == "":
 		return &failure{kind: failureBroken, server: g.a.Decode.Name, delivered: true, err: errors.New("the stream has no events")}
 	case g.events == 0 && g.receivedID == "" && !isFramed(resp):
 		return &failure{kind: failureBroken, server: g.a.Decode.Name, delivered: true, err: errors.New("the connection was closed before the first event")}
 	case g.receivedID != "" && g.receivedID != g.lastEventID:
 		return g.mismatch("the stream ends after event %s, but the caller has event %s", g.receivedID, g.lastEventID)
 	}
-	g.reportTokens()
+	// A caller that resumes its stream may have had its last event already.
+	g.start(resp, g.r.now())
+	if g.events > 0 {
+		g.reportTokens()
+	}
 	return nil
 }
 
@@ -364,10 +368,7 @@
 	if g.events == 0 {
 		g.reportFirstEvent(now)
 	}
-	if !g.result.Started {
-		g.result.Started, g.result.Status, g.result.FirstTokenAt = true, resp.StatusCode, now
-		writeHeader(g.w, resp.Header, resp.StatusCode)
-	}
+	g.start(resp, now)
 	data := event.data
 	if len(g.comments) > 0 {
 		data, g.comments = append(g.comments, data...), nil
@@ -391,6 +392,15 @@
 	return nil
 }
 
+// start writes the header of the response to the caller unless it has one.
+func (g *streamAttempt) start(resp *http.Response, now time.Time) {
+	if g.result.Started {
+		return
+	}
+	g.result.Started, g.result.Status, g.result.FirstTokenAt = true, resp.StatusCode, now
+	writeHeader(g.w, resp.Header, resp.StatusCode)
+}
+
 // writeComment writes a comment to the caller. Before the first event it is kept until
 // then, because the header of the response is that of the server whose events follow.
 func (g *streamAttempt) writeComment(comment []byte) error {
