relayer: accept empty lines after the last event of a stream

A whole stream that ended with one more empty line was cut off.

Change: empty lines before the end of the stream are no event. They are passed on.

Evidence: the script stream-extra-line failed before ("read event: EOF" after the last event).

--- a/relayer/forwardstream.go
+++ b/relayer/forwardstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	stderrors "errors"
 	"fmt"
@@ -290,8 +291,8 @@
 		if progress || err != nil {
 			watch.end()
 		}
-		if errors.Is(err, io.EOF) && len(data) == 0 {
-			return g.complete(resp)
+		if errors.Is(err, io.EOF) && len(bytes.TrimRight(data, "\r\n")) == 0 {
+			return g.complete(resp, data)
 		}
 		if err != nil {
 			return g.connectionError(ctx, g.a.Decode, fmt.Errorf("read event: %w", err))
@@ -313,8 +314,8 @@
 }
 
 // complete checks a stream that was read to its end and reports its last events to
-// the scheduler.
-func (g *streamAttempt) complete(resp *http.Response) error {
+// the scheduler. rest holds the empty lines after the last event.
+func (g *streamAttempt) complete(resp *http.Response, rest []byte) error {
 	switch {
 	case g.writtenEvents == 0 && g.lastEventID == "":
 		return &failure{kind: failureBroken, server: g.a.Decode.Name, delivered: true, err: errors.New("the stream has no events")}
@@ -328,7 +329,7 @@
 	if g.events > 0 {
 		g.reportTokens()
 	}
-	return nil
+	return g.writeComment(rest)
 }
 
 // checkEvent returns an error if the event must not reach the caller: it is none, it
