relayer: promise no length for a stream

Callers of a stream whose first server had given its length saw it end early, or incomplete, after another server had continued it: the header that they had promised another length than that of both parts.

Cause: the Content-Length of the first server was passed on.

Change: the header of a stream goes to the caller without Content-Length. It is then sent in chunks, whose last one says that it is whole.

--- a/frontend/drain_test.go
+++ b/frontend/drain_test.go
@@ -63,6 +63,13 @@
 		{Name: "reports", Host: "h", PathPrefix: "/reports", Pool: "desk", Timeout: egretflow.Duration(time.Minute)},
 		{Name: "letters", Host: "h", PathPrefix: "/letters", Pool: "letters", Timeout: egretflow.Duration(routeTimeout)},
 	}}
+	return serveForwarding(t, tables, emptyDialect{}, nil)
+}
+
+// serveForwarding starts a Frontend that forwards requests by tables, and returns its
+// address; stop starts its shutdown.
+func serveForwarding(t *testing.T, tables *egretflow.Tables, dialect egretflow.Dialect, engines egretflow.EngineClient) (address string, stop func()) {
+	t.Helper()
 	metrics, err := recorder.New()
 	if err != nil {
 		t.Fatal(err)
@@ -73,11 +80,11 @@
 	scheduler := newFakeScheduler(tables, 1)
 	rel := relayer.New(relayer.Config{
 		Instance: "i", Scheduler: scheduler, Recorder: events, Checker: check, Clock: time.Now, Rand: source,
-		Dial: (&net.Dialer{}).DialContext, Dialect: emptyDialect{},
+		Dial: (&net.Dialer{}).DialContext, Dialect: dialect, Engines: engines,
 	})
 	f := frontend.New(frontend.Config{
 		Instance: "i", Relayer: rel, Tables: func() *egretflow.Tables { return tables }, Recorder: events, Checker: check, Metrics: metrics,
-		Clock: time.Now, Rand: source, Dialect: emptyDialect{}, Limits: frontend.Limits{LameDuck: testLameDuck, DrainTimeout: testDrainTimeout},
+		Clock: time.Now, Rand: source, Dialect: dialect, Limits: frontend.Limits{LameDuck: testLameDuck, DrainTimeout: testDrainTimeout},
 	})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/relayer/forwardstream.go
+++ b/relayer/forwardstream.go
@@ -399,7 +399,10 @@
 		return
 	}
 	g.result.Started, g.result.Status, g.result.FirstTokenAt = true, resp.StatusCode, now
-	writeHeader(g.w, resp.Header, resp.StatusCode)
+	// Another server may continue the stream, with another length.
+	header := resp.Header.Clone()
+	header.Del("Content-Length")
+	writeHeader(g.w, header, resp.StatusCode)
 }
 
 // writeComment writes a comment to the caller. Before the first event it is kept until
