relayer: hold no event back until the next one is whole

A caller got an event late, or never, when its server had sent a part of the next one and then stopped.

Cause: events were not flushed while any bytes were left in the read buffer, even if these were not a whole event, and the read of the rest then blocked.

Change: an event is held back only for an event that is in the buffer to its end.

Evidence: TestEventIsNotHeldBack failed before (nothing arrived within a second). All tests of both packages pass now, also with -race.

--- a/frontend/wire_test.go
+++ b/frontend/wire_test.go
@@ -160,3 +160,24 @@
 		t.Errorf("response %q, error %v; want status 502", got, err)
 	}
 }
+
+// Guards against an event that reaches its caller only with the next one, because its
+// server has sent a part of that.
+func TestEventIsNotHeldBack(t *testing.T) {
+	address, _ := serveStreams(t, streamHead+"\r\nid: 1\ndata: e1\n\nid: 2\nda"+hang)
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(time.Second))
+	send(c, "POST /letters HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	event := make([]byte, len("id: 1\ndata: e1\n\n"))
+	if _, err := io.ReadFull(resp.Body, event); err != nil {
+		t.Errorf("the event did not arrive within a second: %v", err)
+	}
+}
--- a/relayer/forwardstream.go
+++ b/relayer/forwardstream.go
@@ -304,7 +304,7 @@
 			return err
 		}
 		// A flush before the first event would send a header that is not the server's.
-		if events.Buffered() > 0 || !g.result.Started {
+		if hasEvent(events) || !g.result.Started {
 			continue
 		}
 		if err := control.Flush(); err != nil {
--- a/relayer/streamevent.go
+++ b/relayer/streamevent.go
@@ -71,6 +71,13 @@
 	return e
 }
 
+// hasEvent reports whether the buffer of r holds the end of an event, so that the next
+// one need not be waited for.
+func hasEvent(r *bufio.Reader) bool {
+	buffered, _ := r.Peek(r.Buffered())
+	return bytes.Contains(buffered, []byte("\n\n")) || bytes.Contains(buffered, []byte("\n\r\n"))
+}
+
 // isErrorObject reports whether data is a JSON object with an error, as engines with
 // the OpenAI API send it.
 func isErrorObject(data []byte) bool {
