frontend: reset the connection of an HTTP/1.0 caller whose answer is cut

A caller of HTTP/1.0 saw a stream that broke off, or that was cut at the end of the drain, end as if it were complete.

Cause: such a response has neither length nor chunks and ends with its connection, and the connection was closed in the usual way.

Change: while a request of HTTP/1.0 is being served, closing its connection resets it. Callers of HTTP/1.1 see a cut stream by its missing final chunk, as before. Not covered: callers of HTTP/1.0 over TLS.

Evidence: TestCutStreamOfOldCaller failed before (no error in the cases Broken and EndOfDrain) and checks that a whole stream is not reset. All tests of the package pass now, also with -race.

--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -137,8 +137,19 @@
 	return f
 }
 
-// ServeHTTP implements http.Handler.
-func (f *Frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) { f.handler.ServeHTTP(w, r) }
+// ServeHTTP implements http.Handler. A response to HTTP/1.0 may end with its
+// connection, so that one that is cut off must reset it.
+func (f *Frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c, ok := r.Context().Value(connKey{}).(*timeoutConn)
+	if !ok || r.ProtoAtLeast(1, 1) {
+		f.handler.ServeHTTP(w, r)
+		return
+	}
+	c.resets.Store(true)
+	f.handler.ServeHTTP(w, r)
+	// This is not deferred, because a handler that panics has cut its response off.
+	c.resets.Store(false)
+}
 
 func (f *Frontend) routes() http.Handler {
 	e := echo.New()
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/egretflow/egretflow"
-	"golang.org/x/net/netutil"
 )
 
 // closeTimeout bounds the wait for open requests after the handover, and the wait
@@ -28,7 +27,7 @@
 func (f *Frontend) Serve(ctx context.Context, ln net.Listener) error {
 	server := f.newServer()
 	failed := make(chan error, 1)
-	ln = newTimeoutListener(netutil.LimitListener(ln, f.cfg.Limits.MaxConnections))
+	ln = newTimeoutListener(ln, f.cfg.Limits.MaxConnections)
 	if f.cfg.TLS != nil {
 		ln = tls.NewListener(ln, f.cfg.TLS)
 	}
@@ -67,6 +66,7 @@
 	return &http.Server{
 		Handler: f, ReadHeaderTimeout: f.cfg.Limits.HeaderTimeout, IdleTimeout: f.cfg.Limits.IdleTimeout,
 		MaxHeaderBytes: f.cfg.Limits.MaxHeaderBytes,
+		ConnContext:    func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 		// net/http logs errors of single connections here, which are discarded.
 		ErrorLog: log.New(io.Discard, "", 0),
 	}
--- a/frontend/wire_test.go
+++ b/frontend/wire_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +11,7 @@
 	"net/netip"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -181,3 +183,28 @@
 		t.Errorf("the event did not arrive within a second: %v", err)
 	}
 }
+
+// Guards against a cut stream that looks complete to a caller of HTTP/1.0, for which a
+// response ends with its connection, and against a whole one that does not.
+func TestCutStreamOfOldCaller(t *testing.T) {
+	for _, test := range []struct {
+		name, response string
+		stops, cut     bool
+	}{
+		{name: "Whole", response: streamHead + "\r\n" + twoEvents},
+		{name: "Broken", response: cutStream, cut: true},
+		{name: "EndOfDrain", response: streamHead + "\r\n" + twoEvents + hang, stops: true, cut: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			address, stop := serveStreams(t, test.response)
+			if test.stops {
+				time.AfterFunc(testLameDuck, stop)
+			}
+			got, err := callRaw(t, address, "1.0", "")
+			if !bytes.HasSuffix(got, []byte(twoEvents)) || test.cut != errors.Is(err, syscall.ECONNRESET) {
+				t.Errorf("%q, error %v; want a reset: %v", got, err, test.cut)
+			}
+		})
+	}
+}
