--- a/frontend/mismatch_test.go
+++ b/frontend/mismatch_test.go
@@ -70,6 +70,9 @@
 		"NoUsage":      {tokenEvent(1, attemptID) + tokenEvent(2, attemptID) + tokenEvent(3, attemptID) + finishEvent + doneEvent, false},
 		"NoEnd":        {tokenEvent(1, attemptID) + tokenEvent(2, attemptID) + tokenEvent(3, attemptID) + finishEvent + usageEvent, false},
 		"Malformed":    {tokenEvent(1, attemptID) + "id: 2\ndata: {\"id\":\"%ID\",\"choices\":[{\n\n", true},
+		"ErrorEvent":   {tokenEvent(1, attemptID) + tokenEvent(2, attemptID) + "data: {\"error\":{\"message\":\"busy\"}}\n\n" + doneEvent, true},
+		"SecondHead":   {tokenEvent(1, attemptID) + "HTTP/1.1 502 Bad Gateway\r\nContent-Type: text/plain\r\n\r\nbusy\n\n", true},
+		"PlainError":   {"{\"error\":{\"message\":\"busy\"}}\n\n", true},
 		"Empty":        {"", true},
 		"EndOnly":      {doneEvent, true},
 	}
