relayer: join no pieces of two runs

A caller whose stream broke off after event 2 saw event 3 of another run when the next server did not go on but began the request again.

Cause: the events that such a server repeats were dropped by their ids, whatever they held.

Change: if the attempt that continues a stream repeats the last event of the caller, it must repeat the same bytes; otherwise the attempt fails. A run that skips this event, or whose event is the same by chance, is not noticed, and neither is one for a caller that resumes its stream itself, whose events this instance does not have.

Evidence: the script seam-other-run failed before (event 3 of the other run, not cut); resumable-drops-repeats still passes, and so does seam-foreign, a response to another request, which the check of its id kept out before. All tests of the package pass, also with -race.

--- a/relayer/forward.go
+++ b/relayer/forward.go
@@ -46,6 +46,8 @@
 	writtenEvents int
 	// lastEventID is the id of the last event that the caller has; empty if none.
 	lastEventID string
+	// lastEvent is the event with lastEventID; nil if the caller had it before.
+	lastEvent []byte
 	// unnumbered reports whether the caller has an event without an id, after which no
 	// server can be asked to continue.
 	unnumbered bool
--- a/relayer/forwardstream.go
+++ b/relayer/forwardstream.go
@@ -345,6 +345,8 @@
 		return g.mismatch("the stream is continued by an event without an id")
 	case g.continues() && g.events == 0 && g.consecutive && idStep(g.lastEventID, event.id) > 1:
 		return g.mismatch("the stream is continued after event %s by event %s", g.lastEventID, event.id)
+	case event.id != "" && event.id == g.lastEventID && g.lastEvent != nil && !bytes.Equal(event.data, g.lastEvent):
+		return g.mismatch("event %s is not the one that the caller has", event.id)
 	}
 	return nil
 }
@@ -384,7 +386,7 @@
 	g.result.Tokens++
 	if id != "" {
 		g.consecutive = idStep(g.lastEventID, id) == 1 && (g.consecutive || g.writtenEvents == 1)
-		g.lastEventID = id
+		g.lastEventID, g.lastEvent = id, event.data
 		g.receivedEvents.Add(1)
 	}
 	if g.events++; g.events%eventsPerObservation == 0 {
