--- a/relayer/forward_test.go
+++ b/relayer/forward_test.go
@@ -87,8 +87,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return parseScript(t, file, string(data))
+}
+
+func parseScript(t *testing.T, name, text string) *script {
+	t.Helper()
 	s := &script{attempts: 1, want: map[string]string{}}
-	for line := range strings.Lines(string(data)) {
+	for line := range strings.Lines(text) {
 		words := strings.Fields(line)
 		if len(words) == 0 || words[0] == "#" {
 			continue
@@ -125,7 +130,7 @@
 				s.want[key] = value
 			}
 		default:
-			t.Fatalf("%s: unknown line %q", file, line)
+			t.Fatalf("%s: unknown line %q", name, line)
 		}
 	}
 	return s
