--- a/relayer/forward.go
+++ b/relayer/forward.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -45,6 +46,14 @@
 	writtenEvents int
 	// lastEventID is the id of the last event that the caller has; empty if none.
 	lastEventID string
+	// lastEvent is the event with lastEventID; nil if the caller had it before.
+	lastEvent []byte
+	// unnumbered reports whether the caller has an event without an id, after which no
+	// server can be asked to continue.
+	unnumbered bool
+	// consecutive reports whether the ids of the events have increased by one each time
+	// so far, so that a gap shows that events are missing.
+	consecutive bool
 	// lastResponse is the newest complete error response of a server; nil if there
 	// is none.
 	lastResponse *completeResponse
@@ -107,7 +116,7 @@
 		return nil, false
 	case f.runs > 0 && !f.call.Work.Idempotent:
 		return nil, false
-	case f.runs >= f.maxRuns():
+	case f.runs >= f.maxRuns(), f.unnumbered:
 		return nil, false
 	}
 	next := f.retryWork(work, cause, f.writtenEvents, f.lastEventAt())
@@ -295,7 +304,7 @@
 	}
 	f.r.noteStatements(t.Server, &terms)
 	if !terms.NotRun {
-		return nil
+		return checkEncoding(t.Server, resp)
 	}
 	if t.Stage != egretflow.StagePrefill {
 		f.runs--
@@ -310,6 +319,16 @@
 	}
 }
 
+// checkEncoding returns a failure if a success has an encoded body. Callers ask for
+// none, so that it is not the body that the server made.
+func checkEncoding(s *egretflow.Server, resp *http.Response) error {
+	encoding := resp.Header.Get("Content-Encoding")
+	if resp.StatusCode >= http.StatusMultipleChoices || encoding == "" || strings.EqualFold(encoding, "identity") {
+		return nil
+	}
+	return &failure{kind: failureMismatch, server: s.Name, delivered: true, err: fmt.Errorf("response has encoding %q", encoding)}
+}
+
 // request builds the request to the server of t.
 func (f *forwardState) request(ctx context.Context, t egretflow.ExchangeMetadata) *http.Request {
 	req := f.call.request(ctx, t.Server)
--- a/relayer/forward_server_test.go
+++ b/relayer/forward_server_test.go
@@ -172,6 +172,16 @@
 	case "foreign":
 		v.countRun()
 		_, _ = fmt.Fprint(conn, "HTTP/1.1 200 X\r\nRequest: r2\r\nContent-Length: 5\r\n\r\nother")
+	case "raw":
+		v.countRun()
+		for part := range strings.SplitSeq(decodeBody(argument(1)), "%") {
+			_, _ = io.WriteString(conn, part)
+			time.Sleep(10 * time.Millisecond)
+		}
+		if argument(2) == "reset" {
+			time.Sleep(50 * time.Millisecond)
+			reset()
+		}
 	case "garbage":
 		v.countRun()
 		_, _ = fmt.Fprint(conn, "\x16\x03\x01 no answer\r\n\r\n")
--- a/relayer/forward_test.go
+++ b/relayer/forward_test.go
@@ -30,7 +30,9 @@
 //	scheduler refuses=late   the scheduler refuses work whose first-token target has passed
 //	gate closed=NAME         the server gets no new work of this instance
 //	on NAME ACTION...        one line per request that reaches the server
-//	caller leaves=MS         the caller disconnects after MS milliseconds
+//	caller leaves=MS resumes=ID    the caller disconnects after MS milliseconds, or resumes a stream after event ID
+//	want written=TEXT        what the caller has received, also of a response that is cut off
+//	want stamp=TEXT          the header Stamp, with which servers sign their responses
 //	want status=N body=TEXT|cut runs=NAME:N,... notrun=true|false
 //	want suspects=NAME,...|none    servers whose failure is reported to the scheduler
 //	want from=NAME:ID        the last request asks the server to continue after event ID
@@ -42,8 +44,9 @@
 // server is leaving), busy SECONDS (not run, asks for a pause), notrun (states that it did not run), reset
 // (before any response), latereset MS (the same after a delay), truncate (less than
 // Content-Length), unframed [body] (no length, ends with the connection),
-// unframedreset, foreign (a response to another
-// request), garbage (not HTTP), late MS [body], early [body] (responds before it
+// unframedreset, raw BYTES [reset] (exactly these bytes, as decodeBody reads them, with a
+// pause at each "%"),
+// foreign (a response to another request), garbage (not HTTP), late MS [body], early [body] (responds before it
 // reads the request body), silent, prefill, events A-B [cut|reset|hang], full (no
 // memory can be reserved), refuse (no process listens), endless WHAT (sends bytes
 // until its connection is closed; WHAT is a key of floods), dribbles (one
@@ -58,6 +61,8 @@
 	gate        scriptedGate
 	// leavesAfter is the time after which the caller disconnects; 0 means never.
 	leavesAfter time.Duration
+	// resumeAfter is the id of the event after which the caller resumes its stream.
+	resumeAfter string
 	// leftAt is when the caller disconnected.
 	leftAt time.Time
 }
@@ -87,8 +92,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return parseScript(t, file, string(data))
+}
+
+func parseScript(t *testing.T, name, text string) *script {
+	t.Helper()
 	s := &script{attempts: 1, want: map[string]string{}}
-	for line := range strings.Lines(string(data)) {
+	for line := range strings.Lines(text) {
 		words := strings.Fields(line)
 		if len(words) == 0 || words[0] == "#" {
 			continue
@@ -121,12 +131,13 @@
 		case "caller":
 			ms, _ := strconv.Atoi(values["leaves"])
 			s.leavesAfter = time.Duration(ms) * time.Millisecond
+			s.resumeAfter = values["resumes"]
 		case "want":
 			for key, value := range values {
 				s.want[key] = value
 			}
 		default:
-			t.Fatalf("%s: unknown line %q", file, line)
+			t.Fatalf("%s: unknown line %q", name, line)
 		}
 	}
 	return s
@@ -166,7 +177,7 @@
 			GiveUpBy: now.Add(2 * time.Second), PromptTokens: 100, MaxTokens: 10,
 		},
 		Pool: pool, Method: http.MethodPost, URL: &url.URL{Path: "/a/b"}, Host: "h", Header: http.Header{},
-		Body: []byte(strings.Repeat("b", 20<<10)), Terms: egretflow.RequestMetadata{ID: "r1"}, MaxAttempts: s.attempts, EventGapTarget: 100 * time.Millisecond,
+		Body: []byte(strings.Repeat("b", 20<<10)), Terms: egretflow.RequestMetadata{ID: "r1", ResumeAfter: s.resumeAfter}, MaxAttempts: s.attempts, EventGapTarget: 100 * time.Millisecond,
 	}
 	w := httptest.NewRecorder()
 	forward := r.Forward
@@ -203,6 +214,12 @@
 	} else if want != "" && (err != nil || encodeBody(w.Body.String()) != want) {
 		t.Errorf("body %q, error %v; want %q", w.Body.String(), err, want)
 	}
+	if want := s.want["written"]; want != "" && encodeBody(w.Body.String()) != want {
+		t.Errorf("the caller has received %q, want %q", w.Body.String(), want)
+	}
+	if want := s.want["stamp"]; want != "" && w.Result().Header.Get("Stamp") != want {
+		t.Errorf("the response is signed by %q, want %q", w.Result().Header.Get("Stamp"), want)
+	}
 	if want := s.want["notrun"]; want != "" && (!isRefusal || strconv.FormatBool(refusal.RunState == egretflow.RunStateNotRun) != want) {
 		t.Errorf("refusal %v, want not run %s", err, want)
 	}
@@ -249,3 +266,8 @@
 func encodeBody(body string) string {
 	return strings.NewReplacer("\n", "|", " ", "_").Replace(strings.TrimSpace(body))
 }
+
+// decodeBody reverses encodeBody; "^" is a carriage return.
+func decodeBody(text string) string {
+	return strings.NewReplacer("|", "\n", "_", " ", "^", "\r").Replace(text)
+}
--- a/relayer/forwardstream.go
+++ b/relayer/forwardstream.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -92,6 +91,11 @@
 	observedSince time.Time
 	// events counts the events that this attempt sent to the caller.
 	events int
+	// comments holds the comments that arrived before the first event of the stream.
+	comments []byte
+	// receivedID is the id of the last event that this attempt received, even if the
+	// caller already had it.
+	receivedID string
 	// earlierEvents counts the events of earlier attempts.
 	earlierEvents int
 	// receivedEvents counts the events with an id, which comments have not. It is
@@ -239,6 +243,9 @@
 	if resp.StatusCode != http.StatusOK {
 		return g.errorResponse(ctx, resp)
 	}
+	if !isEventStream(resp.Header) {
+		return g.plainResponse(ctx, resp)
+	}
 	g.observedSince = started
 	return g.relay(ctx, resp, watch)
 }
@@ -253,6 +260,25 @@
 	return &failure{kind: failureError, server: g.a.Decode.Name, response: response, delivered: true, err: fmt.Errorf("status %d", response.status)}
 }
 
+// plainResponse handles a response with status 200 that is not an event stream. It may
+// be sent to the caller, but not into a stream that has begun.
+func (g *streamAttempt) plainResponse(ctx context.Context, resp *http.Response) error {
+	if g.result.Started {
+		return g.mismatch("response of type %q continues a stream", resp.Header.Get("Content-Type"))
+	}
+	response, err := g.readResponse(ctx, g.a.Decode, resp)
+	if err != nil {
+		return err
+	}
+	return g.writeResponse(g.w, response)
+}
+
+// mismatch returns the failure of a decode server whose response is not, or not only,
+// the stream that was requested.
+func (g *streamAttempt) mismatch(format string, args ...any) *failure {
+	return &failure{kind: failureMismatch, server: g.a.Decode.Name, delivered: true, err: fmt.Errorf(format, args...)}
+}
+
 // relay sends complete events to the caller until the stream ends.
 func (g *streamAttempt) relay(ctx context.Context, resp *http.Response, watch *stallWatch) error {
 	events := bufio.NewReaderSize(resp.Body, eventBufferBytes)
@@ -261,23 +287,28 @@
 		if progress {
 			watch.begin()
 		}
-		event, err := readEvent(events)
+		data, err := readEvent(events)
+		event := parseEvent(data)
 		// An event without an id, such as a comment, is no progress: a stalled server
 		// may send some.
-		progress = eventIDOf(event) != ""
+		progress = event.id != ""
 		if progress || err != nil {
 			watch.end()
 		}
-		if errors.Is(err, io.EOF) && len(event) == 0 {
-			return g.complete()
+		if errors.Is(err, io.EOF) && len(bytes.TrimRight(data, "\r\n")) == 0 {
+			return g.complete(resp, data)
 		}
 		if err != nil {
 			return g.connectionError(ctx, g.a.Decode, fmt.Errorf("read event: %w", err))
 		}
+		if err := g.checkEvent(event); err != nil {
+			return err
+		}
 		if err := g.writeEvent(resp, event); err != nil {
 			return err
 		}
-		if events.Buffered() > 0 {
+		// A flush before the first event would send a header that is not the server's.
+		if hasEvent(events) || !g.result.Started {
 			continue
 		}
 		if err := control.Flush(); err != nil {
@@ -287,18 +318,56 @@
 }
 
 // complete checks a stream that was read to its end and reports its last events to
-// the scheduler.
-func (g *streamAttempt) complete() error {
-	if g.writtenEvents == 0 {
+// the scheduler. rest holds the empty lines after the last event.
+func (g *streamAttempt) complete(resp *http.Response, rest []byte) error {
+	switch {
+	case g.writtenEvents == 0 && g.lastEventID == "":
 		return &failure{kind: failureBroken, server: g.a.Decode.Name, delivered: true, err: errors.New("the stream has no events")}
+	case g.events == 0 && g.receivedID == "" && !isFramed(resp):
+		return &failure{kind: failureBroken, server: g.a.Decode.Name, delivered: true, err: errors.New("the connection was closed before the first event")}
+	case g.receivedID != "" && g.receivedID != g.lastEventID:
+		return g.mismatch("the stream ends after event %s, but the caller has event %s", g.receivedID, g.lastEventID)
+	}
+	// A caller that resumes its stream may have had its last event already.
+	g.start(resp, g.r.now())
+	if g.events > 0 {
+		g.reportTokens()
+	}
+	return g.writeComment(rest)
+}
+
+// checkEvent returns an error if the event must not reach the caller: it is none, it
+// says that the server failed, or nothing shows that it follows the events of earlier
+// attempts.
+func (g *streamAttempt) checkEvent(event streamEvent) error {
+	switch {
+	case event.kind == eventInvalid:
+		return g.mismatch("the stream has other data than events")
+	case event.kind == eventError:
+		return &failure{kind: failureBroken, server: g.a.Decode.Name, delivered: true, err: errors.New("the stream has an error event")}
+	case event.kind == eventUnnumbered && g.continues() && g.receivedEvents.Load() == 0:
+		return g.mismatch("the stream is continued by an event without an id")
+	case g.continues() && g.events == 0 && g.consecutive && idStep(g.lastEventID, event.id) > 1:
+		return g.mismatch("the stream is continued after event %s by event %s", g.lastEventID, event.id)
+	case event.id != "" && event.id == g.lastEventID && g.lastEvent != nil && !bytes.Equal(event.data, g.lastEvent):
+		return g.mismatch("event %s is not the one that the caller has", event.id)
 	}
-	g.reportTokens()
 	return nil
 }
 
+// continues reports whether the attempt continues a stream of which the caller has
+// events.
+func (g *streamAttempt) continues() bool { return g.earlierEvents > 0 }
+
 // writeEvent writes one event to the caller unless the caller already has it.
-func (g *streamAttempt) writeEvent(resp *http.Response, event []byte) error {
-	id := eventIDOf(event)
+func (g *streamAttempt) writeEvent(resp *http.Response, event streamEvent) error {
+	id := event.id
+	if event.kind == eventComment {
+		return g.writeComment(event.data)
+	}
+	if id != "" {
+		g.receivedID = id
+	}
 	if id != "" && !follows(id, g.lastEventID) {
 		return nil
 	}
@@ -306,19 +375,22 @@
 	if g.events == 0 {
 		g.reportFirstEvent(now)
 	}
-	if !g.result.Started {
-		g.result.Started, g.result.Status, g.result.FirstTokenAt = true, resp.StatusCode, now
-		writeHeader(g.w, resp.Header, resp.StatusCode)
+	g.start(resp, now)
+	data := event.data
+	if len(g.comments) > 0 {
+		data, g.comments = append(g.comments, data...), nil
 	}
-	if _, err := g.w.Write(event); err != nil {
+	if _, err := g.w.Write(data); err != nil {
 		return fmt.Errorf("write event: %w", err)
 	}
 	g.result.noteEvent(now)
 	g.lastActivityAt = now
 	g.writtenEvents++
+	g.unnumbered = g.unnumbered || id == ""
 	g.result.Tokens++
 	if id != "" {
-		g.lastEventID = id
+		g.consecutive = idStep(g.lastEventID, id) == 1 && (g.consecutive || g.writtenEvents == 1)
+		g.lastEventID, g.lastEvent = id, event.data
 		g.receivedEvents.Add(1)
 	}
 	if g.events++; g.events%eventsPerObservation == 0 {
@@ -327,6 +399,33 @@
 	return nil
 }
 
+// start writes the header of the response to the caller unless it has one.
+func (g *streamAttempt) start(resp *http.Response, now time.Time) {
+	if g.result.Started {
+		return
+	}
+	g.result.Started, g.result.Status, g.result.FirstTokenAt = true, resp.StatusCode, now
+	// Another server may continue the stream, with another length.
+	header := resp.Header.Clone()
+	header.Del("Content-Length")
+	writeHeader(g.w, header, resp.StatusCode)
+}
+
+// writeComment writes a comment to the caller. Before the first event it is kept until
+// then, because the header of the response is that of the server whose events follow.
+func (g *streamAttempt) writeComment(comment []byte) error {
+	if !g.result.Started {
+		if g.comments = append(g.comments, comment...); len(g.comments) > maxEventBytes {
+			return g.mismatch("the comments before the first event are too large")
+		}
+		return nil
+	}
+	if _, err := g.w.Write(comment); err != nil {
+		return fmt.Errorf("write comment: %w", err)
+	}
+	return nil
+}
+
 // reportFirstEvent reports to the scheduler that the KV cache transfer is complete.
 func (g *streamAttempt) reportFirstEvent(now time.Time) {
 	g.r.cfg.Scheduler.Observe(egretflow.Observation{
@@ -385,53 +484,3 @@
 		g.r.cfg.PrefillWasted(g.a.Work, g.prefillTokens)
 	}
 }
-
-// errLargeEvent means that a server sent an event above maxEventBytes, as one does
-// that sends bytes without end.
-var errLargeEvent = errors.New("event is too large")
-
-// readEvent reads one SSE event, up to and including its empty line. On an error,
-// such as io.EOF, it also returns the incomplete event.
-func readEvent(r *bufio.Reader) ([]byte, error) {
-	var event []byte
-	for {
-		line, err := r.ReadSlice('\n')
-		event = append(event, line...)
-		if len(event) > maxEventBytes {
-			return event, errLargeEvent
-		}
-		if errors.Is(err, bufio.ErrBufferFull) {
-			continue
-		}
-		if err != nil {
-			return event, err //nolint:wrapcheck // the caller compares it with io.EOF
-		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 && len(event) > len(line) {
-			return event, nil
-		}
-	}
-}
-
-// eventIDOf returns the id of an event, or "" if it has none.
-func eventIDOf(event []byte) string {
-	for line := range bytes.Lines(event) {
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(value))
-		}
-	}
-	return ""
-}
-
-// follows reports whether the event with the given id comes after the event last.
-// Ids that are not numbers follow each other if they differ.
-func follows(id, last string) bool {
-	if last == "" {
-		return true
-	}
-	a, errA := strconv.ParseUint(id, 10, 64)
-	b, errB := strconv.ParseUint(last, 10, 64)
-	if errA != nil || errB != nil {
-		return id != last
-	}
-	return a > b
-}
