frontend: close the connection of a caller that has gone

What callers saw: a caller that closed its direction of the connection after the whole request, and waited, got "200 OK" with an empty body and no stamp of a server, although the request was given up.

Cause: net/http ends the context of a request when the caller's direction ends. The error handlers then returned without an answer, on the assumption that nobody reads it, and net/http completed that with an empty success.

Evidence: TestGoneCallerGetsNoSuccess failed for both error handlers with "status 200 with 0 bytes, want a closed connection"; net/http alone does the same in a test on loopback.

Why the fix works: the handler ends with http.ErrAbortHandler, for which net/http writes nothing and closes the connection. That promises nothing, as it must: the request may have run.

--- a/frontend/forward.go
+++ b/frontend/forward.go
@@ -9,7 +9,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/labstack/echo/v4"
-	"github.com/pkg/errors"
 
 	"github.com/egretflow/egretflow"
 	"github.com/egretflow/egretflow/relayer"
@@ -231,9 +230,10 @@
 // the refusal for err with the status of forwardStatus, unless the response has
 // started or the caller has disconnected.
 func (f *Frontend) writeForwardError(err error, c echo.Context) {
-	if c.Response().Committed || errors.Is(err, context.Canceled) && c.Request().Context().Err() != nil {
+	if c.Response().Committed {
 		return
 	}
+	abortIfGone(err, c)
 	refusal, x := asRefusal(err), requestOf(c)
 	status := forwardStatus(refusal)
 	h := c.Response().Header()
--- a/frontend/refusal.go
+++ b/frontend/refusal.go
@@ -81,9 +81,7 @@
 	if c.Response().Committed {
 		return
 	}
-	if errors.Is(err, context.Canceled) && c.Request().Context().Err() != nil {
-		return
-	}
+	abortIfGone(err, c)
 	refusal := asRefusal(err)
 	x := requestOf(c)
 	h := c.Response().Header()
@@ -102,6 +100,15 @@
 	_ = c.JSON(refusal.Status, newErrorBody(refusal, x))
 }
 
+// abortIfGone closes the connection of a caller that has disconnected. If the handler
+// just returned, net/http would write an empty answer with status 200. A caller that
+// has closed only its own direction would receive it.
+func abortIfGone(err error, c echo.Context) {
+	if errors.Is(err, context.Canceled) && c.Request().Context().Err() != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 func newErrorBody(refusal *egretflow.Refusal, x *request) errorBody {
 	body := errorBody{Error: errorObject{
 		Message: refusal.Message, Type: errorType(refusal.Status), Code: string(refusal.Reason),
