frontend: promise nothing after a panic

What callers saw: a forwarded request whose handler panicked was answered 503, which promises that the request has not run and never will. If the panic came after a server had been sent the request, that was false, and a caller that repeats an unsafe request after a 503 has it run twice.

Cause: the error made of a panic had the run state NotRun.

Evidence: TestPanicPromisesNothing failed with "status 503, want 502".

Why the fix works: the error has the run state MayHaveRun, which is answered 502 and promises nothing. Other callers get status 500 as before.

--- a/frontend/recover.go
+++ b/frontend/recover.go
@@ -28,7 +28,11 @@
 			if c.Response().Committed {
 				panic(http.ErrAbortHandler)
 			}
-			err = refuse(http.StatusInternalServerError, egretflow.RefusalBackend, "the request failed", fmt.Errorf("panic: %v", cause))
+			// A server may have run the request before the panic.
+			err = &egretflow.Refusal{
+				Status: http.StatusInternalServerError, Reason: egretflow.RefusalBackend, RunState: egretflow.RunStateMayHaveRun,
+				Message: "the request failed", Err: fmt.Errorf("panic: %v", cause),
+			}
 		}()
 		return next(c)
 	}
--- a/frontend/recover_test.go
+++ b/frontend/recover_test.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -32,6 +33,21 @@
 	}
 }
 
+// Guards against a refusal that promises that the request has not run, when it may have
+// run before its handler panicked.
+func TestPanicPromisesNothing(t *testing.T) {
+	f := &Frontend{cfg: Config{Clock: time.Now, Recorder: &eventNames{}, Dialect: silentDialect{}, Rand: rand.New(rand.NewPCG(1, 1))}}
+	e := echo.New()
+	e.HTTPErrorHandler = f.writeForwardError
+	e.Use(f.recoverPanics, f.identifyTest)
+	e.GET("/", func(echo.Context) error { panic("unexpected") })
+	w := httptest.NewRecorder()
+	e.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/", nil))
+	if w.Code != http.StatusBadGateway {
+		t.Errorf("status %d, want %d", w.Code, http.StatusBadGateway)
+	}
+}
+
 // identifyTest gives a request an id.
 func (f *Frontend) identifyTest(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
