scheduler: refuse a replacement in a removed pool

What callers saw: a request whose prefill failed after a new configuration, or a new number of shards, had removed its pool got neither an answer nor a refusal until its deadline.

Cause: Replace queued the attempt in the pool that it had started in. That pool is no longer in the tables, so neither a tick nor new tables look at its queues again; only the release of another attempt of the same pool did.

Evidence: TestReplaceInRemovedPool failed with "the request waits in a pool that is never looked at again".

Why the fix works: a server of the removed pool that is free at once is still used, so that the request can end; otherwise the attempt is refused like the requests that waited when the pool was removed.

--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -145,6 +145,10 @@
 	a.pool.picker.ReleasePrefill(&a.placement, t.now)
 	a.pool.replacing = append(a.pool.replacing, w)
 	t.dispatch(a.pool)
+	if t.pools[a.pool.picker.Name()] != a.pool {
+		// Nothing starts the requests of a removed pool later.
+		t.refuseAll(a.pool)
+	}
 }
 
 // dispatchReplacements serves the attempts that wait for another prefill server.
