scheduler: treat a pool that changes its kind as a new one

What callers saw: a request that waited or ran while its pool changed between a model and a service got a server of the wrong kind.

Cause: new tables changed the kind of the pool under its requests, and a stream did not check that its assignment has a prefill server.

Evidence: TestPoolChangesItsKind failed, because the waiting request was neither refused nor moved; the script no-prefill-server failed with a nil pointer dereference in prefillOnce.

Why the fix works: the requests that wait in the former pool are refused as in a removed one, those that run keep their servers there, and a stream that is assigned a server of a service is refused as not run.

--- a/relayer/forward_test.go
+++ b/relayer/forward_test.go
@@ -28,6 +28,7 @@
 //	route kind=safe|unsafe|stream|resumable attempts=N    safe and resumable are idempotent
 //	server NAME stage=service|prefill|decode [preempts=yes] [pause=MS] [reports=Ahead|Nothing]
 //	scheduler refuses=late   the scheduler refuses work whose first-token target has passed
+//	scheduler assigns=service    the scheduler assigns a server of a service to each request
 //	on NAME ACTION...        one line per request that reaches the server
 //	caller leaves=MS         the caller disconnects after MS milliseconds
 //	want status=N body=TEXT|cut runs=NAME:N,... notrun=true|false
@@ -51,6 +52,8 @@
 	want     map[string]string
 	// refusesLate makes the scheduler refuse work whose first-token target has passed.
 	refusesLate bool
+	// assignsService makes the scheduler assign servers of a service.
+	assignsService bool
 	// leavesAfter is the time after which the caller disconnects; 0 means never.
 	leavesAfter time.Duration
 	// leftAt is when the caller disconnected.
@@ -108,6 +111,7 @@
 			}
 		case "scheduler":
 			s.refusesLate = values["refuses"] == "late"
+			s.assignsService = values["assigns"] == "service"
 		case "on":
 			server := s.server(words[1])
 			server.actions = append(server.actions, words[2:])
--- a/relayer/forwardstream.go
+++ b/relayer/forwardstream.go
@@ -48,6 +48,12 @@
 	return f.result, err
 }
 
+// errNoModel is the refusal of a request whose pool has become a service since it
+// arrived.
+var errNoModel = &egretflow.Refusal{
+	Status: http.StatusServiceUnavailable, Reason: egretflow.RefusalNoServer, RunState: egretflow.RunStateNotRun, Message: "the pool no longer serves a model",
+}
+
 // forwardedStream holds the state of a forwarded stream across its attempts.
 type forwardedStream struct {
 	*forwardState
@@ -60,6 +66,10 @@
 	if err != nil {
 		return err
 	}
+	if a.Prefill == nil {
+		f.r.freeSuccessor(&successor{a: a, hold: hold})
+		return errNoModel
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	g := &streamAttempt{forwardedStream: f, a: a, hold: hold, cancel: cancel, earlierEvents: f.writtenEvents}
 	g.suspectedAfter.Store(notSuspected)
--- a/scheduler/removed_test.go
+++ b/scheduler/removed_test.go
@@ -23,3 +23,24 @@
 	d.wantRefusal(w, egretflow.RefusalNoServer, egretflow.RunStateMayHaveRun)
 	d.release(a)
 }
+
+// Guards against a request that gets servers of the wrong kind, because its pool changed
+// between a model and a service while it waited.
+func TestPoolChangesItsKind(t *testing.T) {
+	d := newDriver(t, 1, 1)
+	var running []*waiter
+	waiting := d.acquire(nil)
+	for ; waiting.done; waiting = d.acquire(nil) {
+		running = append(running, waiting)
+	}
+	tables := testTables(0, 1, 20)
+	tables.Pools[0].Kind, tables.Pools[0].Servers[0].Role = egretflow.PoolKindService, egretflow.RoleService
+	d.task.handle(tablesMessage{tables: tables})
+	if !waiting.done {
+		t.Fatal("the request still waits")
+	}
+	d.wantRefusal(waiting, egretflow.RefusalNoServer, egretflow.RunStateNotRun)
+	for _, w := range running {
+		d.release(w.assignment)
+	}
+}
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -238,11 +238,12 @@
 	for n := range tables.Pools {
 		table := &tables.Pools[n]
 		p, ok := previous[table.Name]
-		if !ok {
-			p = &pool{
-				picker: picker.NewPool(t.cfg.Rand, t.sharing()), queue: admitter.NewQueue(), lateQueue: admitter.NewQueue(),
-				peerQueues: map[egretflow.InstanceName]peerQueue{}, retries: t.newSharedBudget(table),
-			}
+		// A pool that changes its kind is a new one: its requests have servers of the
+		// former kind, or wait for them.
+		if ok && p.picker.Kind() == table.Kind {
+			delete(previous, table.Name)
+		} else {
+			p = t.newPool(table)
 		}
 		for k := range table.Servers {
 			t.endRoleChange(p, &table.Servers[k])
@@ -254,7 +255,6 @@
 		for k := range table.Servers {
 			t.poolOf[table.Servers[k].Name] = p
 		}
-		delete(previous, table.Name)
 	}
 	for _, p := range previous {
 		t.refuseAll(p)
@@ -266,6 +266,13 @@
 	}
 }
 
+func (t *task) newPool(table *egretflow.Pool) *pool {
+	return &pool{
+		picker: picker.NewPool(t.cfg.Rand, t.sharing()), queue: admitter.NewQueue(), lateQueue: admitter.NewQueue(),
+		peerQueues: map[egretflow.InstanceName]peerQueue{}, retries: t.newSharedBudget(table),
+	}
+}
+
 func (t *task) applyRoutes(tables []egretflow.Route) {
 	previous := t.routes
 	t.routes = make(map[egretflow.RouteName]*route, len(tables))
