coordinator: let a late cancellation change no newer wait

What callers saw: a request that went to another coordinator and came back got neither an answer nor a refusal until its deadline.

Cause: when an instance passes over a coordinator and returns to it, or is heard again after 2 s, the coordinator ends the first wait of the request in the scheduler and starts a second one under the same number. The end of the first wait comes from another goroutine and was taken for that of the second: if that already had its servers, they were forgotten, the request stayed listed, and nothing waited for it any more.

Evidence: TestLateCancellationKeepsResult failed with "results [], want the assignment".

Why the fix works: each outcome names the wait that it belongs to, and one of an earlier wait is only released.

--- a/coordinator/server.go
+++ b/coordinator/server.go
@@ -54,11 +54,12 @@
 
 // scheduled is the outcome of a request in the scheduler.
 type scheduled struct {
-	client      clientKey
-	incarnation uint64
-	id          uint64
-	assignment  *egretflow.Assignment
-	err         error
+	client clientKey
+	id     uint64
+	// pending is the wait that has ended. The same request may wait again since.
+	pending    *pending
+	assignment *egretflow.Assignment
+	err        error
 }
 
 // server schedules the requests of all instances for the shards that it is asked for.
@@ -161,9 +162,10 @@
 // start passes a request to the scheduler.
 func (s *server) start(key clientKey, c *client, x *waitingWork, now time.Time) {
 	ctx, cancel := context.WithCancel(s.ctx)
-	c.waiting[x.ID] = &pending{replaces: x.Replaces, cancel: cancel}
+	p := &pending{replaces: x.Replaces, cancel: cancel}
+	c.waiting[x.ID] = p
 	work := x.Work.work(key.pool, now)
-	outcome := scheduled{client: key, incarnation: c.incarnation, id: x.ID}
+	outcome := scheduled{client: key, id: x.ID, pending: p}
 	replaces := x.Replaces
 	go func() {
 		defer cancel()
@@ -217,12 +219,8 @@
 // finish stores the outcome of a request and returns the answer that carries it, or
 // nil if the sender no longer waits for it.
 func (s *server) finish(o scheduled, now time.Time) (*response, *client) {
-	c := s.clients[o.client]
-	var p *pending
-	if c != nil && c.incarnation == o.incarnation {
-		p = c.waiting[o.id]
-	}
-	if p == nil {
+	c, p := s.clients[o.client], o.pending
+	if c == nil || c.waiting[o.id] != p {
 		// A replaced prefill server belongs to an attempt that its sender releases.
 		if o.assignment != nil && !s.holds(o.assignment.Attempt) {
 			s.scheduler.Release(egretflow.Release{Attempt: o.assignment.Attempt})
