coordinator: serve own requests while leaving

What callers saw: on an instance that was asked to stop while it could reach no other one, or was the only one, a model request that had just arrived got neither an answer nor a refusal until its deadline or the end of the drain, which cuts it.

Cause: an instance that leaves passes its requests to the other coordinators and falls back to itself if none answers. But its own coordinator starts nothing while it leaves, not even that, and answers without a result, so that the request is never sent again elsewhere.

Evidence: TestLeavingInstanceSchedulesItsOwnRequests failed with "context deadline exceeded" after 1 s.

Why the fix works: the coordinator still refuses the requests of others, which go elsewhere, and starts its own, which come only if nobody else can.

--- a/coordinator/server.go
+++ b/coordinator/server.go
@@ -69,7 +69,10 @@
 	finished  func(s scheduled)
 	clients   map[clientKey]*client
 	expiredAt time.Time
-	leaving   bool
+	// leaving makes the server start no requests, except those of self: they come only
+	// if no other instance can coordinate.
+	leaving bool
+	self    egretflow.InstanceName
 }
 
 func newServer(ctx context.Context, scheduler egretflow.AdoptingScheduler, finished func(scheduled)) *server {
@@ -147,7 +150,7 @@
 	for n := range r.Waiting {
 		x := &r.Waiting[n]
 		listed[x.ID] = true
-		if c.waiting[x.ID] == nil && !s.leaving {
+		if c.waiting[x.ID] == nil && (!s.leaving || key.name == s.self) {
 			s.start(key, c, x, now)
 		}
 	}
--- a/coordinator/server_test.go
+++ b/coordinator/server_test.go
@@ -50,3 +50,19 @@
 		}
 	})
 }
+
+// Guards against a request that gets no answer, because its instance shuts down and no
+// other one can coordinate.
+func TestLeavingInstanceSchedulesItsOwnRequests(t *testing.T) {
+	runFleet(t, 1, testTables(1, 1), func(x *fleet) {
+		x.all[0].Leave()
+		ctx, cancel := context.WithTimeout(x.t.Context(), time.Second)
+		defer cancel()
+		a, err := x.all[0].Acquire(ctx, testWork(1))
+		if err != nil {
+			x.t.Errorf("no assignment: %v", err)
+			return
+		}
+		x.all[0].Release(egretflow.Release{Attempt: a.Attempt})
+	})
+}
--- a/coordinator/task.go
+++ b/coordinator/task.go
@@ -28,6 +28,7 @@
 func newTask(ctx context.Context, c *Coordinator) *task {
 	t := &task{Coordinator: c, now: c.cfg.Clock(), links: map[egretflow.PoolName]*link{}, suspects: map[egretflow.InstanceName]time.Time{}}
 	t.server = newServer(ctx, c.cfg.Scheduler, func(s scheduled) { c.send(scheduledInput{s}) })
+	t.server.self = c.cfg.Self.Name
 	return t
 }
 
