relayer: give a stream no length

What callers saw: a resumable stream whose first server announced a length, and broke off, was cut when the events of the next server exceeded that length.

Cause: the Content-Length of the first server was copied into the answer, and net/http refuses to write more than that.

Evidence: the script resume-after-sized failed with "Content-Length 40, want none".

Why the fix works: an answer whose length is not known is sent in chunks, whose end marks the complete answer.

--- a/relayer/forward_server_test.go
+++ b/relayer/forward_server_test.go
@@ -186,6 +186,9 @@
 		v.flood(conn, argument(1))
 	case "prefill":
 		_, _ = fmt.Fprintf(conn, "%sContent-Length: 2\r\n\r\nk1", head(200, ""))
+	case "sized":
+		v.countRun()
+		_, _ = fmt.Fprint(conn, head(200, "Content-Length: 40\r\n"), "\r\nid: 1\ndata: e1\n\nid: 2\ndata: e2\n\n")
 	case "events":
 		v.countRun()
 		v.stream(conn, head, argument(1), argument(2))
--- a/relayer/forward_test.go
+++ b/relayer/forward_test.go
@@ -34,6 +34,7 @@
 //	want status=N body=TEXT|cut runs=NAME:N,... notrun=true|false
 //	want suspects=NAME,...|none    servers whose failure is reported to the scheduler
 //	want from=NAME:ID        the last request asks the server to continue after event ID
+//	want length=none         the caller gets no Content-Length
 //	want closed=NAME         closeLimit bounds the time until the server sees the disconnect
 //
 // Actions: ok [body], status N [body], notrun (states that it did not run), reset
@@ -44,7 +45,7 @@
 // reads the request body), silent, prefill, events A-B [cut|reset|hang], full (no
 // memory can be reserved), refuse (no process listens), endless WHAT (sends bytes
 // until its connection is closed; WHAT is a key of floods), dribbles (one
-// event, then comments).
+// event, then comments), sized (two events of a stream with a longer Content-Length).
 type script struct {
 	kind     string
 	attempts int
@@ -200,6 +201,9 @@
 	} else if want != "" && (err != nil || encodeBody(w.Body.String()) != want) {
 		t.Errorf("body %q, error %v; want %q", w.Body.String(), err, want)
 	}
+	if length := w.Header().Get("Content-Length"); length != "" && s.want["length"] == "none" {
+		t.Errorf("Content-Length %s, want none", length)
+	}
 	if want := s.want["notrun"]; want != "" && (!isRefusal || strconv.FormatBool(refusal.RunState == egretflow.RunStateNotRun) != want) {
 		t.Errorf("refusal %v, want not run %s", err, want)
 	}
--- a/relayer/forwardstream.go
+++ b/relayer/forwardstream.go
@@ -314,6 +314,8 @@
 	}
 	if !g.result.Started {
 		g.result.Started, g.result.Status, g.result.FirstTokenAt = true, resp.StatusCode, now
+		// Events of another server may follow.
+		resp.Header.Del("Content-Length")
 		writeHeader(g.w, resp.Header, resp.StatusCode)
 	}
 	if _, err := g.w.Write(event); err != nil {
