--- a/relayer/forward_test.go
+++ b/relayer/forward_test.go
@@ -29,6 +29,7 @@
 //	server NAME stage=service|prefill|decode [preempts=yes] [pause=MS] [reports=Ahead|Nothing]
 //	scheduler refuses=late   the scheduler refuses work whose first-token target has passed
 //	gate closed=NAME         the server gets no new work of this instance
+//	scheduler assigns=service    the scheduler assigns a server of a service to each request
 //	on NAME ACTION...        one line per request that reaches the server
 //	caller leaves=MS resumes=ID    the caller disconnects after MS milliseconds, or resumes a stream after event ID
 //	want written=TEXT        what the caller has received, also of a response that is cut off
@@ -38,6 +39,7 @@
 //	want from=NAME:ID        the last request asks the server to continue after event ID
 //	want leaving=NAME,...    servers that have stated that they are leaving
 //	want paused=NAME,...     servers that have asked for a pause
+//	want length=none         the caller gets no Content-Length
 //	want closed=NAME         closeLimit bounds the time until the server sees the disconnect
 //
 // Actions: ok [body], status N [body], leaving [body] (status 500, states that the
@@ -50,7 +52,7 @@
 // reads the request body), silent, prefill, events A-B [cut|reset|hang], full (no
 // memory can be reserved), refuse (no process listens), endless WHAT (sends bytes
 // until its connection is closed; WHAT is a key of floods), dribbles (one
-// event, then comments).
+// event, then comments), sized (two events of a stream with a longer Content-Length).
 type script struct {
 	kind     string
 	attempts int
@@ -59,6 +61,8 @@
 	// refusesLate makes the scheduler refuse work whose first-token target has passed.
 	refusesLate bool
 	gate        scriptedGate
+	// assignsService makes the scheduler assign servers of a service.
+	assignsService bool
 	// leavesAfter is the time after which the caller disconnects; 0 means never.
 	leavesAfter time.Duration
 	// resumeAfter is the id of the event after which the caller resumes its stream.
@@ -123,6 +127,7 @@
 			}
 		case "scheduler":
 			s.refusesLate = values["refuses"] == "late"
+			s.assignsService = values["assigns"] == "service"
 		case "gate":
 			s.gate.closed = append(s.gate.closed, egretflow.ServerName(values["closed"]))
 		case "on":
@@ -220,6 +225,9 @@
 	if want := s.want["stamp"]; want != "" && w.Result().Header.Get("Stamp") != want {
 		t.Errorf("the response is signed by %q, want %q", w.Result().Header.Get("Stamp"), want)
 	}
+	if length := w.Header().Get("Content-Length"); length != "" && s.want["length"] == "none" {
+		t.Errorf("Content-Length %s, want none", length)
+	}
 	if want := s.want["notrun"]; want != "" && (!isRefusal || strconv.FormatBool(refusal.RunState == egretflow.RunStateNotRun) != want) {
 		t.Errorf("refusal %v, want not run %s", err, want)
 	}
