relayer: believe a refusal only if it carries the id of the request

Callers were told "not run, try again" for requests that a server ran, or such a request ran at a second server.

Cause: a response with the "not run" marker but without a request id counted as the response to whatever request was open. A faulty server that writes an earlier refusal, such as one to a call that has no id, made a running request count as not run.

Change: a response that states "not run" must name the request, like the responses that already name one. Otherwise the request may have run. A request without an id still matches a refusal without one.

--- a/relayer/forward.go
+++ b/relayer/forward.go
@@ -286,10 +286,11 @@
 }
 
 // checkResponse checks that the response belongs to the request and that the
-// server did not refuse the request.
+// server did not refuse the request. A refusal that lacks the request's id may be
+// the repeated refusal of another request, so it states nothing about this one.
 func (f *forwardState) checkResponse(a *egretflow.Assignment, t egretflow.ExchangeMetadata, resp *http.Response) error {
 	terms := f.r.cfg.Dialect.ReadResponse(resp)
-	if terms.ID != "" && terms.ID != f.call.Terms.ID {
+	if terms.ID != f.call.Terms.ID && (terms.ID != "" || terms.NotRun) {
 		f.r.record(egretflow.EventAnswerMismatch, a.Work, a, field("server", t.Server.Name), field("got", terms.ID))
 		return &failure{kind: failureMismatch, server: t.Server.Name, delivered: true, err: fmt.Errorf("response belongs to request %q", terms.ID)}
 	}
--- a/relayer/forward_server_test.go
+++ b/relayer/forward_server_test.go
@@ -104,6 +104,7 @@
 
 func (v *scriptedServer) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
+	v.greet(conn)
 	reader := bufio.NewReader(conn)
 	req, err := http.ReadRequest(reader)
 	if err != nil {
@@ -167,6 +168,11 @@
 	case "foreign":
 		v.countRun()
 		_, _ = fmt.Fprint(conn, "HTTP/1.1 200 X\r\nRequest: r2\r\nContent-Length: 5\r\n\r\nother")
+	case "sends":
+		v.countRun()
+		_, _ = io.WriteString(conn, answers[argument(1)])
+	case "greets":
+		v.countRun()
 	case "garbage":
 		v.countRun()
 		_, _ = fmt.Fprint(conn, "\x16\x03\x01 no answer\r\n\r\n")
@@ -197,6 +203,28 @@
 	}
 }
 
+// answers holds what the actions sends and greets write: responses with a refusal that
+// is not the response to the request.
+var answers = map[string]string{
+	"anonymous": refusalHead + "Content-Length: 0\r\n\r\n",
+	"foreign":   refusalHead + "Request: r2\r\nContent-Length: 0\r\n\r\n",
+	"interim":   "HTTP/1.1 103 X\r\nRequest: r1\r\nNot-Run: 1\r\n\r\n" + refusalHead + "Content-Length: 0\r\n\r\n",
+	"surplus":   "HTTP/1.1 200 X\r\nRequest: r1\r\nContent-Length: 4\r\n\r\ngood" + refusalHead + "Request: r1\r\nContent-Length: 0\r\n\r\n",
+	"trailer":   "HTTP/1.1 200 X\r\nRequest: r1\r\nTrailer: Not-Run\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\nNot-Run: 1\r\n\r\n",
+}
+
+const refusalHead = "HTTP/1.1 503 X\r\nNot-Run: 1\r\n"
+
+// greet sends the response of the next action before the request is read, if that
+// action is greets.
+func (v *scriptedServer) greet(conn net.Conn) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if len(v.actions) > 0 && v.actions[0][0] == "greets" {
+		_, _ = io.WriteString(conn, answers[v.actions[0][1]])
+	}
+}
+
 // stream sends the events of span, such as "1-3", as a chunked response. It sends
 // the final chunk only if end is empty; otherwise end says how the stream breaks.
 func (v *scriptedServer) stream(conn net.Conn, head func(int, string) string, span, end string) {
--- a/relayer/forward_test.go
+++ b/relayer/forward_test.go
@@ -43,7 +43,8 @@
 // reads the request body), silent, prefill, events A-B [cut|reset|hang], full (no
 // memory can be reserved), refuse (no process listens), endless WHAT (sends bytes
 // until its connection is closed; WHAT is a key of floods), dribbles (one
-// event, then comments).
+// event, then comments), sends WHAT (runs the request and responds with what answers
+// holds), greets WHAT (the same, before it reads the request).
 type script struct {
 	kind     string
 	attempts int
