relayer: pass on no refusal that the server has not stated

Callers take the statuses 408, 429 and 503 as a promise that their request did not run and will not run. A server that answers with one of them and without the "not run" marker promises nothing, as does the status of a faulty server's repeated response.

Cause: such a response was passed on unchanged, so a caller repeated a request that had run.

Change: the dialect says which statuses callers read as "not run"; without the marker the request counts as run and fails with 502.

Evidence: the scripts unsafe-, safe- and stream-unstated-refusal failed before (status 503, wanted 502).

--- a/dialect.go
+++ b/dialect.go
@@ -72,6 +72,9 @@
 	ID string
 	// NotRun is true only if the server has not run the request and will not run it.
 	NotRun bool
+	// ReadAsNotRun reports whether callers take the status to mean that the
+	// request has not run, whether or not the server states so.
+	ReadAsNotRun bool
 	// AddressReused reports whether the address now belongs to another server.
 	AddressReused bool
 }
--- a/relayer/forward.go
+++ b/relayer/forward.go
@@ -295,7 +295,7 @@
 		return &failure{kind: failureMismatch, server: t.Server.Name, delivered: true, err: fmt.Errorf("response belongs to request %q", terms.ID)}
 	}
 	if !terms.NotRun {
-		return nil
+		return checkStatus(terms, t, resp)
 	}
 	if t.Stage != egretflow.StagePrefill {
 		f.runs--
@@ -310,6 +310,19 @@
 	}
 }
 
+// checkStatus checks that the caller may receive the response to the request that
+// it sent. A status that means "not run" to callers must not reach them if the
+// server has not stated that.
+func checkStatus(terms egretflow.ResponseMetadata, t egretflow.ExchangeMetadata, resp *http.Response) error {
+	if !terms.ReadAsNotRun || t.Stage == egretflow.StagePrefill {
+		return nil
+	}
+	return &failure{
+		kind: failureError, server: t.Server.Name, delivered: true, status: resp.StatusCode,
+		err: fmt.Errorf("status %d, server did not state that it did not run the request", resp.StatusCode),
+	}
+}
+
 // request builds the request to the server of t.
 func (f *forwardState) request(ctx context.Context, t egretflow.ExchangeMetadata) *http.Request {
 	req := f.call.request(ctx, t.Server)
--- a/relayer/forward_fakes_test.go
+++ b/relayer/forward_fakes_test.go
@@ -113,7 +113,9 @@
 }
 
 func (scriptedDialect) ReadResponse(resp *http.Response) egretflow.ResponseMetadata {
-	return egretflow.ResponseMetadata{ID: resp.Header.Get("Request"), NotRun: resp.Header.Get("Not-Run") != ""}
+	return egretflow.ResponseMetadata{
+		ID: resp.Header.Get("Request"), NotRun: resp.Header.Get("Not-Run") != "", ReadAsNotRun: resp.StatusCode == http.StatusServiceUnavailable,
+	}
 }
 
 func (scriptedDialect) WriteRefusal(http.Header, *egretflow.Refusal, time.Time) {}
