platform: give each call to an engine its own connection

A faulty engine writes an earlier response once more on a kept connection. The responses to holds, orders and load queries have no id (in trials none of 4,334 had one), so the repeated one counted as the response to the next call: a hold of another request was used, a granted hold counted as refused, an order that the engine carried out as refused, and a refused order as accepted. From then on each response on the connection could be one call late.

Change: the engine client makes its own connections, one for each call, as requests do. NewEngineClient takes the dialer, so no pooled client can be passed. It also ends the unbounded lines that net/http logs for unexpected bytes on idle connections to engines.

Evidence: TestRepeatedHoldResponse and TestRepeatedOrderResponse failed before in all four cases (hold h1 instead of h2, "no room", conflict, no conflict).

--- a/cmd/egretflow/platform.go
+++ b/cmd/egretflow/platform.go
@@ -121,7 +121,7 @@
 		Clock: clock, Rand: newRand(), Dial: dialer.DialContext, Explainer: explainer.New(platformEvents, logger), Metrics: metrics, Policy: p.Policy,
 		Store: store, Incarnation: uint64(clock().UnixNano()), LeaseTTL: s.LeaseTTL(), Bootstrap: s.Bootstrap,
 		RetryBudget: s.RetryBudget(),
-		Directory:   platform.NewDirectory(store, nil), Dialect: platform.Dialect{}, Engines: platform.NewEngineClient(client, clock),
+		Directory:   platform.NewDirectory(store, nil), Dialect: platform.Dialect{}, Engines: platform.NewEngineClient(dialer.DialContext, clock),
 		Limits: frontend.Limits{LameDuck: lameDuck, DrainTimeout: s.GracePeriod() - lameDuck - cleanupTime},
 	}
 	if cfg.CallerListener, err = listen("callers", s.Listen.String()); err != nil {
