--- a/relayer/forward.go
+++ b/relayer/forward.go
@@ -295,15 +295,19 @@
 }
 
 // checkResponse checks that the response belongs to the request and that the
-// server did not refuse the request.
+// server did not refuse the request. A refusal that lacks the request's id may be
+// the repeated refusal of another request, so it states nothing about this one.
 func (f *forwardState) checkResponse(a *egretflow.Assignment, t egretflow.ExchangeMetadata, resp *http.Response) error {
 	terms := f.r.cfg.Dialect.ReadResponse(resp, f.r.now())
-	if terms.ID != "" && terms.ID != f.call.Terms.ID {
+	if terms.ID != f.call.Terms.ID && (terms.ID != "" || terms.NotRun) {
 		f.r.record(egretflow.EventAnswerMismatch, a.Work, a, field("server", t.Server.Name), field("got", terms.ID))
 		return &failure{kind: failureMismatch, server: t.Server.Name, delivered: true, err: fmt.Errorf("response belongs to request %q", terms.ID)}
 	}
 	f.r.noteStatements(t.Server, &terms)
 	if !terms.NotRun {
+		if err := checkStatus(terms, t, resp); err != nil {
+			return err
+		}
 		return checkEncoding(t.Server, resp)
 	}
 	if t.Stage != egretflow.StagePrefill {
@@ -329,6 +333,19 @@
 	return &failure{kind: failureMismatch, server: s.Name, delivered: true, err: fmt.Errorf("response has encoding %q", encoding)}
 }
 
+// checkStatus checks that the caller may receive the response to the request that
+// it sent. A status that means "not run" to callers must not reach them if the
+// server has not stated that.
+func checkStatus(terms egretflow.ResponseMetadata, t egretflow.ExchangeMetadata, resp *http.Response) error {
+	if !terms.ReadAsNotRun || t.Stage == egretflow.StagePrefill {
+		return nil
+	}
+	return &failure{
+		kind: failureError, server: t.Server.Name, delivered: true, status: resp.StatusCode,
+		err: fmt.Errorf("status %d, server did not state that it did not run the request", resp.StatusCode),
+	}
+}
+
 // request builds the request to the server of t.
 func (f *forwardState) request(ctx context.Context, t egretflow.ExchangeMetadata) *http.Request {
 	req := f.call.request(ctx, t.Server)
--- a/relayer/forward_fakes_test.go
+++ b/relayer/forward_fakes_test.go
@@ -148,7 +148,10 @@
 }
 
 func (scriptedDialect) ReadResponse(resp *http.Response, now time.Time) egretflow.ResponseMetadata {
-	return egretflow.ResponseMetadata{ID: resp.Header.Get("Request"), NotRun: resp.Header.Get("Not-Run") != "", Leaving: resp.Header.Get("Leaving") != "", RetryAt: connector.RetryAt(resp.StatusCode, resp.Header, now)}
+	return egretflow.ResponseMetadata{
+		ID: resp.Header.Get("Request"), NotRun: resp.Header.Get("Not-Run") != "", ReadAsNotRun: resp.StatusCode == http.StatusServiceUnavailable,
+		Leaving: resp.Header.Get("Leaving") != "", RetryAt: connector.RetryAt(resp.StatusCode, resp.Header, now),
+	}
 }
 
 func (scriptedDialect) WriteRefusal(http.Header, *egretflow.Refusal, time.Time) {}
--- a/relayer/forward_test.go
+++ b/relayer/forward_test.go
@@ -52,7 +52,9 @@
 // reads the request body), silent, prefill, events A-B [cut|reset|hang], full (no
 // memory can be reserved), refuse (no process listens), endless WHAT (sends bytes
 // until its connection is closed; WHAT is a key of floods), dribbles (one
-// event, then comments), sized (two events of a stream with a longer Content-Length).
+// event, then comments), sized (two events of a stream with a longer Content-Length),
+// sends WHAT (runs the request and responds with what answers holds), greets WHAT (the
+// same, before it reads the request).
 type script struct {
 	kind     string
 	attempts int
