frontend: write out the last responses of a drain

A caller whose request was the last one of a planned stop could get the end of the connection instead of its response.

Cause: when the last handler had returned, the server closed all connections. net/http writes a short response out only after its handler has returned, so that the two raced.

Change: the server shuts down in the orderly way first, which waits for such responses, for at most 200 ms; then it closes what is left, as before.

--- a/frontend/drain_test.go
+++ b/frontend/drain_test.go
@@ -46,6 +46,21 @@
 // answers at once, except on /reports: these answers take until shortly before the
 // end of a drain that starts at the same time.
 func startForwarding(t *testing.T) (address string, stop func()) {
+	t.Helper()
+	return startForwardingOn(t, newListener(t))
+}
+
+func newListener(t *testing.T) net.Listener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ln
+}
+
+// startForwardingOn is startForwarding with a listener.
+func startForwardingOn(t *testing.T, ln net.Listener) (address string, stop func()) {
 	t.Helper()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/reports" {
@@ -63,12 +78,18 @@
 		{Name: "reports", Host: "h", PathPrefix: "/reports", Pool: "desk", Timeout: egretflow.Duration(time.Minute)},
 		{Name: "letters", Host: "h", PathPrefix: "/letters", Pool: "letters", Timeout: egretflow.Duration(routeTimeout)},
 	}}
-	return serveForwarding(t, tables, emptyDialect{}, nil)
+	return serveForwardingOn(t, ln, tables, emptyDialect{}, nil)
 }
 
 // serveForwarding starts a Frontend that forwards requests by tables, and returns its
 // address; stop starts its shutdown.
 func serveForwarding(t *testing.T, tables *egretflow.Tables, dialect egretflow.Dialect, engines egretflow.EngineClient) (address string, stop func()) {
+	t.Helper()
+	return serveForwardingOn(t, newListener(t), tables, dialect, engines)
+}
+
+// serveForwardingOn is serveForwarding with a listener.
+func serveForwardingOn(t *testing.T, ln net.Listener, tables *egretflow.Tables, dialect egretflow.Dialect, engines egretflow.EngineClient) (address string, stop func()) {
 	t.Helper()
 	metrics, err := recorder.New()
 	if err != nil {
@@ -86,10 +107,6 @@
 		Instance: "i", Relayer: rel, Tables: func() *egretflow.Tables { return tables }, Recorder: events, Checker: check, Metrics: metrics,
 		Clock: time.Now, Rand: source, Dialect: dialect, Limits: frontend.Limits{LameDuck: testLameDuck, DrainTimeout: testDrainTimeout},
 	})
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- f.Serve(ctx, ln) }()
@@ -158,3 +175,28 @@
 		t.Errorf("the request that was open at the stop: %v", err)
 	}
 }
+
+// slowListener accepts connections that write each part of a response late.
+type slowListener struct{ net.Listener }
+
+func (l slowListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return slowConn{c}, err
+}
+
+type slowConn struct{ net.Conn }
+
+func (c slowConn) Write(p []byte) (int, error) {
+	time.Sleep(testLameDuck / 2)
+	return c.Conn.Write(p)
+}
+
+// Guards against a last response of a drain that is cut because it is not written out
+// when its handler returns.
+func TestLastResponseOfDrainIsWrittenOut(t *testing.T) {
+	address, stop := startForwardingOn(t, slowListener{newListener(t)})
+	time.AfterFunc(testLameDuck, stop)
+	if status, err := post(t, address, "/reports"); status != http.StatusOK || err != nil {
+		t.Errorf("status %d, error %v", status, err)
+	}
+}
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -18,6 +18,9 @@
 // of shutdownServer for open connections.
 const closeTimeout = 5 * time.Second
 
+// flushTimeout is how long the last responses of a drain may take to be written out.
+const flushTimeout = 200 * time.Millisecond
+
 // Serve serves callers on ln until ctx ends, and then shuts down in the order of
 // (10.1): during Limits.LameDuck it is not ready but serves new requests; then it
 // refuses new requests and waits up to Limits.DrainTimeout for open ones; after
@@ -53,9 +56,15 @@
 	<-time.After(f.cfg.Limits.LameDuck)
 }
 
-// closeConnections closes the listener and all connections. It is called after
-// the drain timeout, so requests that are still open are cut.
+// closeConnections closes the listener and all connections. It is called when no
+// request is open or the drain timeout has passed, so that requests which are still
+// open are cut. The last response may not be written out when its handler returns.
 func (f *Frontend) closeConnections(server *http.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	if server.Shutdown(ctx) == nil {
+		return nil
+	}
 	if err := server.Close(); err != nil {
 		return fmt.Errorf("close callers' connections: %w", err)
 	}
