frontend: bound the memory of bodies by that of the machine

What callers saw: a process could be ended for its memory, with all of its requests, when many callers sent large bodies at once. All of them were within the limits of the configuration.

Cause: the bodies of all requests may take 256 MB by default, whatever memory the machine has. On a smaller machine nothing else bounds them. Each body also was read into buffers that grow and are copied, although its length is known.

Change: the bodies may take a fifth of the memory limit in the settings, since the responses that are collected may take as much. What finds no room is refused as before: it has not run.

--- a/cmd/egretflow/platform.go
+++ b/cmd/egretflow/platform.go
@@ -45,7 +45,10 @@
 	// memoryLimitShare is the part of the memory limit in the settings that becomes
 	// the soft memory limit of the Go runtime.
 	memoryLimitShare = 0.7
-	megabyte         = 1 << 20
+	// bodyMemoryShare is the part of the memory limit that the bodies of all open
+	// requests may take. The responses that are collected for them may take as much.
+	bodyMemoryShare = 0.2
+	megabyte        = 1 << 20
 )
 
 type platformCommand struct {
@@ -122,7 +125,10 @@
 		Store: store, Incarnation: uint64(clock().UnixNano()), LeaseTTL: s.LeaseTTL(), Bootstrap: s.Bootstrap,
 		RetryBudget: s.RetryBudget(),
 		Directory:   platform.NewDirectory(store, nil), Dialect: platform.Dialect{}, Engines: platform.NewEngineClient(client, clock),
-		Limits: frontend.Limits{LameDuck: lameDuck, DrainTimeout: s.GracePeriod() - lameDuck - cleanupTime},
+		Limits: frontend.Limits{
+			LameDuck: lameDuck, DrainTimeout: s.GracePeriod() - lameDuck - cleanupTime,
+			MaxTotalBodyBytes: int64(bodyMemoryShare * float64(s.MemoryMegabytes) * megabyte),
+		},
 	}
 	if cfg.CallerListener, err = listen("callers", s.Listen.String()); err != nil {
 		return cfg, err
--- a/frontend/rejection_test.go
+++ b/frontend/rejection_test.go
@@ -88,6 +88,20 @@
 	}, frontend.Limits{MaxBodyBytes: 2000})
 }
 
+// Guards against small bodies in chunks that are refused, because each takes the room of
+// the largest one.
+func TestSmallChunkedBodyTakesLittleRoom(t *testing.T) {
+	run(t, func(env *testEnv) {
+		c := env.dial(1)
+		defer c.Close()
+		body := chat(2, false).body
+		send(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-v\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+		if status := readStatus(env, c); status != http.StatusOK {
+			env.t.Errorf("status %d", status)
+		}
+	}, frontend.Limits{MaxTotalBodyBytes: 1 << 20})
+}
+
 // TestSlowInput guards against connections that stay open because the caller does
 // not complete the request header or body (4.4).
 func TestSlowInput(t *testing.T) {
