gossiper: keep the milliseconds of start times in datagrams

Cause: datagrams carried times in whole seconds, but the fingerprint of the servers covers milliseconds. The changes of a peer never led to its fingerprint if a server had a start time, so that each member read the platform itself after each change, and each subscriber its relay. Change: times are encoded with their fraction, as in messenger. Evidence: TestDeltasKeepTheStartTime failed before: 22:13:20.123 arrived as 22:13:20. It passes now, as do the other tests of ./gossiper.

--- a/gossiper/message.go
+++ b/gossiper/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -85,6 +86,20 @@
 	LeftMS      int64
 }
 
+// encoding keeps the milliseconds of times, because the fingerprint of the servers
+// covers them.
+var encoding = sync.OnceValues(cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode)
+
+// encode encodes a message.
+func encode(m *message) ([]byte, error) {
+	mode, err := encoding()
+	if err != nil {
+		return nil, errors.Wrap(err, "create encoding")
+	}
+	data, err := mode.Marshal(m)
+	return data, errors.Wrap(err, "encode datagram")
+}
+
 // decode decodes and checks a datagram.
 func decode(data []byte) (*message, error) {
 	var m message
--- a/gossiper/send.go
+++ b/gossiper/send.go
@@ -9,8 +9,6 @@
 	"strconv"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/egretflow/egretflow"
 	"github.com/egretflow/egretflow/internal/rendezvous"
 )
@@ -284,7 +282,7 @@
 // write sends a message to its receivers. Errors of the network are ignored:
 // datagrams may be lost anyway, and the next message carries the whole state again.
 func (g *Gossiper) write(d datagram) {
-	data, err := cbor.Marshal(d.message)
+	data, err := encode(d.message)
 	if err != nil || len(data) > maxDatagramBytes {
 		g.record(egretflow.EventDatagramRefused, "Kind", string(d.message.Kind), "Bytes", strconv.Itoa(len(data)))
 		return
