gossiper: pass over a registration that others would refuse

Cause: a registration with any name became a member. Each datagram that listed it was refused by all receivers, because they check names, and a failure domain of 100 kB made the datagram too large to be sent. The slot of a registration that could not be decoded counted as vacant, so an instance tried to take it again and again without a pause. Change: a registration is checked as a member in a datagram is, and its failure domain must be that of its key. A malformed one keeps its slot and is recorded once per revision. Evidence: TestOddRegistrationIsNoMember failed before with all 13 values: three names were refused by other instances, one message was too large, eight slots counted as vacant, one member had the domain of another key. TestOddRegistrationCostsOnlyItself did not end in ten minutes (address-missing). Both pass now, as do the other tests of ./gossiper.

--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -8,7 +8,6 @@
 	"net/netip"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -145,20 +144,7 @@
 // runFleet runs f with a fleet of domains times perDomain instances that have found
 // each other.
 func runFleet(t *testing.T, domains, perDomain int, f func(x *fleet)) {
-	synctest.Test(t, func(t *testing.T) {
-		x := &fleet{
-			t: t, store: &fakestore.Store{}, packets: packetnet.New(rand.New(rand.NewPCG(1, 2))), streams: pipenet.New(time.Now), source: &source{},
-		}
-		for n := range domains * perDomain {
-			x.start(n, n%domains)
-		}
-		time.Sleep(10 * time.Second)
-		f(x)
-		for _, i := range x.instances {
-			i.stop()
-		}
-		time.Sleep(time.Minute)
-	})
+	runFleetOn(t, domains, perDomain, func(*fakestore.Store) {}, f)
 }
 
 // start starts instance n, which is larger than the others of its domain if it is the
--- a/gossiper/message.go
+++ b/gossiper/message.go
@@ -125,12 +125,20 @@
 		return &egretflow.FieldError{Field: "Members", Reason: "has a count out of range"}
 	}
 	for n := range m.Members {
-		if err := egretflow.CheckName("Members", string(m.Members[n].Name)); err != nil {
+		if err := checkMember(m.Members[n].Name, m.Members[n].Address); err != nil {
 			return err
 		}
-		if !m.Members[n].Address.IsValid() {
-			return &egretflow.FieldError{Field: "Members", Reason: "has no address"}
-		}
+	}
+	return nil
+}
+
+// checkMember returns an error for a member that messages must not list.
+func checkMember(name egretflow.InstanceName, address netip.AddrPort) error {
+	if err := egretflow.CheckName("Members", string(name)); err != nil {
+		return err
+	}
+	if !address.IsValid() {
+		return &egretflow.FieldError{Field: "Members", Reason: "has no address"}
 	}
 	return nil
 }
--- a/gossiper/registration.go
+++ b/gossiper/registration.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -49,6 +50,9 @@
 	key string
 	// lease has a zero ID while this instance is not registered.
 	lease egretflow.Lease
+	// malformed holds the revisions of the malformed registrations that were read
+	// last, so that each is recorded once.
+	malformed map[string]int64
 }
 
 func newRegistration(g *Gossiper) *registration { return &registration{Gossiper: g} }
@@ -163,7 +167,7 @@
 }
 
 // list reads all registrations, adds their instances to the members and returns the
-// entries by key. It records malformed registrations and skips them.
+// entries by key. A malformed registration names no instance, but its slot is taken.
 func (r *registration) list(ctx context.Context) (map[string]slot, error) {
 	entries, err := r.cfg.Store.List(ctx, instancePrefix)
 	if err != nil {
@@ -173,20 +177,41 @@
 	defer r.mu.Unlock()
 	now := r.cfg.Clock()
 	taken := make(map[string]slot, len(entries))
+	malformed := map[string]int64{}
 	for _, e := range entries {
-		var m egretflow.Member
-		if err := json.Unmarshal(e.Value, &m); err != nil || m.Name == "" || !m.Address.IsValid() {
-			r.record(egretflow.EventRegistrationFailed, "Key", e.Key, "Error", "the registration is malformed")
+		m, err := decodeRegistration(e)
+		taken[e.Key] = slot{holder: m.Name, revision: e.ModRevision}
+		if err != nil {
+			malformed[e.Key] = e.ModRevision
+			if r.malformed[e.Key] != e.ModRevision {
+				r.record(egretflow.EventRegistrationFailed, "Key", e.Key, "Error", "the registration is malformed")
+			}
 			continue
 		}
-		taken[e.Key] = slot{holder: m.Name, revision: e.ModRevision}
 		if m.Name != r.cfg.Self.Name {
 			r.refreshMember(m, now)
 		}
 	}
+	r.malformed = malformed
 	return taken, nil
 }
 
+// decodeRegistration decodes the registration of an instance. It returns an error for
+// one that other instances would refuse in a datagram.
+func decodeRegistration(e egretflow.StoreEntry) (egretflow.Member, error) {
+	var m egretflow.Member
+	if err := json.Unmarshal(e.Value, &m); err != nil {
+		return egretflow.Member{}, fmt.Errorf("decode registration: %w", err)
+	}
+	if err := checkMember(m.Name, m.Address); err != nil {
+		return egretflow.Member{}, fmt.Errorf("check registration: %w", err)
+	}
+	if !strings.HasPrefix(e.Key, instancePrefix+string(m.FailureDomain)+"/") {
+		return egretflow.Member{}, &egretflow.FieldError{Field: "FailureDomain", Reason: "is not that of the key"}
+	}
+	return m, nil
+}
+
 // subscribe makes this instance a subscriber if it is not a member and there are
 // members, also while it tries to take a slot: it then reads through a relay without
 // waiting for the outcome.
