gossiper: leave out changes that make a datagram too large

Cause: a message over 32 kB was not sent at all. Up to 12 changed servers in each of the last readings, with long names, come near to that; the other instances then do not learn that the list is current. Change: such a message is sent without the changes. Its receivers see another fingerprint and read the list themselves. Evidence: TestLargeChangesAreLeftOut failed before on all five other instances; it passes now, as do the other tests of ./gossiper, also under -race.

--- a/gossiper/entries_test.go
+++ b/gossiper/entries_test.go
@@ -105,6 +105,26 @@
 	}
 }
 
+// Guards against changes that make a datagram too large: without it, no other instance
+// learns that the list is current.
+func TestLargeChangesAreLeftOut(t *testing.T) {
+	runFleet(t, 2, 3, func(x *fleet) {
+		entry := egretflow.ServerEntry{Pool: "p", Server: egretflow.Server{Name: egretflow.ServerName(strings.Repeat("s", maxDatagramBytes))}}
+		from := x.reader()
+		from.follower.mu.Lock()
+		from.follower.deltas = []egretflow.ServersDelta{{Changed: []egretflow.ServerEntry{entry}}}
+		from.follower.mu.Unlock()
+		from.follower.read(7)
+		from.Wake()
+		time.Sleep(time.Second)
+		for _, i := range x.instances {
+			if i.follower.known() != 7 {
+				t.Errorf("%s does not follow the reader", i.cfg.Self.Name)
+			}
+		}
+	})
+}
+
 // Guards against changes of servers that arrive with another start time: they do not
 // lead to the fingerprint of the sender, so that each receiver reads the platform.
 func TestDeltasKeepTheStartTime(t *testing.T) {
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -59,12 +59,13 @@
 	version     uint64
 	confirmedAt time.Time
 	readAt      time.Time
+	deltas      []egretflow.ServersDelta
 }
 
 func (f *fakeFollower) Confirmation() egretflow.Confirmation {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return egretflow.Confirmation{Servers: f.version, Version: f.version, ReadAt: f.readAt, ConfirmedAt: f.confirmedAt}
+	return egretflow.Confirmation{Servers: f.version, Version: f.version, ReadAt: f.readAt, ConfirmedAt: f.confirmedAt, Deltas: f.deltas}
 }
 
 func (f *fakeFollower) ApplyConfirmation(c egretflow.Confirmation) {
--- a/gossiper/send.go
+++ b/gossiper/send.go
@@ -283,6 +283,12 @@
 // datagrams may be lost anyway, and the next message carries the whole state again.
 func (g *Gossiper) write(d datagram) {
 	data, err := encode(d.message)
+	if err == nil && len(data) > maxDatagramBytes {
+		// The receivers read the changes themselves.
+		m := *d.message
+		m.Confirmed.Deltas = nil
+		data, err = encode(&m)
+	}
 	if err != nil || len(data) > maxDatagramBytes {
 		g.record(egretflow.EventDatagramRefused, "Kind", string(d.message.Kind), "Bytes", strconv.Itoa(len(data)))
 		return
