registrar: let an invalid registration end the grace of its server

Cause: a server that is missing after an outage is kept for 2.2 s, so that it can register again. A server whose registration is there but no longer names a server to use counted as missing, and took work meanwhile. Change: a list names the servers with such a registration; they count as gone at once. Evidence: TestInvalidRegistrationHasNoGrace failed before: 1 s after an outage the server took work. It passes now, with the other tests of ./registrar, also under -race.

--- a/dialect.go
+++ b/dialect.go
@@ -145,6 +145,9 @@
 // ServerList holds all backend servers that are registered.
 type ServerList struct {
 	Entries []ServerEntry
+	// Invalid names the servers whose registration is there but names no server to
+	// use.
+	Invalid []ServerName
 	// Revision is the revision of the platform's store at which the list is
 	// complete. It never decreases, so it orders the lists that instances read
 	// without comparing clocks.
--- a/registrar/doc.go
+++ b/registrar/doc.go
@@ -18,7 +18,8 @@
 //     Registrations may expire during the outage although their servers are up.
 //     A server that is missing after the outage is therefore kept until
 //     ReregistrationGrace has passed, or until a peer confirms exactly the list
-//     that this instance has read.
+//     that this instance has read. One whose registration is there but names no
+//     server to use counts as gone at once.
 //  4. Before the first configuration there are no tables.
 //  5. In a fleet the instance with rank 0 reads the directory for all instances.
 //     It sends them a fingerprint of the server list, the latest changes to it,
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -19,6 +19,7 @@
 	mu      sync.Mutex
 	config  *egretflow.Configuration
 	servers []egretflow.ServerEntry
+	invalid []egretflow.ServerName
 	down    bool
 	reads   int
 	// revision counts the changes; staleList, if set, is returned instead of servers.
@@ -70,7 +71,7 @@
 	if d.staleList != nil {
 		return *d.staleList, nil
 	}
-	return egretflow.ServerList{Entries: append([]egretflow.ServerEntry(nil), d.servers...), Revision: d.revision}, nil
+	return egretflow.ServerList{Entries: append([]egretflow.ServerEntry(nil), d.servers...), Invalid: d.invalid, Revision: d.revision}, nil
 }
 
 func (d *fakeDirectory) readCount() int {
@@ -395,6 +396,28 @@
 	})
 }
 
+// Guards against a server that takes work after an outage although its registration is
+// there and no longer names a server to use.
+func TestInvalidRegistrationHasNoGrace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDirectory()
+		d.config = configuration(1)
+		d.servers = []egretflow.ServerEntry{server(1), server(2), server(3)}
+		r := start(t, d, nil)
+		time.Sleep(time.Second)
+		d.set(func(d *fakeDirectory) { d.down = true })
+		time.Sleep(3 * time.Second)
+		d.set(func(d *fakeDirectory) {
+			d.down, d.servers, d.invalid = false, []egretflow.ServerEntry{server(3)}, []egretflow.ServerName{"s1"}
+		})
+		time.Sleep(time.Second)
+		if r.AcceptsWork("s1") || !r.AcceptsWork("s2") || !r.AcceptsWork("s3") {
+			t.Errorf("1 s after an outage the invalid server takes work %v, the missing one %v, the listed one %v",
+				r.AcceptsWork("s1"), r.AcceptsWork("s2"), r.AcceptsWork("s3"))
+		}
+	})
+}
+
 // Guards against forwarding a confirmation that was received from a peer. Its age does
 // not include the time on the network, so it would stay recent while instances forward
 // it, and nobody would take over from a reader that cannot reach the platform.
--- a/registrar/state.go
+++ b/registrar/state.go
@@ -136,7 +136,7 @@
 
 // replaceServers applies a list of servers and returns the changes, sorted by
 // server. Within the grace period after an outage it keeps the servers that the list
-// does not contain (rule 3).
+// does not contain, except those whose registration is invalid (rule 3).
 func (s *state) replaceServers(list egretflow.ServerList, now time.Time) []change {
 	if !s.reachable && s.everRead {
 		s.graceUntil = now.Add(ReregistrationGrace)
@@ -163,7 +163,7 @@
 		if _, ok := next[name]; ok {
 			continue
 		}
-		if now.Before(s.graceUntil) {
+		if now.Before(s.graceUntil) && !slices.Contains(list.Invalid, name) {
 			next[name], kept = old, true
 			continue
 		}
