platform: report each record of a server that is passed over

Cause: the callback would have been called at each read, every 0.7 s. The platform command records ServerInvalid with the key and the reason, at level warning.

--- a/cmd/egretflow/platform.go
+++ b/cmd/egretflow/platform.go
@@ -114,14 +114,18 @@
 		return assembler.ForwardingConfig{}, fmt.Errorf("make metrics: %w", err)
 	}
 	store := platform.NewStore(platform.StoreConfig{Address: s.Store, Client: client, Clock: clock, Observe: metrics.StoreCalled})
+	events := explainer.New(platformEvents, logger)
+	directory := platform.NewDirectory(store, func(key, reason string) {
+		events.Record(egretflow.NewEvent(egretflow.EventServerInvalid, clock(), s.Name, "Key", key, "Error", reason))
+	})
 	cfg := assembler.ForwardingConfig{
 		Self: egretflow.Member{
 			Name: s.Name, FailureDomain: s.FailureDomain, Region: s.Region, State: egretflow.MemberStateLive, ProcessorShare: s.ProcessorShare,
 		},
-		Clock: clock, Rand: newRand(), Dial: dialer.DialContext, Explainer: explainer.New(platformEvents, logger), Metrics: metrics, Policy: p.Policy,
+		Clock: clock, Rand: newRand(), Dial: dialer.DialContext, Explainer: events, Metrics: metrics, Policy: p.Policy,
 		Store: store, Incarnation: uint64(clock().UnixNano()), LeaseTTL: s.LeaseTTL(), Bootstrap: s.Bootstrap,
 		RetryBudget: s.RetryBudget(),
-		Directory:   platform.NewDirectory(store, nil), Dialect: platform.Dialect{}, Engines: platform.NewEngineClient(client, clock),
+		Directory:   directory, Dialect: platform.Dialect{}, Engines: platform.NewEngineClient(client, clock),
 		Limits: frontend.Limits{LameDuck: lameDuck, DrainTimeout: s.GracePeriod() - lameDuck - cleanupTime},
 	}
 	if cfg.CallerListener, err = listen("callers", s.Listen.String()); err != nil {
--- a/cmd/egretflow/platform_test.go
+++ b/cmd/egretflow/platform_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -15,11 +16,12 @@
 	"github.com/egretflow/egretflow/platform/platformtest"
 )
 
-// standIns holds the stand-in store of one script and the metrics address of its
-// instance.
+// standIns holds the stand-in store of one script, the metrics address of its instance
+// and the function that stops the server of plain calls.
 type standIns struct {
-	store   *platformtest.Store
-	metrics string
+	store    *platformtest.Store
+	metrics  string
+	stopDesk func()
 }
 
 // standInsKey is the key of the script value that holds its standIns.
@@ -38,6 +40,9 @@
 		at, stopServer := platformtest.Serve(server)
 		ts.Defer(stopServer)
 		s.store.Put("servers/"+name, server.Registration(c.service, at, "ready"))
+		if c.stage == "" {
+			s.stopDesk = stopServer
+		}
 	}
 	port := freePort(ts)
 	s.metrics = fmt.Sprintf("127.0.0.1:%d", port)
@@ -76,6 +81,32 @@
 	currentStandIns(ts).store.Put("op/config", data)
 }
 
+// putOddEntries implements "oddentries FILE": it writes the records of a data file, and
+// one that is deeply nested, among those of the servers.
+func putOddEntries(ts *testscript.TestScript, _ bool, args []string) {
+	data, err := os.ReadFile(args[0])
+	ts.Check(err)
+	var odd []struct{ Key, Value string }
+	ts.Check(json.Unmarshal(data, &odd))
+	store := currentStandIns(ts).store
+	for _, e := range odd {
+		store.Put(e.Key, []byte(e.Value))
+	}
+	store.Put("servers/odd-nested", []byte(strings.Repeat(`{"service":`, 100_000)))
+}
+
+// replaceDesk implements "replacedesk": the server of plain calls ends and its record is
+// removed, and another one with a new name is registered.
+func replaceDesk(ts *testscript.TestScript, _ bool, _ []string) {
+	s := currentStandIns(ts)
+	s.stopDesk()
+	s.store.Delete("servers/i-desk")
+	server := platformtest.NewServer(platformtest.ServerConfig{Name: "i-desk-2"})
+	at, stop := platformtest.Serve(server)
+	ts.Defer(stop)
+	s.store.Put("servers/i-desk-2", server.Registration("desk", at, "ready"))
+}
+
 // currentStandIns returns the standIns that startStandIns started for the script.
 func currentStandIns(ts *testscript.TestScript) *standIns {
 	return ts.Value(standInsKey).(map[string]*standIns)["now"]
--- a/cmd/egretflow/script_test.go
+++ b/cmd/egretflow/script_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -72,16 +73,22 @@
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("build programs: %v\n%s", err, out)
 	}
+	oddEntries, err := filepath.Abs("../../platform/testdata/odd-entries.json")
+	if err != nil {
+		t.Fatal(err)
+	}
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata/script",
 		Setup: func(env *testscript.Env) error {
 			env.Setenv("PATH", bin+":"+env.Getenv("PATH"))
 			env.Values[standInsKey] = map[string]*standIns{}
+			env.Setenv("ODD_ENTRIES", oddEntries)
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"freeports": freePorts, "eventually": eventually, "subst": subst,
 			"standins": startStandIns, "configure": writeConfiguration, "metrics": readMetrics,
+			"oddentries": putOddEntries, "replacedesk": replaceDesk,
 		},
 	})
 }
--- a/event.go
+++ b/event.go
@@ -33,6 +33,7 @@
 	EventServerLeaving       EventName = "ServerLeaving"
 	EventServerGone          EventName = "ServerGone"
 	EventServerLost          EventName = "ServerLost"
+	EventServerInvalid       EventName = "ServerInvalid"
 	EventRegistrationFailed  EventName = "RegistrationFailed"
 	EventMemberJoined        EventName = "MemberJoined"
 	EventMemberLost          EventName = "MemberLost"
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -137,7 +137,7 @@
 	case egretflow.EventInvariantViolated:
 		return logrus.ErrorLevel
 	case egretflow.EventAccessDenied, egretflow.EventAnswerMismatch, egretflow.EventAttemptFailed, egretflow.EventStoreUnavailable,
-		egretflow.EventLinesDropped:
+		egretflow.EventLinesDropped, egretflow.EventServerInvalid:
 		return logrus.WarnLevel
 	}
 	return logrus.InfoLevel
