platform: bound the numbers that a caller states

Cause: token counts and the length hint had no upper bound. Coordinators refuse a datagram with a count over 2^30, and with it all requests of the instance for that pool, for as long as the one request waits or runs. The parts of a prompt had none either: a part of 2,000,000,000 tokens gave 7,812,500 hashes, and a larger one takes all memory of the process. Evidence: TestCountsOutOfRange failed before with six of its eight values below 2^31 tokens of prompt (the ninth was left out, because it needs too much memory); all nine pass now. go test and go test -race of ./platform and ./coordinator pass.

--- a/coordinator/wire.go
+++ b/coordinator/wire.go
@@ -239,12 +239,9 @@
 	return nil
 }
 
-// maxTokens bounds the token counts of a message.
-const maxTokens = 1 << 30
-
 func (w *wireWork) check() error {
 	for _, count := range []int{w.PromptTokens, w.MaxTokens, w.ExpectedTokens} {
-		if count < 0 || count > maxTokens {
+		if count < 0 || count > egretflow.MaxTokens {
 			return &egretflow.FieldError{Field: "Work", Reason: "has a token count out of range"}
 		}
 	}
--- a/decision.go
+++ b/decision.go
@@ -14,6 +14,14 @@
 // reported the exact count.
 const PromptBytesPerToken = 4
 
+const (
+	// MaxTokens bounds the token counts of one request.
+	MaxTokens = 1 << 30
+	// MaxPrefixChunks bounds the hashes of a prompt, so that requests with long
+	// prompts fit into the messages between instances.
+	MaxPrefixChunks = 512
+)
+
 // PrefixHash is the xxhash64 of the prompt from its start to the end of a
 // chunk of PrefixChunkBytes.
 type PrefixHash uint64
