tracker: let an odd entry of the list cost only itself

Cause: the list was split with encoding/json, which refuses the whole array if one element is nested more than 10,000 levels deep, so that the list was no longer followed. An instance with port 0, the address 0.0.0.0 or a failure domain that is no name became a member. Change: the array is split without decoding its elements, and each element is decoded by itself. Failure domain and region must be names, as at the start of an instance, or empty. A list that is cut or no array is refused, also null, which counted as an empty list. Evidence: TestOddListEntryCostsOnlyItself failed before with six of its ten entries ("exceeded max depth" for two); it passes now. FuzzDecodeList ran 10 s without a finding. go test and go test -race of ./tracker pass.

--- a/tracker/fuzz_test.go
+++ b/tracker/fuzz_test.go
@@ -12,6 +12,8 @@
 	f.Add([]byte(`[{"targets":["10.0.0.1:7001"],"labels":{"Name":"entry-1","FailureDomain":"moshi-lab","Region":"tz-north","Kind":"Instance","State":"Live"}},
 		{"targets":["10.0.0.2:9001"],"labels":{"Name":"o1","Kind":"BackendServer","State":"Leaving"}}, 7]`))
 	f.Add([]byte(`[{"targets":["host:1"],"labels":{"Name":"entry-1","Kind":"Instance","State":"Live"}}, null]`))
+	f.Add([]byte(`[{"a":[1,"],"]}, "\\", {"labels":{"State":"Live","Name":"a","Kind":"BackendServer"}}]`))
+	f.Add([]byte(`[[[[]]],]`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		l, err := decodeList(data)
 		if err != nil {
--- a/tracker/list.go
+++ b/tracker/list.go
@@ -1,6 +1,7 @@
 package tracker
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -41,8 +42,8 @@
 // decodeList decodes a list. Entries that fail their checks are skipped, so
 // that one bad entry does not hide the others.
 func decodeList(data []byte) (listResult, error) {
-	var entries []json.RawMessage
-	if err := json.Unmarshal(data, &entries); err != nil {
+	entries, err := splitArray(data)
+	if err != nil {
 		return listResult{}, fmt.Errorf("decode list: %w", err)
 	}
 	l := listResult{servers: map[egretflow.ServerName]egretflow.MemberState{}, bytes: len(data)}
@@ -61,8 +62,10 @@
 	if err := state.UnmarshalText([]byte(e.Labels.State)); err != nil {
 		return false
 	}
-	if err := egretflow.CheckName("Name", e.Labels.Name); err != nil {
-		return false
+	for _, name := range []string{e.Labels.Name, cmp.Or(e.Labels.FailureDomain, "none"), cmp.Or(e.Labels.Region, "none")} {
+		if err := egretflow.CheckName("labels", name); err != nil {
+			return false
+		}
 	}
 	switch e.Labels.Kind {
 	case "BackendServer":
@@ -79,7 +82,7 @@
 			return false
 		}
 		address, err := netip.ParseAddrPort(e.Targets[0])
-		if err != nil {
+		if err != nil || address.Port() == 0 || address.Addr().IsUnspecified() || address.Addr().IsMulticast() {
 			return false
 		}
 		m.Address = address
