gossiper: refuse times out of range

Cause: the age of a confirmation was computed with without a bound. An age of 9,300,000,000,000 ms overflowed, so that the list looked current until the year 2313 and the receiver would not read it again. Change: a datagram with a time over 2^40 ms is refused, and the age of a relay's list is kept in that range.

--- a/gossiper/directory.go
+++ b/gossiper/directory.go
@@ -83,7 +83,7 @@
 		if err := d.read(ctx, from, serversPath, &s); err != nil {
 			return err
 		}
-		at := d.cfg.Clock().Add(-time.Duration(s.AgeMS) * time.Millisecond)
+		at := d.cfg.Clock().Add(-time.Duration(min(max(s.AgeMS, 0), maxAgeMS)) * time.Millisecond)
 		list = egretflow.ServerList{Entries: s.Entries, Revision: s.Revision, ConfirmedAt: at}
 		return nil
 	}, func(ctx context.Context) (err error) {
--- a/gossiper/message.go
+++ b/gossiper/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +19,8 @@
 	maxMembers = 500
 	// maxCrashesPerMessage bounds the crash reports in one message.
 	maxCrashesPerMessage = 16
+	// maxAgeMS bounds the times in a message, so that they can be computed with.
+	maxAgeMS = 1 << 40
 	// crashSends is how often a crash report is sent, in case datagrams are lost.
 	crashSends = 3
 )
@@ -124,6 +127,10 @@
 	if len(m.Members) > maxMembers || len(m.Crashes) > maxCrashesPerMessage || m.Subscribers < 0 || m.Instances < 0 {
 		return &egretflow.FieldError{Field: "Members", Reason: "has a count out of range"}
 	}
+	tooLong := func(c crash) bool { return c.LeftMS > maxAgeMS || c.LeftMS < -maxAgeMS }
+	if m.Confirmed.AgeMS > maxAgeMS || slices.ContainsFunc(m.Crashes, tooLong) {
+		return &egretflow.FieldError{Field: "Confirmed", Reason: "has a time out of range"}
+	}
 	for n := range m.Members {
 		if err := checkMember(m.Members[n].Name, m.Members[n].Address); err != nil {
 			return err
