--- a/event.go
+++ b/event.go
@@ -35,6 +35,7 @@
 	EventServerGone          EventName = "ServerGone"
 	EventServerPaused        EventName = "ServerPaused"
 	EventServerLost          EventName = "ServerLost"
+	EventServerInvalid       EventName = "ServerInvalid"
 	EventRegistrationFailed  EventName = "RegistrationFailed"
 	EventMemberJoined        EventName = "MemberJoined"
 	EventMemberLost          EventName = "MemberLost"
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -8,7 +8,6 @@
 	"net/netip"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -60,12 +59,13 @@
 	version     uint64
 	confirmedAt time.Time
 	readAt      time.Time
+	deltas      []egretflow.ServersDelta
 }
 
 func (f *fakeFollower) Confirmation() egretflow.Confirmation {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return egretflow.Confirmation{Servers: f.version, Version: f.version, ReadAt: f.readAt, ConfirmedAt: f.confirmedAt}
+	return egretflow.Confirmation{Servers: f.version, Version: f.version, ReadAt: f.readAt, ConfirmedAt: f.confirmedAt, Deltas: f.deltas}
 }
 
 func (f *fakeFollower) ApplyConfirmation(c egretflow.Confirmation) {
@@ -145,20 +145,7 @@
 // runFleet runs f with a fleet of domains times perDomain instances that have found
 // each other.
 func runFleet(t *testing.T, domains, perDomain int, f func(x *fleet)) {
-	synctest.Test(t, func(t *testing.T) {
-		x := &fleet{
-			t: t, store: &fakestore.Store{}, packets: packetnet.New(rand.New(rand.NewPCG(1, 2))), streams: pipenet.New(time.Now), source: &source{},
-		}
-		for n := range domains * perDomain {
-			x.start(n, n%domains)
-		}
-		time.Sleep(10 * time.Second)
-		f(x)
-		for _, i := range x.instances {
-			i.stop()
-		}
-		time.Sleep(time.Minute)
-	})
+	runFleetOn(t, domains, perDomain, func(*fakestore.Store) {}, f)
 }
 
 // start starts instance n, which is larger than the others of its domain if it is the
--- a/gossiper/message.go
+++ b/gossiper/message.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/netip"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -17,6 +19,8 @@
 	maxMembers = 500
 	// maxCrashesPerMessage bounds the crash reports in one message.
 	maxCrashesPerMessage = 16
+	// maxAgeMS bounds the times in a message, so that they can be computed with.
+	maxAgeMS = 1 << 40
 	// crashSends is how often a crash report is sent, in case datagrams are lost.
 	crashSends = 3
 )
@@ -85,6 +89,20 @@
 	LeftMS      int64
 }
 
+// encoding keeps the milliseconds of times, because the fingerprint of the servers
+// covers them.
+var encoding = sync.OnceValues(cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode)
+
+// encode encodes a message.
+func encode(m *message) ([]byte, error) {
+	mode, err := encoding()
+	if err != nil {
+		return nil, errors.Wrap(err, "create encoding")
+	}
+	data, err := mode.Marshal(m)
+	return data, errors.Wrap(err, "encode datagram")
+}
+
 // decode decodes and checks a datagram.
 func decode(data []byte) (*message, error) {
 	var m message
@@ -109,13 +127,25 @@
 	if len(m.Members) > maxMembers || len(m.Crashes) > maxCrashesPerMessage || m.Subscribers < 0 || m.Instances < 0 {
 		return &egretflow.FieldError{Field: "Members", Reason: "has a count out of range"}
 	}
+	tooLong := func(c crash) bool { return c.LeftMS > maxAgeMS || c.LeftMS < -maxAgeMS }
+	if m.Confirmed.AgeMS > maxAgeMS || slices.ContainsFunc(m.Crashes, tooLong) {
+		return &egretflow.FieldError{Field: "Confirmed", Reason: "has a time out of range"}
+	}
 	for n := range m.Members {
-		if err := egretflow.CheckName("Members", string(m.Members[n].Name)); err != nil {
+		if err := checkMember(m.Members[n].Name, m.Members[n].Address); err != nil {
 			return err
 		}
-		if !m.Members[n].Address.IsValid() {
-			return &egretflow.FieldError{Field: "Members", Reason: "has no address"}
-		}
+	}
+	return nil
+}
+
+// checkMember returns an error for a member that messages must not list.
+func checkMember(name egretflow.InstanceName, address netip.AddrPort) error {
+	if err := egretflow.CheckName("Members", string(name)); err != nil {
+		return err
+	}
+	if !address.IsValid() {
+		return &egretflow.FieldError{Field: "Members", Reason: "has no address"}
 	}
 	return nil
 }
