relayer: give up no attempt that none can follow

A silent attempt was still given up in three cases in which the next one is impossible, so that callers saw a cut stream or 502: after an event without an id, on the last of the attempts that a request may make, and when its pool had become a service, as a change of the configuration may do.

Cause: the checks before giving up and those before the next attempt were not the same.

Change: isLast serves both places, a stream with an unnumbered event is not checked, and an assignment without a prefill server is no successor.

Evidence: silence-last-attempt, silence-pool-is-service and silence-unnumbered failed before (502, cut, cut).

--- a/relayer/forward.go
+++ b/relayer/forward.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -50,7 +51,7 @@
 	lastEvent []byte
 	// unnumbered reports whether the caller has an event without an id, after which no
 	// server can be asked to continue.
-	unnumbered bool
+	unnumbered atomic.Bool
 	// consecutive reports whether the ids of the events have increased by one each time
 	// so far, so that a gap shows that events are missing.
 	consecutive bool
@@ -116,7 +117,7 @@
 		return nil, false
 	case f.runs > 0 && !f.call.Work.Idempotent:
 		return nil, false
-	case f.runs >= f.maxRuns(), f.unnumbered:
+	case f.runs >= f.maxRuns(), f.unnumbered.Load():
 		return nil, false
 	}
 	next := f.retryWork(work, cause, f.writtenEvents, f.lastEventAt())
@@ -128,6 +129,11 @@
 	return next, true
 }
 
+// isLast reports whether no further attempt is allowed after the running one.
+func (f *forwardState) isLast() bool {
+	return f.runs+1 >= f.maxRuns() || f.attempts >= maxForwardAttempts
+}
+
 // maxRuns returns the maximum number of servers that may run the request.
 func (f *forwardState) maxRuns() int {
 	if f.call.MaxAttempts > 0 {
@@ -212,7 +218,7 @@
 	if !a.Work.Idempotent {
 		return context.WithDeadline(context.WithoutCancel(ctx), f.deadline)
 	}
-	if f.runs+1 >= f.maxRuns() {
+	if f.isLast() {
 		return context.WithCancel(ctx)
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/relayer/forward_fakes_test.go
+++ b/relayer/forward_fakes_test.go
@@ -52,7 +52,7 @@
 	s.nextID++
 	a := &egretflow.Assignment{Attempt: egretflow.AttemptID(strconv.Itoa(s.nextID)), Work: work, FirstTokenAt: time.Now(), PrefillBy: time.Now()}
 	stage := "service"
-	if (s.script.kind == "stream" || s.script.kind == "resumable") && !s.script.assignsService {
+	if (s.script.kind == "stream" || s.script.kind == "resumable") && !s.script.assignsService && !(s.script.assignsServiceLater && s.nextID > 1) {
 		stage = "decode"
 		a.Prefill = s.pick(work, "prefill")
 	}
--- a/relayer/forward_server_test.go
+++ b/relayer/forward_server_test.go
@@ -176,6 +176,10 @@
 	case "raw":
 		v.countRun()
 		for part := range strings.SplitSeq(decodeBody(argument(1)), "%") {
+			if part == "SLEEP" {
+				time.Sleep(1500 * time.Millisecond)
+				continue
+			}
 			_, _ = io.WriteString(conn, part)
 			time.Sleep(10 * time.Millisecond)
 		}
--- a/relayer/forward_test.go
+++ b/relayer/forward_test.go
@@ -29,7 +29,7 @@
 //	server NAME stage=service|prefill|decode [preempts=yes] [pause=MS] [reports=Ahead|Nothing]
 //	scheduler refuses=late   the scheduler refuses work whose first-token target has passed
 //	gate closed=NAME         the server gets no new work of this instance
-//	scheduler assigns=service    the scheduler assigns a server of a service to each request
+//	scheduler assigns=service|service-later    the scheduler assigns a server of a service to each request, or to all but the first
 //	on NAME ACTION...        one line per request that reaches the server
 //	caller leaves=MS resumes=ID    the caller disconnects after MS milliseconds, or resumes a stream after event ID
 //	want written=TEXT        what the caller has received, also of a response that is cut off
@@ -47,7 +47,7 @@
 // (before any response), latereset MS (the same after a delay), truncate (less than
 // Content-Length), unframed [body] (no length, ends with the connection),
 // unframedreset, raw BYTES [reset] (exactly these bytes, as decodeBody reads them, with a
-// pause at each "%"),
+// pause at each "%", a long one at "%SLEEP%"),
 // foreign (a response to another request), garbage (not HTTP), late MS [body], early [body] (responds before it
 // reads the request body), silent, prefill, events A-B [cut|reset|hang], full (no
 // memory can be reserved), refuse (no process listens), endless WHAT (sends bytes
@@ -65,6 +65,8 @@
 	gate        scriptedGate
 	// assignsService makes the scheduler assign servers of a service.
 	assignsService bool
+	// assignsServiceLater does so for all requests but the first.
+	assignsServiceLater bool
 	// leavesAfter is the time after which the caller disconnects; 0 means never.
 	leavesAfter time.Duration
 	// resumeAfter is the id of the event after which the caller resumes its stream.
@@ -130,6 +132,7 @@
 		case "scheduler":
 			s.refusesLate = values["refuses"] == "late"
 			s.assignsService = values["assigns"] == "service"
+			s.assignsServiceLater = values["assigns"] == "service-later"
 		case "gate":
 			s.gate.closed = append(s.gate.closed, egretflow.ServerName(values["closed"]))
 		case "on":
--- a/relayer/forwardstream.go
+++ b/relayer/forwardstream.go
@@ -396,7 +396,9 @@
 	g.result.noteEvent(now)
 	g.lastActivityAt = now
 	g.writtenEvents++
-	g.unnumbered = g.unnumbered || id == ""
+	if id == "" {
+		g.unnumbered.Store(true)
+	}
 	g.result.Tokens++
 	if id != "" {
 		g.consecutive = idStep(g.lastEventID, id) == 1 && (g.consecutive || g.writtenEvents == 1)
--- a/relayer/streamcheck.go
+++ b/relayer/streamcheck.go
@@ -41,7 +41,7 @@
 // startStallWatch returns a watch that checks the progress of a stalled stream. A
 // stream that cannot be continued on another server is not checked.
 func (g *streamAttempt) startStallWatch(ctx context.Context) *stallWatch {
-	if !g.call.Work.Idempotent || g.runs+1 >= g.maxRuns() {
+	if !g.call.Work.Idempotent || g.isLast() {
 		return newStallWatch(g.r.cfg.Clock, g.deadline.Sub(g.r.now())+time.Minute, func(*stallWatch) {})
 	}
 	wait := max(stageTimeout(g.a.FirstTokenAt.Sub(g.r.now())), eventStallFactor*g.call.EventGapTarget)
@@ -64,7 +64,7 @@
 	verdict := verdictOf(p, err, received)
 	g.r.record(egretflow.EventSilentConnection, g.a.Work, g.a, field("server", g.a.Decode.Name), field("verdict", verdict),
 		field("received", strconv.FormatInt(received, 10)), field("made", strconv.Itoa(p.Events)))
-	if g.confirmStalled(verdict, received) && g.reserveSuccessor(ctx, received, silentSince) {
+	if !g.unnumbered.Load() && g.confirmStalled(verdict, received) && g.reserveSuccessor(ctx, received, silentSince) {
 		g.cancel(errStalled)
 		return
 	}
--- a/relayer/successor.go
+++ b/relayer/successor.go
@@ -114,6 +114,10 @@
 	if f.call.Pool.Kind != egretflow.PoolKindModel {
 		return s
 	}
+	if a.Prefill == nil {
+		f.r.freeSuccessor(s)
+		return nil
+	}
 	if s.hold, err = f.r.takeHold(ctx, f.call.Pool, a); err != nil {
 		_ = f.reportFailure(a, err)
 		f.r.freeSuccessor(s)
