relayer: let a retry wait while its caller is there

A stream whose server stayed silent was never continued on a server that became free a little later.

Cause: a retry may wait until its caller gives up, as estimated from the last event. Once that was past, each further reservation was refused as late.

Change: a retry has at least half of the caller's patience from now, because a caller that is still connected still waits.

--- a/decision.go
+++ b/decision.go
@@ -48,6 +48,7 @@
 	ArrivedAt   time.Time
 	// FirstTokenBy is ArrivedAt plus the first-token target of the route, less
 	// the time that a caller who was refused before has waited already.
+	// For a retry it is GiveUpBy.
 	FirstTokenBy time.Time
 	// GiveUpBy is when the caller gives up if there is no first token. Until
 	// then a response that misses its target is still useful; zero means that
--- a/relayer/successor.go
+++ b/relayer/successor.go
@@ -153,6 +153,10 @@
 	}
 	patience := f.call.Work.GiveUpBy.Sub(f.call.Work.ArrivedAt)
 	next.GiveUpBy = lastEventAt.Add(patience)
+	if soonest := f.r.now().Add(patience / 2); next.GiveUpBy.Before(soonest) {
+		// The caller is still there, so that it goes on waiting.
+		next.GiveUpBy = soonest
+	}
 	if !next.Deadline.IsZero() && next.Deadline.Before(next.GiveUpBy) {
 		next.GiveUpBy = next.Deadline
 	}
