scheduler: give back the retry that a refused attempt has spent

Proper retries were refused, and their requests ended 502 or cut, because refused ones had used the budget up.

Cause: the budget was spent before the request was queued.

Change: what a waiting retry has spent is given back when its wait ends without servers. The budget still bounds all attempts that are made.

Evidence: TestRefusedRetrySpendsNoBudget failed before ("the retry budget is spent" although no extra attempt had been made).

--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -97,6 +97,10 @@
 	return true
 }
 
+// Refund gives back an extra attempt that was not made. The ignored time gives Budget
+// and SharedBudget the same method.
+func (b *Budget) Refund(time.Time) { b.tokens = min(b.cfg.burst(), b.tokens+1) }
+
 // streamKey identifies the streams of one caller on one route.
 type streamKey struct {
 	caller egretflow.CallerName
--- a/limiter/shared.go
+++ b/limiter/shared.go
@@ -77,6 +77,14 @@
 	return true
 }
 
+// Refund gives back an extra attempt that was spent at spentAt and not made.
+func (b *SharedBudget) Refund(spentAt time.Time) {
+	number := b.spanNumber(spentAt)
+	if s := &b.spans[number%int64(len(b.spans))]; s.number == number && s.extra > 0 {
+		s.extra--
+	}
+}
+
 // Left returns the number of extra attempts that may be spent now. It is negative if
 // more than allowed were spent, for example after the share became smaller.
 func (b *SharedBudget) Left(now time.Time) float64 {
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -80,11 +80,7 @@
 		return true
 	}
 	if work.Retry {
-		if !t.retryBudgetFor(work, r).Spend(t.now) {
-			t.refuse(w, http.StatusServiceUnavailable, egretflow.RefusalOverload, "the retry budget is spent", admitter.Verdict{})
-			return false
-		}
-		return true
+		return t.spendRetry(w, r)
 	}
 	if work.Hedge || work.Reacquired {
 		return true
@@ -308,6 +304,7 @@
 		p.crashSuspects = slices.DeleteFunc(p.crashSuspects, isCancelled)
 	}
 	t.closeStream(w)
+	w.refundRetry()
 	t.record(egretflow.EventCancelled, w.work, nil, nil)
 	w.finish(nil, fmt.Errorf("wait for an assignment: %w", context.Canceled))
 }
@@ -329,6 +326,7 @@
 // queue. v.FirstTokenAt is the expected first token, or zero if it is not known.
 func (t *task) refuse(w *waiter, status int, reason egretflow.RefusalReason, message string, v admitter.Verdict) {
 	t.closeStream(w)
+	w.refundRetry()
 	state := egretflow.RunStateNotRun
 	if w.work.Retry || w.work.Hedge || w.replaces != "" {
 		state = egretflow.RunStateMayHaveRun
--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"slices"
 	"time"
 
@@ -138,8 +137,7 @@
 		return
 	}
 	w.pool = a.pool
-	if r := t.routes[w.work.Route]; r != nil && !t.retryBudgetFor(w.work, r).Spend(t.now) {
-		t.refuse(w, http.StatusServiceUnavailable, egretflow.RefusalOverload, "the retry budget is spent", admitter.Verdict{})
+	if r := t.routes[w.work.Route]; r != nil && !t.spendRetry(w, r) {
 		return
 	}
 	a.pool.picker.ReleasePrefill(&a.placement, t.now)
--- a/scheduler/budget.go
+++ b/scheduler/budget.go
@@ -1,9 +1,11 @@
 package scheduler
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/admitter"
 	"github.com/egretflow/egretflow/limiter"
 )
 
@@ -24,6 +26,27 @@
 type retryBudget interface {
 	Earn(now time.Time)
 	Spend(now time.Time) bool
+	// Refund gives back an attempt that was spent at spentAt and not made.
+	Refund(spentAt time.Time)
+}
+
+// spendRetry takes the attempt of w from the budget, or refuses w and returns false.
+func (t *task) spendRetry(w *waiter, r *route) bool {
+	b := t.retryBudgetFor(w.work, r)
+	if !b.Spend(t.now) {
+		t.refuse(w, http.StatusServiceUnavailable, egretflow.RefusalOverload, "the retry budget is spent", admitter.Verdict{})
+		return false
+	}
+	w.spentFrom, w.spentAt = b, t.now
+	return true
+}
+
+// refundRetry gives back what w has spent, because its wait ended without servers.
+func (w *waiter) refundRetry() {
+	if w.spentFrom != nil {
+		w.spentFrom.Refund(w.spentAt)
+		w.spentFrom = nil
+	}
 }
 
 // retryBudgetFor returns the budget for further attempts of work: that of its pool
--- a/scheduler/message.go
+++ b/scheduler/message.go
@@ -34,6 +34,10 @@
 	// streamOpen reports whether the waiting request counts as an open stream. When
 	// it starts, the stream belongs to the attempt.
 	streamOpen bool
+	// spentFrom is the budget from which the attempt was taken at spentAt; nil if it
+	// was not, or was given back.
+	spentFrom retryBudget
+	spentAt   time.Time
 	// done reports whether assignment or err is set.
 	done bool
 	// attempt is the attempt that starts when the wait ends. It is part of the
