scheduler: wait for another prefill server while the caller does

A request whose prefill server was silent was refused although its caller would have waited for seconds more and another server was about to become free.

Cause: the replacement was judged by the first-token target alone, which a silence uses up, and not by the time at which the caller gives up.

Change: tryReplace waits until the later of the two.

Evidence: TestReplaceWaitsWhileCallerWaits failed before (refused 3.8 s before the caller gives up).

--- a/decision.go
+++ b/decision.go
@@ -70,6 +70,15 @@
 	Retry bool
 }
 
+// LatestStart returns until when a first token is of use to the caller: GiveUpBy, or
+// FirstTokenBy without it; zero if there is no limit.
+func (w *Work) LatestStart() time.Time {
+	if w.GiveUpBy.After(w.FirstTokenBy) {
+		return w.GiveUpBy
+	}
+	return w.FirstTokenBy
+}
+
 // Output returns the expected output in tokens.
 func (w *Work) Output() int {
 	if w.ExpectedTokens > 0 {
--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -169,7 +169,7 @@
 	o := picker.Options{Decode: a.placement.Decode, ExcludePrefill: a.placement.Prefill, Isolate: a.isolated}
 	pl, ok := t.pick(a.pool, w.work, o)
 	if !ok {
-		if by := w.work.FirstTokenBy; !by.IsZero() && t.now.After(by) {
+		if by := w.work.LatestStart(); !by.IsZero() && t.now.After(by) {
 			t.refuseLate(w, admitter.Verdict{})
 			return true
 		}
--- a/scheduler/retry_test.go
+++ b/scheduler/retry_test.go
@@ -1,9 +1,11 @@
 package scheduler
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"testing/synctest"
 
 	"time"
 
@@ -50,3 +52,33 @@
 		t.Errorf("retry while no extra attempt was made: done %v, error %v", done, err)
 	}
 }
+
+// Guards against a request that is lost after its target because the other prefill server is full for a moment.
+func TestReplaceWaitsWhileCallerWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		tables := testTables(2, 1, 4)
+		tables.Pools[0].Servers[0].Slots, tables.Pools[0].Servers[1].Slots = 1, 1
+		s := startScheduler(ctx, t, picker.SharingNone, tables)
+		w := testWork("1")
+		w.GiveUpBy = time.Now().Add(5 * time.Second)
+		first, err := s.Acquire(ctx, w)
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(1200 * time.Millisecond) // its prefill server is silent
+		other, err := s.Acquire(ctx, testWork("2"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.AfterFunc(300*time.Millisecond, func() { s.Release(egretflow.Release{Attempt: other.Attempt, PrefillOnly: true}) })
+		next := *first
+		work := *first.Work
+		work.Avoid = []egretflow.ServerName{first.Prefill.Name}
+		next.Work = &work
+		if _, err := s.Replace(ctx, &next); err != nil {
+			t.Errorf("replace %v before the caller gives up: %v", time.Until(w.GiveUpBy), err)
+		}
+	})
+}
