relayer: stop waiting for a successor when the stream goes on

A stream that had gone on was not checked any more while the wait for another server lasted, and took a slot and memory there for nothing if one became free.

Cause: the wait had the context of the attempt.

Change: the next event ends it.

Evidence: TestResumedStreamStopsWaitingForSuccessor failed before (the wait lasted 2.23 s, 1.5 s longer than the silence).

--- a/relayer/forwardstream.go
+++ b/relayer/forwardstream.go
@@ -114,6 +114,9 @@
 	// suspectedAfter is the value of receivedEvents at the last check, if that found
 	// the server stalled, and notSuspected otherwise.
 	suspectedAfter atomic.Int64
+	// stopReserving ends the wait for a successor, if there is one, because the stream
+	// goes on.
+	stopReserving atomic.Pointer[context.CancelFunc]
 	// checks runs checkProgress, which must end before the attempt does.
 	checks sync.WaitGroup
 }
@@ -404,6 +407,9 @@
 		g.consecutive = idStep(g.lastEventID, id) == 1 && (g.consecutive || g.writtenEvents == 1)
 		g.lastEventID, g.lastEvent = id, event.data
 		g.receivedEvents.Add(1)
+		if stop := g.stopReserving.Load(); stop != nil {
+			(*stop)()
+		}
 	}
 	if g.events++; g.events%eventsPerObservation == 0 {
 		g.reportTokens()
--- a/relayer/streamcheck.go
+++ b/relayer/streamcheck.go
@@ -84,6 +84,10 @@
 // reserveSuccessor reserves servers on which the stream can continue. It returns false
 // if there are none, or if events arrived in the meantime.
 func (g *streamAttempt) reserveSuccessor(ctx context.Context, received int64, silentSince time.Time) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	g.stopReserving.Store(&cancel)
+	defer g.stopReserving.Store(nil)
 	s := g.reserve(ctx, g.stalledWork(g.a, g.earlierEvents+int(received), silentSince))
 	switch {
 	case s == nil:
