relayer: let a retry wait for servers that asked for a pause

A stream that broke off was cut at once when the other servers had asked for a pause of a fraction of a second.

Cause: requests are refused at once while all servers want no work. That suits requests that have not run, whose callers can come back, and no others.

Change: a retry waits until the first server opens, if its caller waits that long.

--- a/relayer/gate.go
+++ b/relayer/gate.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"context"
 	"net/http"
 	"slices"
 
@@ -40,12 +41,17 @@
 
 // withoutClosed returns work that avoids the servers that get no new work of this
 // instance, because the scheduler that decides may be that of another one. If no server
-// is left, it returns the refusal that says when there is one again.
-func (f *forwardState) withoutClosed(work *egretflow.Work) (*egretflow.Work, error) {
+// is left, it returns the refusal that says when there is one again. A retry waits for
+// that if its caller does: a refusal would cut an answer that has begun.
+func (f *forwardState) withoutClosed(ctx context.Context, work *egretflow.Work) (*egretflow.Work, error) {
 	if f.r.cfg.Gate == nil {
 		return work, nil
 	}
 	closed := f.r.cfg.Gate.Closed(work.Pool)
+	for !closed.OpensAt.IsZero() && work.Retry && closed.OpensAt.Before(work.GiveUpBy) && ctx.Err() == nil {
+		wait(ctx, closed.OpensAt.Sub(f.r.now()))
+		closed = f.r.cfg.Gate.Closed(work.Pool)
+	}
 	if !closed.OpensAt.IsZero() {
 		return nil, &egretflow.Refusal{
 			Status: http.StatusServiceUnavailable, Reason: egretflow.RefusalOverload, RunState: egretflow.RunStateNotRun,
--- a/relayer/successor.go
+++ b/relayer/successor.go
@@ -22,7 +22,7 @@
 		f.successor = nil
 		return s.a, s.hold, nil
 	}
-	work, err := f.withoutClosed(work)
+	work, err := f.withoutClosed(ctx, work)
 	if err != nil {
 		return nil, "", err
 	}
@@ -99,7 +99,7 @@
 // reserve waits for servers for work and returns them, or nil if the request gets
 // none. It may run beside an attempt.
 func (f *forwardState) reserve(ctx context.Context, work *egretflow.Work) *successor {
-	work, err := f.withoutClosed(work)
+	work, err := f.withoutClosed(ctx, work)
 	var a *egretflow.Assignment
 	if err == nil {
 		a, err = f.r.cfg.Scheduler.Acquire(ctx, work)
