relayer: confirm a crash before the first event of a stream

Callers saw 502 for a request whose decode server crashed, and the instances went on to send such requests, and others, to servers that were down: the failure was reported as a broken connection, so nothing was charged with the crash.

Cause: a broken connection does not prove a crash, and nobody asked the engine. The relayer now asks it over a new connection, three times at most and within the timeout of engine calls, when a connection breaks before the first event. Only a refused connection, or another server at the address, is reported as a crash. Such a server is also marked lost for a second, like one that refused a connection before a request was sent.

Evidence: on the code before, the scripts crash-before-first and crash-retried fail with "crashes of "" are reported, want d". crash-broken-connection and crash-during-answer pass before and after: they hold the limits of the change.

--- a/relayer/forward_fakes_test.go
+++ b/relayer/forward_fakes_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -20,6 +22,7 @@
 	nextID        int
 	assignments   map[egretflow.AttemptID]bool
 	failedServers []string
+	crashes       []string
 }
 
 func (s *scriptedScheduler) openAssignments() int {
@@ -76,14 +79,25 @@
 
 // Observe records the servers that are reported as failed, crashed or silent.
 func (s *scriptedScheduler) Observe(o egretflow.Observation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if o.Kind == egretflow.ObservationCrashed && !o.Unsent {
+		s.crashes = append(s.crashes, string(o.Server))
+	}
 	switch o.Kind {
 	case egretflow.ObservationFailed, egretflow.ObservationCrashed, egretflow.ObservationSilent:
-		s.mu.Lock()
-		defer s.mu.Unlock()
 		s.failedServers = append(s.failedServers, string(o.Server))
 	}
 }
 
+// reportedCrashes returns the names of the servers that crashed while they ran an
+// attempt, separated by commas.
+func (s *scriptedScheduler) reportedCrashes() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return strings.Join(s.crashes, ",")
+}
+
 // reportedFailures returns the names of the servers that Observe recorded, separated
 // by commas.
 func (s *scriptedScheduler) reportedFailures() string {
@@ -154,8 +168,13 @@
 	return nil
 }
 
-func (e *scriptedEngines) Load(context.Context, *egretflow.Server) (*egretflow.LoadReport, error) {
-	return nil, egretflow.ErrUnavailable
+// Load connects to the server, as the client of an engine does.
+func (e *scriptedEngines) Load(ctx context.Context, s *egretflow.Server) (*egretflow.LoadReport, error) {
+	conn, err := new(net.Dialer).DialContext(ctx, "tcp", s.Address.String())
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", egretflow.ErrUnavailable, err)
+	}
+	return &egretflow.LoadReport{}, conn.Close()
 }
 
 // Progress responds like an engine that has preempted the request if the server
--- a/relayer/forward_server_test.go
+++ b/relayer/forward_server_test.go
@@ -34,6 +34,7 @@
 	floods      sync.WaitGroup
 	dropped     int
 	address     netip.AddrPort
+	listener    net.Listener
 	resumeAfter []string
 	// closed receives the time at which the client closed a connection of a silent or
 	// hanging action.
@@ -51,6 +52,7 @@
 		return
 	}
 	t.Cleanup(func() { _ = ln.Close() })
+	v.listener = ln
 	go func() {
 		for {
 			conn, err := ln.Accept()
@@ -184,6 +186,12 @@
 		defer v.floods.Done()
 		v.countRun()
 		v.flood(conn, argument(1))
+	case "crash":
+		v.countRun()
+		_, _ = fmt.Fprint(conn, head(200, "Transfer-Encoding: chunked\r\n"), "\r\n")
+		time.Sleep(20 * time.Millisecond)
+		_ = v.listener.Close()
+		reset()
 	case "prefill":
 		_, _ = fmt.Fprintf(conn, "%sContent-Length: 2\r\n\r\nk1", head(200, ""))
 	case "events":
--- a/relayer/forward_test.go
+++ b/relayer/forward_test.go
@@ -32,6 +32,7 @@
 //	caller leaves=MS         the caller disconnects after MS milliseconds
 //	want status=N body=TEXT|cut runs=NAME:N,... notrun=true|false
 //	want suspects=NAME,...|none    servers whose failure is reported to the scheduler
+//	want crashed=NAME|none   the server whose crash is reported to the scheduler
 //	want from=NAME:ID        the last request asks the server to continue after event ID
 //	want closed=NAME         closeLimit bounds the time until the server sees the disconnect
 //
@@ -41,7 +42,8 @@
 // unframedreset, foreign (a response to another
 // request), garbage (not HTTP), late MS [body], early [body] (responds before it
 // reads the request body), silent, prefill, events A-B [cut|reset|hang], full (no
-// memory can be reserved), refuse (no process listens), endless WHAT (sends bytes
+// memory can be reserved), refuse (no process listens), crash (sends the head of a
+// stream, breaks the connection and stops listening), endless WHAT (sends bytes
 // until its connection is closed; WHAT is a key of floods), dribbles (one
 // event, then comments).
 type script struct {
@@ -221,6 +223,9 @@
 			t.Errorf("%d bytes were taken from server %s, which sends without end", flooded, server.name)
 		}
 	}
+	if want := s.want["crashed"]; want != "" && scheduler.reportedCrashes() != strings.TrimSuffix(want, "none") {
+		t.Errorf("crashes of %q are reported, want %s", scheduler.reportedCrashes(), want)
+	}
 	if want := s.want["suspects"]; want != "" && scheduler.reportedFailures() != strings.TrimSuffix(want, "none") {
 		t.Errorf("failures of servers %q were reported to the scheduler, want %q", scheduler.reportedFailures(), want)
 	}
--- a/relayer/forwardstream.go
+++ b/relayer/forwardstream.go
@@ -64,7 +64,7 @@
 	g := &streamAttempt{forwardedStream: f, a: a, hold: hold, cancel: cancel, earlierEvents: f.writtenEvents}
 	g.suspectedAfter.Store(notSuspected)
 	defer g.release()
-	err = g.run(ctx)
+	err = g.confirmCrash(ctx, g.run(ctx))
 	cancel(context.Canceled)
 	g.checks.Wait()
 	if err != nil {
--- a/scheduler/lost.go
+++ b/scheduler/lost.go
@@ -51,9 +51,7 @@
 	}
 	switch o.Kind {
 	case egretflow.ObservationCrashed:
-		if o.Unsent {
-			t.markLost(s.Spec.Name, lostServer{t.now.Add(lostPeriod), sourceAnswer})
-		}
+		t.markLost(s.Spec.Name, lostServer{t.now.Add(lostPeriod), sourceAnswer})
 	case egretflow.ObservationReplaced:
 		t.markLost(s.Spec.Name, lostServer{t.now.Add(replacedPeriod), sourceAnswer})
 	case egretflow.ObservationSilent:
--- a/scheduler/lost_test.go
+++ b/scheduler/lost_test.go
@@ -53,6 +53,7 @@
 		reported bool
 	}{
 		{"connection refused", egretflow.Observation{Kind: egretflow.ObservationCrashed, Unsent: true}, lostPeriod, true},
+		{"crashed during a request", egretflow.Observation{Kind: egretflow.ObservationCrashed}, lostPeriod, true},
 		{"another server at the address", egretflow.Observation{Kind: egretflow.ObservationReplaced}, replacedPeriod, true},
 		{"silent", egretflow.Observation{Kind: egretflow.ObservationSilent}, lostPeriod, false},
 		{"broken connection", egretflow.Observation{Kind: egretflow.ObservationFailed}, 0, false},
