egretflow: list the shared parts of a prompt in Work

Requests that share a part of their prompt can crash servers by that part alone, but a request was known only by its fingerprint and by the hashes of whole prefixes. Work.Parts holds one hash for each part that other requests may share, which is all but the last: the listed parts on the platform, and the messages of a chat on the own interface. Nothing decides by them yet.

--- a/decision.go
+++ b/decision.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 )
 
@@ -18,6 +19,15 @@
 // chunk of PrefixChunkBytes.
 type PrefixHash uint64
 
+// MaxParts is the maximum number of parts of a prompt that Work.Parts lists.
+const MaxParts = 32
+
+// PartHash identifies one part of a prompt, wherever it stands in the prompt.
+type PartHash uint64
+
+// String returns the hash in hexadecimal digits.
+func (h PartHash) String() string { return strconv.FormatUint(uint64(h), 16) }
+
 // Work describes a request to the packages that decide where and when it runs.
 type Work struct {
 	Request    RequestID
@@ -34,6 +44,9 @@
 	ExpectedTokens int
 	// Prefix holds one hash per full chunk of the prompt, shortest first.
 	Prefix []PrefixHash
+	// Parts holds the parts of the prompt that other requests may share, in order.
+	// Crash detection uses them (5.6).
+	Parts []PartHash
 	// Fingerprint identifies caller, path and body. Crash detection uses it
 	// (5.6).
 	Fingerprint uint64
--- a/dialect.go
+++ b/dialect.go
@@ -22,6 +22,8 @@
 	ExpectedTokens int
 	// Prefix holds the prefix hashes of the prompt, as in Work.
 	Prefix []PrefixHash
+	// Parts holds the parts of the prompt except the last, as in Work.
+	Parts []PartHash
 	// ResumeAfter is the id of the last event that the caller has received.
 	ResumeAfter string
 }
--- a/frontend/completion.go
+++ b/frontend/completion.go
@@ -48,7 +48,7 @@
 	if work.MaxTokens = req.MaxTokens; work.MaxTokens == 0 {
 		work.MaxTokens = assumedTokens
 	}
-	work.Prefix = prefixHashes(req.Prompt)
+	work.Prefix, work.Parts = prefixHashes(req.Prompt), req.Parts
 	work.Fingerprint = fingerprint(x.caller, string(endpoint), body)
 	job := &relayer.Job{Work: work, Request: req, Pool: pool, Header: engineHeaders(c.Request()), Handover: f.handover}
 	return f.runModel(c, job, route)
--- a/internal/openai/openai_test.go
+++ b/internal/openai/openai_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 
+	"github.com/egretflow/egretflow"
 	"pgregory.net/rapid"
 )
 
@@ -87,6 +88,29 @@
 	}
 }
 
+// Guards against messages that crash servers and are not recognized in another chat,
+// and against the last message, which is the request's own, among them.
+func TestPartsAreSharedMessages(t *testing.T) {
+	parts := func(messages string) []egretflow.PartHash {
+		request, err := ParseRequest(Chat, []byte(`{"model":"m","messages":[`+messages+`]}`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return request.Parts
+	}
+	system, first, second := `{"role":"system","content":"s"}`, `{"role":"user","content":"a"}`, `{"role":"user","content":"b"}`
+	a, b := parts(system+","+first+","+second), parts(second+","+system+","+first)
+	if len(a) != 2 || len(b) != 2 || a[0] != b[1] || a[1] == b[0] {
+		t.Errorf("parts %v and %v, want the same hash of the shared message", a, b)
+	}
+	if got := parts(first); len(got) != 0 {
+		t.Errorf("parts %v of a chat with one message", got)
+	}
+	if got := parts(strings.Repeat(system+",", 100) + first); len(got) != egretflow.MaxParts {
+		t.Errorf("%d parts, want %d", len(got), egretflow.MaxParts)
+	}
+}
+
 // TestToolCalls guards against tool calls that are lost or garbled when a stream is
 // merged into a non-streamed response.
 func TestToolCalls(t *testing.T) {
--- a/internal/openai/request.go
+++ b/internal/openai/request.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/egretflow/egretflow"
 	"github.com/pkg/errors"
 )
@@ -34,6 +36,8 @@
 	// Prompt is the prompt text from which egretflow estimates tokens and computes
 	// hashes. For a chat it holds the roles and texts of all messages.
 	Prompt string
+	// Parts holds one hash per message of a chat except the last.
+	Parts []egretflow.PartHash
 	// fields holds the unchanged members of the body by name.
 	fields map[string]json.RawMessage
 	// tokensField is the member that limits the tokens: max_tokens or
@@ -168,8 +172,12 @@
 		return &egretflow.FieldError{Field: "messages", Reason: "must hold at least one message"}
 	}
 	var b strings.Builder
-	for _, m := range f.Messages {
-		b.WriteString(m.Role + "\n" + string(m.Content) + "\n")
+	for n, m := range f.Messages {
+		text := m.Role + "\n" + string(m.Content) + "\n"
+		b.WriteString(text)
+		if n < min(len(f.Messages)-1, egretflow.MaxParts) {
+			r.Parts = append(r.Parts, egretflow.PartHash(xxhash.Sum64String(text)))
+		}
 	}
 	r.Prompt = b.String()
 	return nil
