crashdetector: charge parts of prompts with crashes

Callers saw servers crash one after the other, and sound requests fail with them, while requests came of which no two were alike but which shared a part of their prompt that crashes the server that begins to answer. Crash detection recognized a request by its fingerprint only, so it counted one loss for each of them and refused none.

A server that is lost before it sent any of an answer is now charged to the parts of the prompt as well. A part runs in one request at a time after one loss, and is refused at once, with status 503 as not run, after two in a row without a begun answer. A begun answer shows that its parts are sound and clears them. Of parts with equal losses one that is not known to be sound is refused, and of these the last, because the first ones are shared by sound requests. Losses of attempts that ran at the same time are one, so that a failure domain that is lost blocks nothing. Peers learn of suspected and refused parts with the crash reports; the gossiper repeats those with several losses every 2 s for instances that restart. Isolation ends with the first event if that clears the request, so that sound requests with a suspected part do not wait for whole answers.

--- a/crashdetector/crashdetector.go
+++ b/crashdetector/crashdetector.go
@@ -1,14 +1,17 @@
-// Package crashdetector finds requests that crash the servers that run them
-// (5.6).
+// Package crashdetector finds requests, and parts of prompts, that crash the servers
+// that run them (5.6).
 //
 // # Usage
 //
 //	d := crashdetector.New()
-//	d.Charge(work.Fingerprint, "decode-3", now) // for each request on the lost server
+//	d.RecordLoss(work.Fingerprint, "decode-3", now) // for each request on the lost server
+//	d.RecordPartLoss(work.Parts, "decode-3", startedAt, now) // if it had sent no answer yet
 //	switch d.Verdict(work.Fingerprint, now) {
 //	case crashdetector.Reject: // refuse it
 //	case crashdetector.Isolate: // run it on a server without other suspects
 //	}
+//	d.PartVerdict(work.Parts, now) // the same for the parts of its prompt
+//	d.AnswerBegan(work.Fingerprint, work.Parts, now)
 //	d.Clear(work.Fingerprint) // it completed
 //
 // # Rules
@@ -21,7 +24,21 @@
 //  3. A request with MaxLosses losses is rejected until RejectFor has passed since
 //     the last one.
 //  4. When a request completes, its losses so far no longer count. Reports of
-//     peers about the same losses do not make them count again.
+//     peers about the same losses do not make them count again. Losses that all came
+//     before an answer had begun no longer count once one begins.
+//  5. A server that is lost before it sent any of an answer is also charged to the
+//     parts of the prompt. A part with which an answer has begun is sound. It is
+//     charged too, because a part may begin to crash servers later.
+//  6. A part counts one loss for the attempts that ran at the same time: servers that
+//     fail together for another reason are no evidence of a second crash.
+//  7. A part with one loss is a suspect unless it is sound. Of the parts charged with
+//     a loss, the one with the most losses is blocked once it has MaxLosses; of equal
+//     ones, one that is not sound, and then the last, because the first parts are
+//     shared by most other requests. A blocked part explains the losses of the others.
+//  8. When an answer begins, the losses of its parts so far no longer count, and a
+//     report of a peer about an earlier loss is ignored.
+//  9. Peers are told of blocked parts with MaxLosses servers or more, and of suspects
+//     with one. The report of a suspect only makes a part a suspect.
 package crashdetector
 
 import (
@@ -46,6 +63,9 @@
 	maxReports = 64
 	// maxServers bounds the losses kept per request.
 	maxServers = 4
+	// maxSoundParts bounds the sound parts that are remembered, in each of the two
+	// generations.
+	maxSoundParts = 2048
 )
 
 // Verdict says how a request may run.
@@ -69,27 +89,56 @@
 	// lostAt holds when the newest loss of each server was added.
 	lostAt    map[egretflow.ServerName]time.Time
 	expiresAt time.Time
+	// afterStart reports whether a loss that counts came after an answer had begun.
+	// It is not used for parts.
+	afterStart bool
+	// lastLossAt is when the newest loss was recorded. It is used for parts only, as
+	// is blocked.
+	lastLossAt time.Time
+	blocked    bool
 }
 
 // losses returns the number of losses that count.
 func (e *entry) losses() int { return len(e.servers) - e.cleared }
 
-// Detector holds the losses of requests. It is not safe for concurrent use.
+// table holds the losses of requests by fingerprint, or of parts by hash.
+type table map[uint64]*entry
+
+// Detector holds the losses of requests and of parts. It is not safe for concurrent
+// use.
 type Detector struct {
-	entries map[uint64]*entry
+	entries table
+	parts   table
+	// sound holds when an answer with a part last began, and formerSound the
+	// generation before.
+	sound       map[egretflow.PartHash]time.Time
+	formerSound map[egretflow.PartHash]time.Time
 }
 
 // New returns an empty Detector.
-func New() *Detector { return &Detector{entries: map[uint64]*entry{}} }
+func New() *Detector {
+	return &Detector{entries: table{}, parts: table{}, sound: map[egretflow.PartHash]time.Time{}}
+}
 
 // RecordLoss records that server was lost while it ran the request.
 func (d *Detector) RecordLoss(fingerprint uint64, server egretflow.ServerName, now time.Time) {
-	e := d.entryFor(fingerprint, now)
+	d.entries.entryFor(fingerprint, now).recordLoss(server, now).afterStart = true
+}
+
+// RecordEarlyLoss records that server was lost while it ran the request and before it
+// sent any of the answer.
+func (d *Detector) RecordEarlyLoss(fingerprint uint64, server egretflow.ServerName, now time.Time) {
+	d.entries.entryFor(fingerprint, now).recordLoss(server, now)
+}
+
+// recordLoss adds a loss unless it is the same as an earlier one.
+func (e *entry) recordLoss(server egretflow.ServerName, now time.Time) *entry {
 	if slices.Contains(e.servers, server) && now.Sub(e.lostAt[server]) < sameLossWindow {
-		return
+		return e
 	}
 	e.addLoss(server, now)
-	e.expiresAt = now.Add(RejectFor)
+	e.lastLossAt, e.expiresAt = now, now.Add(RejectFor)
+	return e
 }
 
 // addLoss adds a loss. An entry with maxServers losses drops its oldest one if that
@@ -106,35 +155,35 @@
 	e.servers = append(e.servers, server)
 }
 
-// entryFor returns the entry of fingerprint. If there is none, or if it has
+// entryFor returns the entry of key. If there is none, or if it has
 // expired, it adds a new one and evicts others if necessary.
-func (d *Detector) entryFor(fingerprint uint64, now time.Time) *entry {
-	if e, ok := d.entries[fingerprint]; ok && now.Before(e.expiresAt) {
+func (t table) entryFor(key uint64, now time.Time) *entry {
+	if e, ok := t[key]; ok && now.Before(e.expiresAt) {
 		return e
 	}
-	if len(d.entries) >= maxEntries {
-		d.evict(now)
+	if len(t) >= maxEntries {
+		t.evict(now)
 	}
 	e := &entry{lostAt: map[egretflow.ServerName]time.Time{}}
-	d.entries[fingerprint] = e
+	t[key] = e
 	return e
 }
 
 // evict removes the expired entries or, if that frees none, the lowest-ranked one.
-func (d *Detector) evict(now time.Time) {
-	var victimFingerprint uint64
+func (t table) evict(now time.Time) {
+	var victimKey uint64
 	var victim *entry
-	for fingerprint, e := range d.entries {
+	for key, e := range t {
 		if !now.Before(e.expiresAt) {
-			delete(d.entries, fingerprint)
+			delete(t, key)
 			continue
 		}
-		if victim == nil || outranks(victim, e, victimFingerprint < fingerprint) {
-			victimFingerprint, victim = fingerprint, e
+		if victim == nil || outranks(victim, e, victimKey < key) {
+			victimKey, victim = key, e
 		}
 	}
-	if len(d.entries) >= maxEntries {
-		delete(d.entries, victimFingerprint)
+	if len(t) >= maxEntries {
+		delete(t, victimKey)
 	}
 }
 
@@ -175,25 +224,35 @@
 // Clear records that the request completed, so its losses had another cause.
 func (d *Detector) Clear(fingerprint uint64) {
 	if e, ok := d.entries[fingerprint]; ok {
-		e.cleared = len(e.servers)
+		e.clear()
 	}
 }
 
-// Reports returns the losses to send to peers, at most maxReports requests, those
-// with the most lost servers first.
+// clear makes the losses so far no longer count.
+func (e *entry) clear() {
+	e.cleared, e.afterStart, e.blocked = len(e.servers), false, false
+}
+
+// Reports returns the losses to send to peers, at most maxReports requests and parts,
+// those with the most lost servers first.
 func (d *Detector) Reports(now time.Time) []egretflow.CrashReport {
+	reports := append(d.entries.reports(now), d.partReports(now)...)
+	slices.SortFunc(reports, compareReports)
+	return reports[:min(len(reports), maxReports)]
+}
+
+func (t table) reports(now time.Time) []egretflow.CrashReport {
 	var reports []egretflow.CrashReport
-	for fingerprint, e := range d.entries {
+	for key, e := range t {
 		if !now.Before(e.expiresAt) {
-			delete(d.entries, fingerprint)
+			delete(t, key)
 			continue
 		}
 		if e.losses() > 0 {
-			reports = append(reports, egretflow.CrashReport{Fingerprint: fingerprint, Servers: slices.Clone(e.servers[e.cleared:]), ExpiresAt: e.expiresAt})
+			reports = append(reports, egretflow.CrashReport{Fingerprint: key, Servers: slices.Clone(e.servers[e.cleared:]), ExpiresAt: e.expiresAt})
 		}
 	}
-	slices.SortFunc(reports, compareReports)
-	return reports[:min(len(reports), maxReports)]
+	return reports
 }
 
 // compareReports orders reports by the number of servers, then by expiry, both
@@ -219,7 +278,11 @@
 		if !now.Before(r.ExpiresAt) || r.ExpiresAt.After(now.Add(2*RejectFor)) {
 			continue
 		}
-		e := d.entryFor(r.Fingerprint, now)
+		if r.Part {
+			d.mergePart(&r, now)
+			continue
+		}
+		e := d.entries.entryFor(r.Fingerprint, now)
 		for n, server := range r.Servers {
 			if count(e.servers, server) < count(r.Servers[:n+1], server) {
 				e.addLoss(server, now)
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -106,7 +106,7 @@
 	sequence   uint64
 	// sendCounts counts how often each crash report was sent. Only the goroutine of
 	// sendLoop uses it.
-	sendCounts map[crashKey]int
+	sendCounts map[crashKey]crashSent
 	// senders holds the newest message of each sender.
 	senders map[egretflow.InstanceName]received
 	members map[egretflow.InstanceName]*member
@@ -157,7 +157,7 @@
 	roleKnown := make(chan struct{})
 	return &Gossiper{
 		cfg: cfg, wake: make(chan struct{}, 1), roleKnown: roleKnown, markRoleKnown: sync.OnceFunc(func() { close(roleKnown) }), role: roleNone,
-		sendCounts: map[crashKey]int{}, senders: map[egretflow.InstanceName]received{},
+		sendCounts: map[crashKey]crashSent{}, senders: map[egretflow.InstanceName]received{},
 		members: map[egretflow.InstanceName]*member{}, subscribers: map[egretflow.InstanceName]subscriber{},
 	}
 }
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -24,6 +24,8 @@
 	mu      sync.Mutex
 	hints   egretflow.ServerHints
 	crashes []egretflow.CrashReport
+	// part reports whether the last merged report is about a part.
+	part bool
 	// received and merged are what other instances have sent.
 	received []egretflow.ServerHints
 	merged   int
@@ -51,6 +53,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.merged += len(reports)
+	for _, r := range reports {
+		s.part = r.Part
+	}
+}
+
+// mergedReports returns the number of merged reports, and whether the last one is about
+// a part.
+func (s *fakeState) mergedReports() (n int, part bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.merged, s.part
 }
 
 // fakeFollower stands for the registrar of an instance. It keeps the highest version
@@ -441,24 +454,6 @@
 	})
 }
 
-// Guards against crash reports and hints that do not spread, or that are sent without
-// end.
-func TestReportsSpread(t *testing.T) {
-	runFleet(t, 2, 5, func(x *fleet) {
-		from := x.members()[0]
-		from.state.mu.Lock()
-		from.state.hints.Changing = []egretflow.ServerName{"d0"}
-		from.state.crashes = []egretflow.CrashReport{{Fingerprint: 9, Servers: []egretflow.ServerName{"d0"}, ExpiresAt: time.Now().Add(time.Minute)}}
-		from.state.mu.Unlock()
-		time.Sleep(10 * MemberInterval)
-		for _, m := range x.members()[1:] {
-			if len(m.state.received) == 0 || m.state.merged == 0 || m.state.merged > crashSends {
-				t.Errorf("%s received %d hints and %d crash reports", m.cfg.Self.Name, len(m.state.received), m.state.merged)
-			}
-		}
-	})
-}
-
 // Guards against datagrams that arrive out of order, come from an earlier process of
 // the sender, or are malformed.
 func TestOldDatagramsAreDropped(t *testing.T) {
--- a/gossiper/message.go
+++ b/gossiper/message.go
@@ -19,6 +19,8 @@
 	maxCrashesPerMessage = 16
 	// crashSends is how often a crash report is sent, in case datagrams are lost.
 	crashSends = 3
+	// crashRepeatInterval is how often a report with several losses is sent after that.
+	crashRepeatInterval = 2 * time.Second
 )
 
 // messageKind says what its sender is to the receiver.
@@ -83,6 +85,7 @@
 	Fingerprint uint64
 	Servers     []egretflow.ServerName
 	LeftMS      int64
+	Part        bool
 }
 
 // decode decodes and checks a datagram.
@@ -148,7 +151,7 @@
 	reports := make([]egretflow.CrashReport, len(crashes))
 	for n, c := range crashes {
 		reports[n] = egretflow.CrashReport{
-			Fingerprint: c.Fingerprint, Servers: c.Servers, ExpiresAt: now.Add(time.Duration(c.LeftMS) * time.Millisecond),
+			Fingerprint: c.Fingerprint, Part: c.Part, Servers: c.Servers, ExpiresAt: now.Add(time.Duration(c.LeftMS) * time.Millisecond),
 		}
 	}
 	return reports
--- /dev/null
+++ b/gossiper/reports_test.go
@@ -0,0 +1,49 @@
+package gossiper
+
+import (
+	"testing"
+	"time"
+
+	"github.com/egretflow/egretflow"
+)
+
+// Guards against crash reports and hints that do not spread, or that are sent without
+// end.
+func TestReportsSpread(t *testing.T) {
+	runFleet(t, 2, 5, func(x *fleet) {
+		from := x.members()[0]
+		from.state.mu.Lock()
+		from.state.hints.Changing = []egretflow.ServerName{"d0"}
+		from.state.crashes = []egretflow.CrashReport{{Fingerprint: 9, Servers: []egretflow.ServerName{"d0"}, ExpiresAt: time.Now().Add(time.Minute)}}
+		from.state.mu.Unlock()
+		time.Sleep(10 * MemberInterval)
+		for _, m := range x.members()[1:] {
+			if len(m.state.received) == 0 || m.state.merged == 0 || m.state.merged > crashSends {
+				t.Errorf("%s received %d hints and %d crash reports", m.cfg.Self.Name, len(m.state.received), m.state.merged)
+			}
+		}
+	})
+}
+
+// Guards against an instance that restarts after the first reports of a crashing part
+// and lets requests with it crash servers again, and against a report that turns from
+// one about a part into one about a request.
+func TestReportsOfSeveralLossesAreRepeated(t *testing.T) {
+	runFleet(t, 2, 5, func(x *fleet) {
+		from, to := x.members()[0], x.members()[1]
+		report := egretflow.CrashReport{Fingerprint: 9, Part: true, Servers: []egretflow.ServerName{"d0", "d1"}, ExpiresAt: time.Now().Add(time.Minute)}
+		from.state.mu.Lock()
+		from.state.crashes = []egretflow.CrashReport{report}
+		from.state.mu.Unlock()
+		time.Sleep(10 * MemberInterval)
+		before, _ := to.state.mergedReports()
+		time.Sleep(crashRepeatInterval + MemberInterval)
+		after, part := to.state.mergedReports()
+		if sent := after - before; sent == 0 || sent > 2 {
+			t.Errorf("%d reports in %v, want one", sent, crashRepeatInterval+MemberInterval)
+		}
+		if !part {
+			t.Error("the report does not say that it is about a part")
+		}
+	})
+}
--- a/gossiper/send.go
+++ b/gossiper/send.go
@@ -22,6 +22,12 @@
 	lostServers int
 }
 
+// crashSent says how often a crash report was sent, and when last.
+type crashSent struct {
+	count int
+	at    time.Time
+}
+
 // datagram is an encoded message with its receivers.
 type datagram struct {
 	message *message
@@ -295,8 +301,9 @@
 }
 
 // crashesToSend returns the crash reports for the next message, which are those that
-// were sent less than crashSends times, and counts them as sent. Only the goroutine
-// of sendLoop calls it.
+// were sent less than crashSends times, and counts them as sent. Those with several
+// losses are repeated for members that restart or were not reached. Only the
+// goroutine of sendLoop calls it.
 func (g *Gossiper) crashesToSend(reports []egretflow.CrashReport, now time.Time) []crash {
 	if len(reports) == 0 {
 		clear(g.sendCounts)
@@ -304,11 +311,13 @@
 	var crashes []crash
 	for _, r := range reports {
 		key := crashKey{r.Fingerprint, len(r.Servers)}
-		if g.sendCounts[key] >= crashSends || len(crashes) == maxCrashesPerMessage {
+		sent := g.sendCounts[key]
+		repeats := len(r.Servers) > 1 && now.Sub(sent.at) >= crashRepeatInterval
+		if sent.count >= crashSends && !repeats || len(crashes) == maxCrashesPerMessage {
 			continue
 		}
-		g.sendCounts[key]++
-		crashes = append(crashes, crash{Fingerprint: r.Fingerprint, Servers: r.Servers, LeftMS: r.ExpiresAt.Sub(now).Milliseconds()})
+		g.sendCounts[key] = crashSent{sent.count + 1, now}
+		crashes = append(crashes, crash{Fingerprint: r.Fingerprint, Part: r.Part, Servers: r.Servers, LeftMS: r.ExpiresAt.Sub(now).Milliseconds()})
 	}
 	return crashes
 }
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -98,7 +98,10 @@
 	return &egretflow.ExchangeRequest{
 		From: "self", Incarnation: 9, SentAt: sentAt, Revision: 4, Slices: 2,
 		Demands: []egretflow.Demand{{Server: "known", InUse: 1, Held: 2, Wanted: [4]int{0, 5}}, {Server: "other", Held: 3}},
-		Crashes: []egretflow.CrashReport{{Fingerprint: 1 << 60, Servers: []egretflow.ServerName{"other"}, ExpiresAt: sentAt.Add(time.Minute)}},
+		Crashes: []egretflow.CrashReport{
+			{Fingerprint: 1 << 60, Servers: []egretflow.ServerName{"other"}, ExpiresAt: sentAt.Add(time.Minute)},
+			{Fingerprint: 7, Part: true, Servers: []egretflow.ServerName{"other"}, ExpiresAt: sentAt.Add(time.Minute)},
+		},
 	}
 }
 
--- a/peer.go
+++ b/peer.go
@@ -90,13 +90,15 @@
 	ExpiresAt time.Time
 }
 
-// CrashReport attributes the loss of servers to the requests with a fingerprint
-// (5.6).
+// CrashReport attributes the loss of servers to the requests with a fingerprint, or
+// to a part of prompts (5.6).
 type CrashReport struct {
-	_           struct{} `cbor:",toarray"`
+	_ struct{} `cbor:",toarray"`
+	// Fingerprint is the hash of the part if Part is true.
 	Fingerprint uint64
 	Servers     []ServerName
 	ExpiresAt   time.Time
+	Part        bool
 }
 
 // ExchangeRequest is the message that an instance sends periodically to a peer
--- a/picker/reserve.go
+++ b/picker/reserve.go
@@ -152,6 +152,18 @@
 	p.releaseSlots(pl.Decode, pl.Slots, now)
 }
 
+// EndIsolation lets other isolated requests run on the servers of pl.
+func (p *Pool) EndIsolation(pl *Placement) {
+	if !pl.isolated {
+		return
+	}
+	pl.isolated = false
+	pl.Decode.isolatedRequests--
+	if pl.holdsPrefill {
+		pl.Prefill.isolatedRequests--
+	}
+}
+
 // Adopt reserves the decode capacity of an attempt that another instance has
 // placed and that has generated the given number of tokens. It returns false if
 // the table does not list the server.
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -71,7 +71,7 @@
 	}
 	switch t.verdict(work) {
 	case crashdetector.Reject:
-		t.refuse(w, http.StatusUnprocessableEntity, egretflow.RefusalCrashSuspect, "the request was running on servers that crashed", admitter.Verdict{})
+		t.refuseCrashing(w)
 		return false
 	case crashdetector.Isolate:
 		w.isolate = true
@@ -98,16 +98,6 @@
 	return true
 }
 
-// verdict returns whether work may run, and whether it must run apart from other
-// crash suspects.
-// Requests without a fingerprint are always allowed.
-func (t *task) verdict(work *egretflow.Work) crashdetector.Verdict {
-	if work.Fingerprint == 0 {
-		return crashdetector.Allow
-	}
-	return t.crashes.Verdict(work.Fingerprint, t.now)
-}
-
 // offer starts or queues w. A request that is expected to miss its first-token
 // target is postponed or refused at once (5.1).
 func (t *task) offer(w *waiter) {
@@ -156,33 +146,6 @@
 	return p.picker.Kind() == egretflow.PoolKindService && p.running == 0
 }
 
-// queueSuspect queues a crash suspect apart from other requests, so that they are
-// not blocked while it waits for servers without another suspect (5.6).
-func (t *task) queueSuspect(w *waiter) {
-	if t.addSuspect(w) {
-		t.dispatch(w.pool)
-	}
-}
-
-// tryPlaceSuspect starts the crash suspect w on servers without another suspect,
-// or refuses it if its first-token target has passed. It returns false if w has to
-// wait longer.
-func (t *task) tryPlaceSuspect(w *waiter) bool {
-	if t.missesTarget(w.work, t.now) {
-		t.refuseLate(w, admitter.Verdict{})
-		return true
-	}
-	if t.isolated[w.work.Fingerprint] {
-		return false
-	}
-	pl, ok := w.pool.picker.Pick(w.work, picker.Options{Isolate: true}, t.now)
-	if !ok || t.missesTarget(w.work, pl.FirstTokenAt) {
-		return false
-	}
-	t.start(w, pl)
-	return true
-}
-
 // hedge starts w at once on servers that are not suspect, or refuses it (5.4).
 func (t *task) hedge(w *waiter) {
 	pl, ok := w.pool.picker.Pick(w.work, picker.Options{ExcludeSuspects: true, Isolate: w.isolate}, t.now)
@@ -261,29 +224,6 @@
 	return true
 }
 
-// moveSuspect takes a request that became a crash suspect while it waited out of
-// its queue. It queues the request with the other suspects or refuses it.
-func (t *task) moveSuspect(w *waiter) {
-	w.queue().Remove(&w.item)
-	if t.verdict(w.work) == crashdetector.Reject {
-		t.refuse(w, http.StatusUnprocessableEntity, egretflow.RefusalCrashSuspect, "the request was running on servers that crashed", admitter.Verdict{})
-		return
-	}
-	w.isolate = true
-	t.addSuspect(w)
-}
-
-// addSuspect appends w to the waiting crash suspects, or refuses it if there are too
-// many. It reports whether w waits.
-func (t *task) addSuspect(w *waiter) bool {
-	if len(w.pool.crashSuspects) >= maxCrashSuspects {
-		t.refuse(w, http.StatusServiceUnavailable, egretflow.RefusalCrashSuspect, "too many requests run on their own after a crash", admitter.Verdict{})
-		return false
-	}
-	w.pool.crashSuspects = append(w.pool.crashSuspects, w)
-	return true
-}
-
 // missesTarget reports whether a first token at the given time misses the target
 // of work by more than lateTolerance. Work without a target never misses it.
 func (t *task) missesTarget(work *egretflow.Work, firstToken time.Time) bool {
@@ -335,7 +275,7 @@
 	}
 	refusal := &egretflow.Refusal{Status: status, Reason: reason, RunState: state, Message: message, RetryAt: t.retryAt(w.work, v)}
 	if reason == egretflow.RefusalCrashSuspect {
-		refusal.RetryAt = t.crashes.ExpiresAt(w.work.Fingerprint)
+		t.postponeRetry(refusal, w.work)
 	}
 	t.recordRefusal(w.work, refusal, v)
 	w.finish(nil, refusal)
--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -24,6 +24,10 @@
 	// isolated is true if the request is a crash suspect and shares its servers
 	// with no other one.
 	isolated bool
+	// isolationKeys holds what keeps other isolated requests from running.
+	isolationKeys []uint64
+	// began reports whether an answer began, which a prefill alone does not show.
+	began bool
 	// produced reports whether a server sent output for the attempt.
 	produced bool
 	// crashed reports whether a server crashed while it ran the attempt.
@@ -46,7 +50,7 @@
 	}
 	p.picker.Reserve(&a.placement, w.work, t.now)
 	if a.isolated {
-		t.isolated[w.work.Fingerprint] = true
+		t.startIsolation(a, w.work)
 	}
 	decision, id := t.newIDs()
 	a.firstAssignment = egretflow.Assignment{Decision: decision, Attempt: id, Work: w.work}
@@ -113,15 +117,15 @@
 	}
 	a.ended = true
 	delete(t.attempts, r.Attempt)
+	if a.isolated {
+		t.endIsolation(a)
+	}
 	p.picker.ReleaseAll(&a.placement, t.now)
 	p.running--
 	p.removeCallStart(a.startedAt)
 	p.rates.countEnd(t.now, a.placement.Slots, t.now.Sub(a.startedAt), !a.adopted && (a.produced || p.picker.Kind() == egretflow.PoolKindService))
 	work := a.assignment.Work
 	t.streams.Close(work)
-	if a.isolated {
-		delete(t.isolated, work.Fingerprint)
-	}
 	if a.produced && !a.crashed && work.Fingerprint != 0 {
 		t.crashes.Clear(work.Fingerprint)
 	}
--- a/scheduler/attempt_test.go
+++ b/scheduler/attempt_test.go
@@ -18,6 +18,8 @@
 	*testing.T
 	task *task
 	now  time.Time
+	// nextFingerprint makes the requests of withParts differ.
+	nextFingerprint uint64
 }
 
 func newDriver(t *testing.T, prefill, decode int) *driver {
--- /dev/null
+++ b/scheduler/crash.go
@@ -0,0 +1,218 @@
+package scheduler
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/admitter"
+	"github.com/egretflow/egretflow/crashdetector"
+	"github.com/egretflow/egretflow/picker"
+)
+
+// verdict returns whether work may run, and whether it must run apart from other
+// crash suspects. Requests without a fingerprint are judged by their parts alone.
+func (t *task) verdict(work *egretflow.Work) crashdetector.Verdict {
+	v := t.requestVerdict(work)
+	if v == crashdetector.Reject || len(work.Parts) == 0 {
+		return v
+	}
+	if _, byPart := t.crashes.PartVerdict(work.Parts, t.now); byPart != crashdetector.Allow {
+		return byPart
+	}
+	return v
+}
+
+// requestVerdict returns the verdict on work without regard to its parts.
+func (t *task) requestVerdict(work *egretflow.Work) crashdetector.Verdict {
+	if work.Fingerprint == 0 {
+		return crashdetector.Allow
+	}
+	return t.crashes.Verdict(work.Fingerprint, t.now)
+}
+
+// refuseCrashing refuses a request whose verdict is crashdetector.Reject.
+func (t *task) refuseCrashing(w *waiter) {
+	if t.requestVerdict(w.work) == crashdetector.Reject {
+		t.refuse(w, http.StatusUnprocessableEntity, egretflow.RefusalCrashSuspect, "the request was running on servers that crashed", admitter.Verdict{})
+		return
+	}
+	part, _ := t.crashes.PartVerdict(w.work.Parts, t.now)
+	message := fmt.Sprintf("requests with part %v of the prompt were running on servers that crashed", part)
+	t.refuse(w, http.StatusServiceUnavailable, egretflow.RefusalCrashSuspect, message, admitter.Verdict{})
+}
+
+// postponeRetry asks the caller of rejected work not to return before the losses
+// expire. One that is no longer rejected may return as after any other refusal.
+func (t *task) postponeRetry(refusal *egretflow.Refusal, work *egretflow.Work) {
+	if t.requestVerdict(work) == crashdetector.Reject {
+		refusal.RetryAt = t.crashes.ExpiresAt(work.Fingerprint)
+		return
+	}
+	if part, v := t.crashes.PartVerdict(work.Parts, t.now); v == crashdetector.Reject {
+		refusal.RetryAt = t.crashes.PartExpiresAt(part)
+	}
+}
+
+// isolationKeys returns the fingerprint and the suspected parts of work. Of the
+// isolated requests with one of them only one runs at a time.
+func (t *task) isolationKeys(work *egretflow.Work) []uint64 {
+	var keys []uint64
+	if work.Fingerprint != 0 {
+		keys = append(keys, work.Fingerprint)
+	}
+	for _, part := range t.crashes.SuspectParts(work.Parts, t.now) {
+		keys = append(keys, uint64(part))
+	}
+	return keys
+}
+
+// startIsolation marks a as the only running request with its suspected parts.
+func (t *task) startIsolation(a *attempt, work *egretflow.Work) {
+	a.isolationKeys = t.isolationKeys(work)
+	for _, key := range a.isolationKeys {
+		t.isolated[key] = true
+	}
+}
+
+// endIsolation lets other requests with the same suspected parts run.
+func (t *task) endIsolation(a *attempt) {
+	for _, key := range a.isolationKeys {
+		delete(t.isolated, key)
+	}
+	a.isolated, a.isolationKeys = false, nil
+	a.pool.picker.EndIsolation(&a.placement)
+}
+
+// answerBegan processes the first output of a. If that clears the request of what it
+// was suspected of, others need not wait until its answer ends.
+func (t *task) answerBegan(a *attempt) {
+	if a.began {
+		return
+	}
+	a.began = true
+	work := a.assignment.Work
+	t.crashes.AnswerBegan(work.Fingerprint, work.Parts, t.now)
+	if a.isolated && t.verdict(work) == crashdetector.Allow {
+		t.endIsolation(a)
+		t.dispatch(a.pool)
+	}
+}
+
+// queueSuspect queues a crash suspect apart from other requests, so that they are
+// not blocked while it waits for servers without another suspect (5.6).
+func (t *task) queueSuspect(w *waiter) {
+	if t.addSuspect(w) {
+		t.dispatch(w.pool)
+	}
+}
+
+// tryPlaceSuspect starts the crash suspect w on servers without another suspect, or
+// on any servers if it is no suspect any more. It refuses w if its first-token target
+// has passed or if it is rejected now. It returns false if w has to wait longer.
+func (t *task) tryPlaceSuspect(w *waiter) bool {
+	if t.missesTarget(w.work, t.now) {
+		t.refuseLate(w, admitter.Verdict{})
+		return true
+	}
+	switch t.verdict(w.work) {
+	case crashdetector.Reject:
+		t.refuseCrashing(w)
+		return true
+	case crashdetector.Allow:
+		w.isolate = false
+	default:
+		w.isolate = true
+	}
+	if w.isolate && slices.ContainsFunc(t.isolationKeys(w.work), func(key uint64) bool { return t.isolated[key] }) {
+		return false
+	}
+	pl, ok := w.pool.picker.Pick(w.work, picker.Options{Isolate: w.isolate}, t.now)
+	if !ok || t.missesTarget(w.work, pl.FirstTokenAt) {
+		return false
+	}
+	t.start(w, pl)
+	return true
+}
+
+// moveSuspect takes a request that became a crash suspect while it waited out of
+// its queue. It queues the request with the other suspects or refuses it.
+func (t *task) moveSuspect(w *waiter) {
+	w.queue().Remove(&w.item)
+	if t.verdict(w.work) == crashdetector.Reject {
+		t.refuseCrashing(w)
+		return
+	}
+	w.isolate = true
+	t.addSuspect(w)
+}
+
+// addSuspect appends w to the waiting crash suspects, or refuses it if there are too
+// many. It reports whether w waits.
+func (t *task) addSuspect(w *waiter) bool {
+	if len(w.pool.crashSuspects) >= maxCrashSuspects {
+		t.refuse(w, http.StatusServiceUnavailable, egretflow.RefusalCrashSuspect, "too many requests run on their own after a crash", admitter.Verdict{})
+		return false
+	}
+	w.pool.crashSuspects = append(w.pool.crashSuspects, w)
+	return true
+}
+
+// crashed counts the crash of s against the request of a, or against all requests
+// that run on s if a is nil (5.6).
+func (t *task) crashed(s *picker.Server, a *attempt) {
+	if a != nil {
+		t.charge(a, s)
+		return
+	}
+	var ids []egretflow.AttemptID
+	for id, other := range t.attempts {
+		if other.placement.Decode == s || runsPrefillOn(other, s) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		t.charge(t.attempts[id], s)
+	}
+}
+
+// charge counts the crash of s against the request of a, and against the parts of its
+// prompt if no answer had begun, and records the verdict. Requests without a
+// fingerprint and without parts are not counted.
+func (t *task) charge(a *attempt, s *picker.Server) {
+	work, server := a.assignment.Work, s.Spec.Name
+	a.crashed = true
+	switch {
+	case work.Fingerprint == 0:
+	case a.began:
+		t.crashes.RecordLoss(work.Fingerprint, server, t.now)
+	default:
+		t.crashes.RecordEarlyLoss(work.Fingerprint, server, t.now)
+	}
+	fields := []egretflow.EventField{{Key: "Server", Value: string(server)}}
+	if part, ok := t.chargeParts(a, server); ok {
+		fields = append(fields, egretflow.EventField{Key: "Part", Value: part.String()},
+			egretflow.EventField{Key: "Losses", Value: strconv.Itoa(t.crashes.PartLosses(part))})
+	}
+	if work.Fingerprint == 0 && len(work.Parts) == 0 {
+		return
+	}
+	t.record(egretflow.EventCrashSuspect, work, a.assignment, append(fields, egretflow.EventField{Key: "Verdict", Value: string(t.verdict(work))}))
+}
+
+// chargeParts counts the crash of a server against the parts of a, and returns the
+// part that is most suspected.
+func (t *task) chargeParts(a *attempt, server egretflow.ServerName) (egretflow.PartHash, bool) {
+	if a.began || len(a.assignment.Work.Parts) == 0 {
+		return 0, false
+	}
+	startedAt := a.startedAt
+	if a.adopted {
+		startedAt = time.Time{}
+	}
+	return t.crashes.RecordPartLoss(a.assignment.Work.Parts, server, startedAt, t.now)
+}
--- /dev/null
+++ b/scheduler/crash_test.go
@@ -0,0 +1,118 @@
+package scheduler
+
+import (
+	"errors"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/crashdetector"
+)
+
+// withParts gives a request parts and a fingerprint that no other one has.
+func (d *driver) withParts(parts ...egretflow.PartHash) func(w *egretflow.Work) {
+	d.nextFingerprint++
+	fingerprint := d.nextFingerprint
+	return func(w *egretflow.Work) { w.Parts, w.Fingerprint = parts, fingerprint }
+}
+
+// crash lets the decode server of w crash before its answer begins.
+func (d *driver) crash(w *waiter) {
+	d.Helper()
+	if w.assignment == nil {
+		d.Fatalf("no assignment: %v", w.err)
+	}
+	d.pass(100 * time.Millisecond)
+	d.observe(egretflow.ObservationCrashed, w.assignment.Decode.Name, w.assignment)
+	d.release(w.assignment)
+	d.pass(100 * time.Millisecond)
+}
+
+func (d *driver) pass(period time.Duration) {
+	d.now = d.now.Add(period)
+	d.task.now = d.now
+}
+
+const sharedPart, deadlyPart = egretflow.PartHash(1), egretflow.PartHash(0xdead)
+
+// Guards against a part that crashes one server after the other, because each request
+// with it is another one, and against callers that are asked to come back soon.
+func TestCrashingPartIsRefused(t *testing.T) {
+	d := newDriver(t, 1, 4)
+	for range 2 {
+		d.crash(d.acquire(d.withParts(sharedPart, deadlyPart)))
+	}
+	w := d.acquire(d.withParts(sharedPart, deadlyPart))
+	d.wantRefusal(w, egretflow.RefusalCrashSuspect, egretflow.RunStateNotRun)
+	var refusal *egretflow.Refusal
+	if !errors.As(w.err, &refusal) || refusal.Status != http.StatusServiceUnavailable || !strings.Contains(refusal.Message, deadlyPart.String()) {
+		t.Errorf("got %v, want status 503 and the part", w.err)
+	} else if wait := refusal.RetryAt.Sub(d.now); wait < crashdetector.RejectFor/2 {
+		t.Errorf("asked to come back after %v", wait)
+	}
+	if w := d.acquire(d.withParts(sharedPart)); w.assignment == nil {
+		t.Errorf("a request that shares the other part is refused: %v", w.err)
+	}
+}
+
+// Guards against several requests with a suspected part that crash a server each, and
+// against those that wait when the part is blocked and run later.
+func TestSuspectedPartRunsOnce(t *testing.T) {
+	d := newDriver(t, 3, 4)
+	d.crash(d.acquire(d.withParts(sharedPart, deadlyPart)))
+	first, second := d.acquire(d.withParts(sharedPart, deadlyPart)), d.acquire(d.withParts(sharedPart, deadlyPart))
+	if first.assignment == nil || second.done {
+		t.Fatalf("first %v, second done: %t", first.err, second.done)
+	}
+	d.crash(first)
+	d.wantRefusal(second, egretflow.RefusalCrashSuspect, egretflow.RunStateNotRun)
+}
+
+// Guards against sound requests that wait until the whole answer of another one with
+// the same suspected part has ended.
+func TestBegunAnswerEndsIsolation(t *testing.T) {
+	d := newDriver(t, 3, 4)
+	d.crash(d.acquire(d.withParts(sharedPart, deadlyPart)))
+	first, second := d.acquire(d.withParts(sharedPart)), d.acquire(d.withParts(sharedPart))
+	if first.assignment == nil || second.done {
+		t.Fatalf("first %v, second done: %t", first.err, second.done)
+	}
+	d.observe(egretflow.ObservationTransferDone, first.assignment.Prefill.Name, first.assignment)
+	if second.assignment == nil {
+		t.Error("the second request still waits")
+	}
+	if n := len(d.task.isolated); n != 0 {
+		t.Errorf("%d requests and parts are isolated still", n)
+	}
+}
+
+// Guards against parts that are charged with the loss of a server that was answering,
+// which a part cannot cause.
+func TestBegunAnswerIsNotCharged(t *testing.T) {
+	d := newDriver(t, 1, 4)
+	for range 3 {
+		w := d.acquire(d.withParts(sharedPart))
+		d.observe(egretflow.ObservationTransferDone, w.assignment.Prefill.Name, w.assignment)
+		d.crash(w)
+	}
+	if _, v := d.task.crashes.PartVerdict([]egretflow.PartHash{sharedPart}, d.now); v != crashdetector.Allow {
+		t.Errorf("verdict %s", v)
+	}
+}
+
+// Guards against a coordinator that takes over a running request with a part, and does
+// not count its crash.
+func TestAdoptedAttemptIsCharged(t *testing.T) {
+	d := newDriver(t, 1, 4)
+	work := testWork("q")
+	d.withParts(sharedPart, deadlyPart)(work)
+	if !d.task.adopt(&egretflow.Adoption{Attempt: "a1", Work: work, Decode: "b"}) {
+		t.Fatal("not adopted")
+	}
+	d.observe(egretflow.ObservationCrashed, "b", &egretflow.Assignment{Attempt: "a1"})
+	if _, v := d.task.crashes.PartVerdict([]egretflow.PartHash{deadlyPart}, d.now); v != crashdetector.Isolate {
+		t.Errorf("verdict %s", v)
+	}
+}
--- a/scheduler/observe.go
+++ b/scheduler/observe.go
@@ -87,7 +87,11 @@
 
 // transferDone processes the end of the KV transfer of a, which may be nil.
 func (t *task) transferDone(p *pool, a *attempt, o *egretflow.Observation) {
-	if a == nil || a.placement.Prefill == nil {
+	if a == nil {
+		return
+	}
+	t.answerBegan(a)
+	if a.placement.Prefill == nil {
 		return
 	}
 	p.picker.LearnGap(o.EndedAt.Sub(o.StartedAt))
@@ -103,6 +107,7 @@
 func (t *task) tokensGenerated(p *pool, s *picker.Server, a *attempt, o *egretflow.Observation) {
 	if a != nil && o.Tokens > 0 {
 		a.produced = true
+		t.answerBegan(a)
 		p.picker.FinishTransfer(&a.placement)
 		if o.Generated > 0 {
 			p.picker.UpdateGenerated(&a.placement, a.assignment.Work, o.Generated)
@@ -114,40 +119,6 @@
 	}
 }
 
-// crashed counts the crash of s against the request of a, or against all requests
-// that run on s if a is nil (5.6).
-func (t *task) crashed(s *picker.Server, a *attempt) {
-	if a != nil {
-		t.charge(a, s)
-		return
-	}
-	var ids []egretflow.AttemptID
-	for id, other := range t.attempts {
-		if other.placement.Decode == s || runsPrefillOn(other, s) {
-			ids = append(ids, id)
-		}
-	}
-	slices.Sort(ids)
-	for _, id := range ids {
-		t.charge(t.attempts[id], s)
-	}
-}
-
-// charge counts the crash of s against the request of a and records the verdict.
-// Requests without a fingerprint are not counted.
-func (t *task) charge(a *attempt, s *picker.Server) {
-	work := a.assignment.Work
-	a.crashed = true
-	if work.Fingerprint == 0 {
-		return
-	}
-	t.crashes.RecordLoss(work.Fingerprint, s.Spec.Name, t.now)
-	t.record(egretflow.EventCrashSuspect, work, a.assignment, []egretflow.EventField{
-		{Key: "Server", Value: string(s.Spec.Name)},
-		{Key: "Verdict", Value: string(t.verdict(work))},
-	})
-}
-
 // recordServerChange records that s became suspect or recovered. It does nothing
 // for estimator.ChangeNone.
 func (t *task) recordServerChange(s *picker.Server, c estimator.Change) {
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -91,7 +91,7 @@
 	prefills []*attempt
 	streams  *limiter.StreamCounts
 	crashes  *crashdetector.Detector
-	// isolated holds the fingerprints of the running crash suspects.
+	// isolated holds the isolationKeys of the running crash suspects.
 	isolated map[uint64]bool
 	// unavailable holds the servers of the last SetUnavailable.
 	unavailable map[egretflow.ServerName]bool
