gossiper: read a configuration from the member that has confirmed it

Cause: the store was silent for 20 instances, relays among them. Each of their reads waited 0.9 s for it before another member was asked, which was drawn in turn and could be refused as well.

Change: instances note which version each member has confirmed, and read a newer configuration from such a member first, the relay if it has it. Only then come relay, platform and the others in turn.

--- a/gossiper/directory.go
+++ b/gossiper/directory.go
@@ -26,8 +26,10 @@
 	// In an outage of the store it is not known.
 	roleTimeout = 4 * time.Second
 	// relayReadTimeout bounds one read from a relay, and serveTimeout the time that
-	// the relay spends on it.
+	// the relay spends on it. aheadReadTimeout bounds a read that the relay and the
+	// platform follow.
 	relayReadTimeout = 1500 * time.Millisecond
+	aheadReadTimeout = 500 * time.Millisecond
 	serveTimeout     = 3 * time.Second
 	// maxSnapshotBytes bounds the decompressed response of a relay.
 	maxSnapshotBytes = 8 << 20
@@ -57,8 +59,13 @@
 	return &relayDirectory{Gossiper: g, client: &http.Client{Transport: transport}}
 }
 
-// Configuration implements egretflow.Directory.
+// Configuration implements egretflow.Directory. A member that has confirmed a newer
+// configuration than this instance has is asked first: the platform, or a relay that
+// waits for it, may be silent.
 func (d *relayDirectory) Configuration(ctx context.Context) (*egretflow.Configuration, error) {
+	if c, ok := d.readAhead(ctx); ok {
+		return c, nil
+	}
 	var c *egretflow.Configuration
 	err := d.tryInOrder(ctx, func(ctx context.Context, from netip.AddrPort) error {
 		c = &egretflow.Configuration{}
@@ -93,6 +100,45 @@
 	return list, err
 }
 
+// readAhead reads the configuration from a member that is ahead of this instance. It
+// returns false if there is none, or if it does not answer with a newer configuration.
+func (d *relayDirectory) readAhead(ctx context.Context) (*egretflow.Configuration, bool) {
+	known := d.follower.Confirmation().Version
+	from, ok := d.memberAhead(known)
+	if !ok {
+		return nil, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, aheadReadTimeout)
+	defer cancel()
+	var c egretflow.Configuration
+	if err := d.read(ctx, from, configurationPath, &c); err != nil || c.Version <= known {
+		return nil, false
+	}
+	return &c, true
+}
+
+// memberAhead returns the address of a live member that has a newer configuration than
+// the given version: the relay if it has one, or else the first in the order of reading.
+func (d *relayDirectory) memberAhead(version uint64) (netip.AddrPort, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var ahead []egretflow.Member
+	for _, m := range d.liveMembers(d.cfg.Clock()) {
+		x := d.members[m.Name]
+		if x == nil || x.version <= version {
+			continue
+		}
+		if m.Name == d.relay.name {
+			return m.Address, true
+		}
+		ahead = append(ahead, m)
+	}
+	if len(ahead) == 0 {
+		return netip.AddrPort{}, false
+	}
+	return rendezvous.Rank(rankKey, ahead)[0].Address, true
+}
+
 // tryInOrder reads the sources of this instance until one succeeds: a subscriber its
 // relay and then the platform, a member the platform. Both turn to another member at
 // last, because the platform may refuse single instances. It returns the error of the
--- a/gossiper/doc.go
+++ b/gossiper/doc.go
@@ -24,7 +24,8 @@
 //     relayTimeout subscribes to another one.
 //  4. Subscribers read the configuration and the servers from their relay, and from
 //     the store only if it does not answer. An instance that the store refuses
-//     reads from another member.
+//     reads from another member. A configuration is read from a member that has
+//     confirmed it, if there is one, so that no instance waits for a silent store.
 //  5. Each message carries the whole state of its sender and replaces the one
 //     before; older ones are ignored. Crash reports are sent crashSends times.
 //  6. A member that stops says so in its last messages. It stays in the store until
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -134,6 +134,8 @@
 	egretflow.Member
 	leaving     bool
 	subscribers int
+	// version is that of the configuration that the member has; 0 if unknown.
+	version uint64
 }
 
 // subscriber is an instance that this one updates.
@@ -372,6 +374,7 @@
 func (g *Gossiper) acceptMember(m *message, from netip.AddrPort, now time.Time) {
 	x := g.refreshMember(egretflow.Member{Name: m.From, Address: from, FailureDomain: m.Domain, ProcessorShare: m.ProcessorShare}, now)
 	x.leaving, x.subscribers = m.Leaving, m.Subscribers
+	x.noteVersion(&m.Confirmed)
 	for n := range m.Members {
 		// Two instances that registered at the same time learn of each other from a
 		// third one.
@@ -428,6 +431,9 @@
 			delete(g.members, name)
 		}
 	}
+	if x := g.members[m.From]; x != nil {
+		x.noteVersion(&m.Confirmed)
+	}
 	switch {
 	case m.Leaving && m.From == g.relay.name:
 		g.relay.heardAt = time.Time{}
@@ -439,6 +445,13 @@
 	}
 }
 
+// noteVersion notes the configuration that the member has confirmed.
+func (m *member) noteVersion(c *confirmation) {
+	if c.AgeMS >= 0 {
+		m.version = c.Version
+	}
+}
+
 // refreshMember returns the member with the name of m, added if it is new, after
 // setting what m states of it and when it was last heard from. The caller holds mu.
 func (g *Gossiper) refreshMember(m egretflow.Member, now time.Time) *member {
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -60,6 +60,8 @@
 	version     uint64
 	confirmedAt time.Time
 	readAt      time.Time
+	// behind makes it keep its version when another instance confirms a newer one.
+	behind bool
 }
 
 func (f *fakeFollower) Confirmation() egretflow.Confirmation {
@@ -71,7 +73,7 @@
 func (f *fakeFollower) ApplyConfirmation(c egretflow.Confirmation) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if c.Version >= f.version {
+	if c.Version >= f.version && !f.behind {
 		f.version, f.confirmedAt = c.Version, c.ConfirmedAt
 	}
 }
@@ -103,14 +105,23 @@
 type source struct {
 	mu    sync.Mutex
 	reads int
-	// refuses makes all reads fail.
+	// refuses makes all reads fail, silent lets them wait for silentTimeout before.
 	refuses bool
+	silent  bool
 }
 
+// silentTimeout is how long a read of a silent platform waits.
+const silentTimeout = 900 * time.Millisecond
+
 func (s *source) count() error {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.reads++; s.refuses {
+	s.reads++
+	refuses, silent := s.refuses, s.silent
+	s.mu.Unlock()
+	if silent {
+		time.Sleep(silentTimeout)
+	}
+	if refuses || silent {
 		return egretflow.ErrUnavailable
 	}
 	return nil
@@ -357,6 +368,34 @@
 	})
 }
 
+// Guards against instances that keep an old configuration while the store is silent for
+// them, although a member has read the new one.
+func TestSilentStoreDelaysNoConfiguration(t *testing.T) {
+	runFleet(t, 3, 4, func(x *fleet) {
+		for _, i := range x.instances {
+			i.follower.mu.Lock()
+			i.follower.behind = true
+			i.follower.mu.Unlock()
+		}
+		x.source.mu.Lock()
+		x.source.silent = true
+		x.source.mu.Unlock()
+		x.reader().follower.read(9)
+		x.reader().Wake()
+		time.Sleep(SendInterval + repeatDelay)
+		for _, i := range x.members() {
+			if i == x.reader() {
+				continue
+			}
+			started := time.Now()
+			c, err := i.Directory().Configuration(x.t.Context())
+			if took := time.Since(started); err != nil || c.Version != 9 || took > aheadReadTimeout {
+				t.Errorf("%s read configuration %+v after %v, error %v", i.cfg.Self.Name, c, took, err)
+			}
+		}
+	})
+}
+
 // Guards against an instance that the store refuses and that always asks the same
 // member, which the store refuses as well.
 func TestOtherMembersTakeTurns(t *testing.T) {
