relayer: let the size limit, not the deadline, end the test of endless chunks

Cause: the script's request had 4 s. A response in chunks of 5 bytes reaches the limit of 4 MB after 840,000 chunks, which the race detector parses in 1.6 s at a load of 35 on 8 cores and in more than 4 s on a busier machine. Then the deadline ended the request first, and the status said so.

All checks stay: the status, what counts as run, at most 16 MB taken, the server's own end of the flood after 3 s, after which the response is cut (502 as well). The verdict no longer depends on the speed of the machine.

--- a/relayer/forward_test.go
+++ b/relayer/forward_test.go
@@ -31,6 +31,7 @@
 //	gate closed=NAME         the server gets no new work of this instance
 //	on NAME ACTION...        one line per request that reaches the server
 //	caller leaves=MS         the caller disconnects after MS milliseconds
+//	caller deadline=MS       the caller's deadline, 4000 by default
 //	want status=N body=TEXT|cut runs=NAME:N,... notrun=true|false
 //	want suspects=NAME,...|none    servers whose failure is reported to the scheduler
 //	want from=NAME:ID        the last request asks the server to continue after event ID
@@ -58,6 +59,8 @@
 	gate        scriptedGate
 	// leavesAfter is the time after which the caller disconnects; 0 means never.
 	leavesAfter time.Duration
+	// deadline is how long the caller waits for the response.
+	deadline time.Duration
 	// leftAt is when the caller disconnected.
 	leftAt time.Time
 }
@@ -87,7 +90,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &script{attempts: 1, want: map[string]string{}}
+	s := &script{attempts: 1, deadline: 4 * time.Second, want: map[string]string{}}
 	for line := range strings.Lines(string(data)) {
 		words := strings.Fields(line)
 		if len(words) == 0 || words[0] == "#" {
@@ -121,6 +124,9 @@
 		case "caller":
 			ms, _ := strconv.Atoi(values["leaves"])
 			s.leavesAfter = time.Duration(ms) * time.Millisecond
+			if ms, err := strconv.Atoi(values["deadline"]); err == nil {
+				s.deadline = time.Duration(ms) * time.Millisecond
+			}
 		case "want":
 			for key, value := range values {
 				s.want[key] = value
@@ -153,7 +159,7 @@
 		Dialect: scriptedDialect{}, Engines: &scriptedEngines{script: s}, Gate: &s.gate,
 	})
 	defer r.Close()
-	ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+	ctx, cancel := context.WithTimeout(t.Context(), s.deadline)
 	defer cancel()
 	if s.leavesAfter > 0 {
 		time.AfterFunc(s.leavesAfter, func() { s.leftAt = time.Now(); cancel() })
