scheduler: leave room in the call window for a successor

A call on a silent server got no other server although one was idle.

Cause: the running attempt filled the call window, which a refusal shrinks to one call, and its successor is reserved before it ends.

Change: a retry that overlaps the attempt before it takes over its place in the window.

Evidence: TestCallWindowLeavesRoomForSuccessor failed before (refused as late with the other server idle).

--- a/decision.go
+++ b/decision.go
@@ -81,6 +81,9 @@
 	// Retry marks an attempt after a failed one. It counts against the retry
 	// budget.
 	Retry bool
+	// Overlaps marks a retry that is reserved while the attempt before it still runs,
+	// which ends once this one is assigned.
+	Overlaps bool
 }
 
 // LatestStart returns until when a first token is of use to the caller: GiveUpBy, or
--- a/relayer/successor.go
+++ b/relayer/successor.go
@@ -93,7 +93,9 @@
 // stopped responding.
 func (f *forwardState) stalledWork(a *egretflow.Assignment, events int, lastEventAt time.Time) *egretflow.Work {
 	cause := &failure{kind: failureStalled, server: a.Decode.Name, delivered: true, err: errStalled}
-	return f.retryWork(a.Work, cause, events, lastEventAt)
+	work := f.retryWork(a.Work, cause, events, lastEventAt)
+	work.Overlaps = true
+	return work
 }
 
 // reserve waits for servers for work and returns them, or nil if the request gets
@@ -134,7 +136,7 @@
 	if cause.kind != failureFull {
 		next.Avoid = append(work.Avoid[:len(work.Avoid):len(work.Avoid)], cause.server)
 	}
-	next.Retry = cause.delivered
+	next.Retry, next.Overlaps = cause.delivered, false
 	next.Reacquired = !next.Retry
 	next.PromptTokens = f.call.Work.PromptTokens + events*f.call.Pool.EventTokens
 	if next.Retry {
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -123,7 +123,7 @@
 // requests of a pool that is not full then need no estimate of their wait.
 func (t *task) startAtOnce(w *waiter) bool {
 	p := w.pool
-	if p.queue.WaitingBefore(w.work) || t.full(p) {
+	if p.queue.WaitingBefore(w.work) || t.fullFor(p, w.work) {
 		return false
 	}
 	pl, ok := p.picker.Pick(w.work, picker.Options{}, t.now)
--- a/scheduler/window.go
+++ b/scheduler/window.go
@@ -74,8 +74,16 @@
 }
 
 // full reports whether no request can start in the pool.
-func (t *task) full(p *pool) bool {
-	return p.picker.Full() || t.hasCallWindow(p) && p.window.free(p.running, 1) == 0
+func (t *task) full(p *pool) bool { return t.fullFor(p, nil) }
+
+// fullFor reports whether work, if any, cannot start in the pool. A retry that
+// overlaps the attempt before it takes over its place in the call window.
+func (t *task) fullFor(p *pool, work *egretflow.Work) bool {
+	running := p.running
+	if work != nil && work.Overlaps {
+		running--
+	}
+	return p.picker.Full() || t.hasCallWindow(p) && p.window.free(running, 1) == 0
 }
 
 // adjustCallWindow grows or shrinks the window after a call was served, refused or
