relayer: report a silent server when it is found so

A server that two checks had found stalled got new work for as long as no other server could take its stream over.

Cause: its silence was reported when the attempt ended, which now waits for a successor.

Change: it is reported at the second check; the scheduler then passes the server over for a second, as before.

Evidence: the script silence-is-reported failed before (no failure reported).

--- a/relayer/streamcheck.go
+++ b/relayer/streamcheck.go
@@ -64,9 +64,12 @@
 	verdict := verdictOf(p, err, received)
 	g.r.record(egretflow.EventSilentConnection, g.a.Work, g.a, field("server", g.a.Decode.Name), field("verdict", verdict),
 		field("received", strconv.FormatInt(received, 10)), field("made", strconv.Itoa(p.Events)))
-	if !g.unnumbered.Load() && g.confirmStalled(verdict, received) && g.reserveSuccessor(ctx, received, silentSince) {
-		g.cancel(errStalled)
-		return
+	if g.confirmStalled(verdict, received) {
+		g.reportSilence()
+		if !g.unnumbered.Load() && g.reserveSuccessor(ctx, received, silentSince) {
+			g.cancel(errStalled)
+			return
+		}
 	}
 	watch.restart()
 }
@@ -81,6 +84,15 @@
 	return g.suspectedAfter.Swap(received) == received
 }
 
+// reportSilence keeps new work from the server for a while. Without a successor the
+// attempt does not end and reports no failure.
+func (g *streamAttempt) reportSilence() {
+	now := g.r.now()
+	g.r.cfg.Scheduler.Observe(egretflow.Observation{
+		Kind: egretflow.ObservationSilent, Server: g.a.Decode.Name, Attempt: g.a.Attempt, StartedAt: now, EndedAt: now,
+	})
+}
+
 // reserveSuccessor reserves servers on which the stream can continue. It returns false
 // if there are none, or if events arrived in the meantime.
 func (g *streamAttempt) reserveSuccessor(ctx context.Context, received int64, silentSince time.Time) bool {
