connector: send every request over its own connection

A faulty server that writes an earlier response once more on a kept connection made the next call on it count as not run although the server ran it, or gave its caller the answer to another call. A repeated engine_overloaded did the same to a prefill. Claimed calls already had connections of their own and were not affected.

Cause: idempotent calls and prefills used pooled connections, and neither their refusals nor the answers of plain services have an id. net/http drops bytes that arrive on an idle connection, but not those that arrive once the next request is sent.

Change: the pooled connections are gone; calls and prefills use Open like claimed calls, decodes and forwarded requests.

Evidence: TestRepeatedCallResponse (Refusal and Answer of /prices/) and TestRepeatedPrefillRefusal failed before: run state NotRun twice, and body "first" instead of "second". The cases of /orders/ passed before. The cost of the additional connections at the own interface was not measured.

TestLostDecodeRequest waited until six connection ends were open, two of which were the pooled connection to the prefill engine. It now waits for the end of the prefill and for both ends of the connections to the caller and the decode engine, then silences that engine and checks the same as before.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -11,10 +11,10 @@
 //
 // # Rules
 //
-//  1. Open uses a new connection for one request only, so that bytes of another
-//     response cannot reach the caller and the request is not sent twice.
-//  2. Do uses pooled connections and is for requests that may be repeated.
-//  3. A server may respond before it has read the whole body; that response is
+//  1. Each request has its own connection, so that bytes of another response cannot
+//     reach the caller or count as a statement about the request, and no request is
+//     sent twice.
+//  2. A server may respond before it has read the whole body; that response is
 //     returned.
 package connector
 
@@ -23,9 +23,6 @@
 	"crypto/tls"
 	"errors"
 	"net"
-	"net/http"
-	"net/http/httptrace"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -35,20 +32,15 @@
 
 const (
 	dialTimeout            = time.Second
-	idleConnTimeout        = 20 * time.Second
-	idleConnsPerHost       = 32
-	connBufferBytes        = 2 << 10
 	maxResponseHeaderBytes = 64 << 10
 )
 
-// Client sends requests to backend servers: Do uses pooled connections, Open new
-// ones. Open is for streams, for probes of a stalled connection, and for
-// non-idempotent requests, because net/http repeats a request that carries an
-// Idempotency-Key when a reused connection breaks.
+// Client sends requests to backend servers, each over a new connection. A pooled one
+// is never used: a faulty server may send an earlier response once more on it, and
+// net/http repeats some requests when it breaks.
 type Client struct {
-	pooled *http.Transport
-	dial   DialFunc
-	tls    *tls.Config
+	dial DialFunc
+	tls  *tls.Config
 }
 
 // New returns a Client. A nil tlsConfig means the default configuration with TLS
@@ -62,26 +54,7 @@
 	if tlsConfig == nil {
 		tlsConfig = &tls.Config{MinVersion: tls.VersionTLS12}
 	}
-	return &Client{dial: dialWithTimeout, tls: tlsConfig, pooled: &http.Transport{
-		DialContext: dialWithTimeout, TLSClientConfig: tlsConfig, DisableCompression: true,
-		MaxIdleConnsPerHost: idleConnsPerHost, IdleConnTimeout: idleConnTimeout,
-		ReadBufferSize: connBufferBytes, WriteBufferSize: connBufferBytes,
-		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}}
-}
-
-// Close closes the idle pooled connections.
-func (c *Client) Close() { c.pooled.CloseIdleConnections() }
-
-// Do sends req over a pooled connection. If it returns an error, used reports
-// whether a connection was obtained, so that bytes of the request may have been
-// written.
-func (c *Client) Do(req *http.Request) (resp *http.Response, used bool, err error) {
-	var gotConn atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { gotConn.Store(true) }}
-	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
-	resp, err = c.pooled.RoundTrip(req)
-	return resp, gotConn.Load(), err
+	return &Client{dial: dialWithTimeout, tls: tlsConfig}
 }
 
 // IsConnRefused reports whether err is a refused connection: the host is reachable,
--- a/connector/open.go
+++ b/connector/open.go
@@ -23,8 +23,9 @@
 
 // Open sends req over a new connection that carries no other request. Without the
 // goroutines and buffers of http.Transport an open stream needs less memory
-// (section 14), and no request can be sent twice. used has the same meaning as in
-// Do.
+// (section 14), and no request can be sent twice. If it returns an error, used
+// reports whether a connection was made, so that bytes of the request may have been
+// written.
 func (c *Client) Open(req *http.Request) (resp *http.Response, used bool, err error) {
 	ctx := req.Context()
 	conn, err := c.connect(ctx, req)
--- a/frontend/failure_test.go
+++ b/frontend/failure_test.go
@@ -188,12 +188,14 @@
 	run(t, func(env *testEnv) {
 		env.net.SetDelay(host(hostInstance, 1), host(hostDecode, 1), 50*time.Millisecond)
 		done := env.start(chat(10, true))
-		for env.net.OpenConns() < 6 {
+		scheduler := env.instances[0].scheduler
+		// Both ends of the connections to the caller and to decode-1 are open.
+		for !scheduler.hasObserved(egretflow.ObservationPrefillDone, "prefill-1") || env.net.OpenConns() < 4 {
 			time.Sleep(time.Millisecond)
 		}
 		env.net.Silence(host(hostDecode, 1))
 		env.checkComplete(<-done, 10)
-		if i := env.instances[0]; i.scheduler.hasObserved(egretflow.ObservationCrashed, "decode-1") {
+		if scheduler.hasObserved(egretflow.ObservationCrashed, "decode-1") {
 			env.t.Error("a crash of decode-1 was observed")
 		}
 		if got := env.engines["decode-1"].Stats().Requests; got != 0 {
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -120,7 +120,7 @@
 	body := at.job.Request.EngineBody(openai.BodyOptions{
 		Prefill: true, Priority: at.a.Work.Importance.Rank(), SentText: at.sentText, SentTokens: at.sentTokens,
 	})
-	resp, err := at.post(ctx, at.r.client.Do, server, body)
+	resp, err := at.post(ctx, server, body)
 	if err != nil {
 		return nil, at.prefillFailure(ctx, server, err)
 	}
@@ -173,7 +173,7 @@
 		TransferParams: transfer, Priority: at.a.Work.Importance.Rank(), SentText: at.sentText, SentTokens: at.sentTokens,
 	})
 	err := s.start(ctx, func(ctx context.Context) (*http.Response, error) {
-		return at.post(ctx, at.r.client.Open, server, body)
+		return at.post(ctx, server, body)
 	})
 	if err != nil {
 		s.disconnect()
@@ -200,7 +200,7 @@
 
 // post sends a completion request to an engine. A response with another status
 // than 200 is returned as a *failure.
-func (at *attempt) post(ctx context.Context, do roundTrip, server *egretflow.Server, body []byte) (*http.Response, error) {
+func (at *attempt) post(ctx context.Context, server *egretflow.Server, body []byte) (*http.Response, error) {
 	url := serverURL(server.Address, at.job.Pool.ServerTLS, string(at.job.Request.Endpoint))
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
@@ -211,7 +211,7 @@
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("X-Request-Id", string(at.a.Attempt))
-	resp, used, err := do(req)
+	resp, used, err := at.r.client.Open(req)
 	if err != nil && !used && ctx.Err() == nil {
 		return nil, dialFailure(server, err)
 	}
--- a/relayer/call.go
+++ b/relayer/call.go
@@ -195,7 +195,7 @@
 	at.cancel = func() { cancel(context.Canceled) }
 	timer := time.AfterFunc(timeout, func() { cancel(errStalled) })
 	defer timer.Stop()
-	resp, err := at.send(ctx, false)
+	resp, err := at.send(ctx)
 	var prefix []byte
 	if err == nil {
 		prefix, err = io.ReadAll(io.LimitReader(resp.Body, prefixBytes))
@@ -217,19 +217,15 @@
 	return &response{attempt: at, Response: resp, prefix: prefix, complete: len(prefix) < prefixBytes}, nil
 }
 
-// send sends the call to the server, over a new connection if newConnection is
-// set. A response that states that the call did not run is returned as a *failure.
-func (at *callAttempt) send(ctx context.Context, newConnection bool) (*http.Response, error) {
+// send sends the call to the server. A response that states that the call did not
+// run is returned as a *failure.
+func (at *callAttempt) send(ctx context.Context) (*http.Response, error) {
 	at.started = at.r.now()
 	server := at.a.Decode
 	if expiresAt := at.a.GrantExpiresAt; !expiresAt.IsZero() && !at.started.Before(expiresAt) {
 		return nil, &failure{kind: failureRefused, server: server.Name, err: fmt.Errorf("grant expired at %v", expiresAt)}
 	}
-	do := at.r.client.Do
-	if newConnection {
-		do = at.r.client.Open
-	}
-	resp, used, err := do(at.call.request(ctx, server))
+	resp, used, err := at.r.client.Open(at.call.request(ctx, server))
 	if err != nil && !used {
 		return nil, dialFailure(server, err)
 	}
@@ -244,8 +240,7 @@
 	return resp, nil
 }
 
-// request builds the request to one server. It leaves GetBody unset, so that
-// net/http cannot send the body twice.
+// request builds the request to one server.
 func (call *Call) request(ctx context.Context, server *egretflow.Server) *http.Request {
 	target := *call.URL
 	target.Scheme, target.Host = "http", server.Address.String()
--- a/relayer/client.go
+++ b/relayer/client.go
@@ -11,10 +11,6 @@
 	"github.com/egretflow/egretflow"
 )
 
-// roundTrip sends a request, either with connector.Client.Do or with Open. used
-// reports whether the request may have reached the server.
-type roundTrip func(req *http.Request) (resp *http.Response, used bool, err error)
-
 // serverURL returns the URL of path on the backend server at address.
 func serverURL(address netip.AddrPort, useTLS bool, path string) string {
 	if useTLS {
--- a/relayer/once.go
+++ b/relayer/once.go
@@ -131,7 +131,7 @@
 	}
 }
 
-// sendOnce sends the call over a new connection and reads the complete response.
+// sendOnce sends the call and reads the complete response.
 // It does not stop when the caller disconnects, so that the outcome becomes known.
 func (c *callState) sendOnce(ctx context.Context, at *callAttempt, ticket *egretflow.ClaimTicket) (*egretflow.Outcome, error) {
 	if now := c.r.now(); !now.Before(ticket.RunBy) {
@@ -143,7 +143,7 @@
 	}
 	detached, cancel := context.WithTimeout(context.WithoutCancel(ctx), detachedTimeout)
 	at.cancel = cancel
-	resp, err := at.send(detached, true)
+	resp, err := at.send(detached)
 	var body []byte
 	if err == nil {
 		body, err = io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -72,15 +72,13 @@
 	return &Relayer{cfg: cfg, client: connector.New(cfg.Dial, cfg.TLS), aborts: aborts, stopAborts: stop}
 }
 
-// Close waits until no attempt is being opened, checked, aborted or freed, and then
-// closes idle connections. Aborts that are not acknowledged within releaseDelay are
+// Close waits until no attempt is being opened, checked, aborted or freed. Aborts that are not acknowledged within releaseDelay are
 // given up. Answers that are being sent to callers are not waited for.
 func (r *Relayer) Close() {
 	giveUp := time.AfterFunc(releaseDelay, r.stopAborts)
 	defer giveUp.Stop()
 	r.cleanups.Wait()
 	r.stopAborts()
-	r.client.Close()
 }
 
 // Sink receives the chunks of an answer in order. An error ends the request.
--- a/relayer/release.go
+++ b/relayer/release.go
@@ -137,7 +137,6 @@
 		return fmt.Errorf("build abort: %w", err)
 	}
 	req.Header.Set("Content-Type", "application/json")
-	// A pooled connection may be the one that has stalled.
 	resp, _, err := r.client.Open(req)
 	if err != nil {
 		return fmt.Errorf("send abort: %w", err)
