commander: send each call to an engine over its own connection

A faulty engine that writes the response to an earlier order once more on a kept connection made the commander give up its lease, although the engine had accepted the order, or take a refused order as accepted. The responses have no id.

Change: each call closes its connection. A commander calls an engine twice a second.

Evidence: TestRepeatedOrderResponse failed before in both cases (stale fencing instead of none, none instead of stale fencing).

--- a/commander/engine.go
+++ b/commander/engine.go
@@ -99,6 +99,9 @@
 		return fmt.Errorf("make request: %w", err)
 	}
 	r.Header.Set("Content-Type", "application/json")
+	// Responses have no id, and a faulty engine may repeat an earlier one on a kept
+	// connection.
+	r.Close = true
 	resp, err := e.client.Do(r)
 	if err != nil {
 		return fmt.Errorf("send request: %w", err)
