--- a/registrar/state.go
+++ b/registrar/state.go
@@ -31,6 +31,10 @@
 	// Until graceUntil, servers may hold more servers than it.
 	lastList        egretflow.ServerList
 	lastFingerprint uint64
+	// statedLeaving is not part of servers, which the peers must know alike.
+	statedLeaving statements
+	// pausedUntil holds the servers that want no work of this instance before then.
+	pausedUntil map[egretflow.ServerName]time.Time
 }
 
 // change is one difference between two server lists, with the event that reports
@@ -175,6 +179,7 @@
 		// confirmation of a peer that has read the same revision counts as newer.
 		s.storeRevision = list.Revision
 	}
+	s.dropStatements()
 	s.appendDelta(changes, now)
 	slices.SortFunc(changes, func(a, b change) int { return strings.Compare(string(a.server), string(b.server)) })
 	return changes
@@ -200,6 +205,7 @@
 		if !ok {
 			continue
 		}
+		entry.Leaving = s.isLeaving(&entry)
 		if server, ok := completeServer(&t.Pools[n], entry); ok {
 			t.Pools[n].Servers = append(t.Pools[n].Servers, server)
 		}
--- a/relayer/forward_fakes_test.go
+++ b/relayer/forward_fakes_test.go
@@ -6,12 +6,14 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/connector"
 )
 
 // scriptedScheduler assigns the first server of the script that has the required
@@ -115,6 +117,39 @@
 	delete(s.assignments, r.Attempt)
 }
 
+// scriptedGate closes the servers that the script names and those that state that they
+// are leaving.
+type scriptedGate struct {
+	mu     sync.Mutex
+	closed []egretflow.ServerName
+	stated []string
+	paused []string
+}
+
+func (g *scriptedGate) AcceptsWork(name egretflow.ServerName) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !slices.Contains(g.closed, name)
+}
+
+func (g *scriptedGate) MarkLeaving(name egretflow.ServerName) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed, g.stated = append(g.closed, name), append(g.stated, string(name))
+}
+
+func (g *scriptedGate) PauseUntil(name egretflow.ServerName, until time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed, g.paused = append(g.closed, name), append(g.paused, string(name))
+}
+
+func (g *scriptedGate) Closed(egretflow.PoolName) egretflow.ClosedServers {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return egretflow.ClosedServers{Names: slices.Clone(g.closed)}
+}
+
 // scriptedDialect implements only the headers that the scripts check.
 type scriptedDialect struct{}
 
@@ -126,8 +161,8 @@
 	h.Set("After", t.ResumeAfter)
 }
 
-func (scriptedDialect) ReadResponse(resp *http.Response) egretflow.ResponseMetadata {
-	return egretflow.ResponseMetadata{ID: resp.Header.Get("Request"), NotRun: resp.Header.Get("Not-Run") != ""}
+func (scriptedDialect) ReadResponse(resp *http.Response, now time.Time) egretflow.ResponseMetadata {
+	return egretflow.ResponseMetadata{ID: resp.Header.Get("Request"), NotRun: resp.Header.Get("Not-Run") != "", Leaving: resp.Header.Get("Leaving") != "", RetryAt: connector.RetryAt(resp.StatusCode, resp.Header, now)}
 }
 
 func (scriptedDialect) WriteRefusal(http.Header, *egretflow.Refusal, time.Time) {}
--- a/relayer/successor.go
+++ b/relayer/successor.go
@@ -22,6 +22,10 @@
 		f.successor = nil
 		return s.a, s.hold, nil
 	}
+	work, err := f.withoutClosed(work)
+	if err != nil {
+		return nil, "", err
+	}
 	a, err := f.r.acquire(ctx, work, &f.result)
 	return a, "", err
 }
@@ -95,7 +99,11 @@
 // reserve waits for servers for work and returns them, or nil if the request gets
 // none. It may run beside an attempt.
 func (f *forwardState) reserve(ctx context.Context, work *egretflow.Work) *successor {
-	a, err := f.r.cfg.Scheduler.Acquire(ctx, work)
+	work, err := f.withoutClosed(work)
+	var a *egretflow.Assignment
+	if err == nil {
+		a, err = f.r.cfg.Scheduler.Acquire(ctx, work)
+	}
 	if err != nil {
 		if ctx.Err() == nil {
 			f.r.record(egretflow.EventReplacementRefused, work, nil, field("error", err.Error()))
