--- a/gossiper/doc.go
+++ b/gossiper/doc.go
@@ -26,7 +26,8 @@
 //     the store only if it does not answer. An instance that the store refuses
 //     reads from another member.
 //  5. Each message carries the whole state of its sender and replaces the one
-//     before; older ones are ignored. Crash reports are sent crashSends times.
+//     before; older ones are ignored. Crash reports are sent crashSends times,
+//     and those with several losses every crashRepeatInterval after that.
 //  6. A member that stops says so in its last messages. It stays in the store until
 //     its lease is revoked or lapses.
 package gossiper
