--- a/gossiper/doc.go
+++ b/gossiper/doc.go
@@ -27,7 +27,8 @@
 //     reads from another member. A configuration is read from a member that has
 //     confirmed it, if there is one, so that no instance waits for a silent store.
 //  5. Each message carries the whole state of its sender and replaces the one
-//     before; older ones are ignored. Crash reports are sent crashSends times.
+//     before; older ones are ignored. Crash reports are sent crashSends times,
+//     and those with several losses every crashRepeatInterval after that.
 //  6. A member that stops says so in its last messages. It stays in the store until
 //     its lease is revoked or lapses.
 package gossiper
