--- a/relayer/stall.go
+++ b/relayer/stall.go
@@ -79,7 +79,8 @@
 	w.timer.Reset(w.timeout)
 }
 
-// stop stops the watch, which must not be used afterwards.
+// stop stops the watch. A check that is still running may call restart later, which
+// has no effect then.
 func (w *stallWatch) stop() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
