relayer: end the pauses of silent servers in tests at the check

Change: the scripted server goes on when it has been asked for its progress, so that each pause is checked once, whatever the machine. With a detector that counts two pauses as one, silence-twice still fails.

--- a/relayer/forward_fakes_test.go
+++ b/relayer/forward_fakes_test.go
@@ -219,6 +219,10 @@
 // preempts its stream, as the script says, and like an unreachable one otherwise.
 func (e *scriptedEngines) Progress(_ context.Context, s *egretflow.Server, _ string) (egretflow.Progress, error) {
 	v := e.script.server(string(s.Name))
+	select {
+	case v.checked <- struct{}{}:
+	default:
+	}
 	if v.preempts {
 		return egretflow.Progress{Waiting: 1}, nil
 	}
--- a/relayer/forward_server_test.go
+++ b/relayer/forward_server_test.go
@@ -22,12 +22,16 @@
 	runs        int
 	// preempts makes the server pause its stream after the first event.
 	preempts bool
-	// pause is how long the server sends nothing after each event but the last.
+	// pause is how long the server sends nothing after each event but the last. With
+	// pausesForCheck it sends nothing until its progress has been asked for, which
+	// checked receives.
 	// reports is what it reports of its progress: Ahead means that it has generated
 	// all events, Nothing that it knows no request. Otherwise it does not respond.
-	pause   time.Duration
-	reports string
-	freed   int
+	pause          time.Duration
+	pausesForCheck bool
+	checked        chan struct{}
+	reports        string
+	freed          int
 	// flooded counts the bytes that the last endless action could send. floods counts
 	// the endless actions that have not ended.
 	flooded     int
@@ -270,6 +274,7 @@
 		}
 		if n < to {
 			time.Sleep(v.pause)
+			v.awaitCheck()
 		}
 	}
 	if end == "cut" {
@@ -288,6 +293,18 @@
 	}
 }
 
+// awaitCheck waits until the progress of the server has been asked for, if it pauses
+// for that.
+func (v *scriptedServer) awaitCheck() {
+	if !v.pausesForCheck {
+		return
+	}
+	select {
+	case <-v.checked:
+	case <-time.After(5 * time.Second):
+	}
+}
+
 // dribble sends one event and then a comment now and then until the client closes the
 // connection.
 func (v *scriptedServer) dribble(conn net.Conn, head func(int, string) string) {
--- a/relayer/forward_test.go
+++ b/relayer/forward_test.go
@@ -26,7 +26,7 @@
 //
 //	# why: the failure that the script guards against
 //	route kind=safe|unsafe|stream|resumable attempts=N    safe and resumable are idempotent
-//	server NAME stage=service|prefill|decode [preempts=yes] [pause=MS] [reports=Ahead|Nothing]
+//	server NAME stage=service|prefill|decode [preempts=yes] [pause=MS|check] [reports=Ahead|Nothing]
 //	scheduler refuses=late   the scheduler refuses work whose first-token target has passed
 //	gate closed=NAME         the server gets no new work of this instance
 //	scheduler assigns=service|service-later    the scheduler assigns a server of a service to each request, or to all but the first
@@ -129,11 +129,10 @@
 				s.attempts, _ = strconv.Atoi(values["attempts"])
 			}
 		case "server":
-			s.servers = append(s.servers, &scriptedServer{name: words[1], stage: values["stage"], preempts: values["preempts"] != "", reports: values["reports"], closed: make(chan time.Time, 1)})
-			if values["pause"] != "" {
-				ms, _ := strconv.Atoi(values["pause"])
-				s.servers[len(s.servers)-1].pause = time.Duration(ms) * time.Millisecond
-			}
+			s.servers = append(s.servers, &scriptedServer{name: words[1], stage: values["stage"], preempts: values["preempts"] != "", reports: values["reports"], closed: make(chan time.Time, 1), checked: make(chan struct{}, 1)})
+			ms, _ := strconv.Atoi(values["pause"])
+			last := s.servers[len(s.servers)-1]
+			last.pause, last.pausesForCheck = time.Duration(ms)*time.Millisecond, values["pause"] == "check"
 		case "scheduler":
 			s.refusesLate = values["refuses"] == "late"
 			s.assignsService = values["assigns"] == "service"
