--- a/assembler/forwarding.go
+++ b/assembler/forwarding.go
@@ -239,7 +239,7 @@
 }
 
 // serveCallers serves callers until ctx ends and they are drained. The other instances
-// are told at the begin of the drain.
+// are notified at the begin of the drain.
 func (f *Forwarding) serveCallers(ctx context.Context) error {
 	if f.gossiper != nil {
 		defer context.AfterFunc(ctx, f.leavePeers)()
--- a/crashdetector/crashdetector.go
+++ b/crashdetector/crashdetector.go
@@ -37,7 +37,7 @@
 //     shared by most other requests. A blocked part explains the losses of the others.
 //  8. When an answer begins, the losses of its parts so far no longer count, and a
 //     report of a peer about an earlier loss is ignored.
-//  9. Peers are told of blocked parts with MaxLosses servers or more, and of suspects
+//  9. Reports to peers list blocked parts with MaxLosses servers or more, and suspects
 //     with one. The report of a suspect only makes a part a suspect.
 package crashdetector
 
--- a/frontend/repeated_test.go
+++ b/frontend/repeated_test.go
@@ -100,7 +100,7 @@
 }
 
 // TestRepeatedPrefillRefusal guards against the repeated refusal of an earlier prefill
-// that counts as the refusal of the next one, so that a caller is told that a request
+// that counts as the refusal of the next one, so that a caller learns that a request
 // did not run although an engine ran it.
 func TestRepeatedPrefillRefusal(t *testing.T) {
 	run(t, func(env *testEnv) {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -404,7 +404,7 @@
 	}
 	g.subscribers[m.From] = subscriber{address: from, heardAt: now}
 	if g.role == roleSubscriber {
-		// The sender takes this instance for a member, so the next update tells it
+		// The sender takes this instance for a member, so the next update shows it
 		// who is one.
 		g.updatesDue = true
 	}
@@ -453,7 +453,7 @@
 }
 
 // refreshMember returns the member with the name of m, added if it is new, after
-// setting what m states of it and when it was last heard from. The caller holds mu.
+// setting what m states of it and when its last message arrived. The caller holds mu.
 func (g *Gossiper) refreshMember(m egretflow.Member, now time.Time) *member {
 	x, ok := g.members[m.Name]
 	if !ok {
--- a/gossiper/registration.go
+++ b/gossiper/registration.go
@@ -149,7 +149,7 @@
 	return vacancyInterval + time.Duration(r.cfg.Rand.Int64N(int64(vacancyInterval)))
 }
 
-// knowsFullDomain reports whether the members that this instance has heard of fill
+// knowsFullDomain reports whether the members that this instance knows fill
 // the slots of its failure domain, so that the store need not be read.
 func (r *registration) knowsFullDomain() bool {
 	r.mu.Lock()
--- a/peer.go
+++ b/peer.go
@@ -58,7 +58,7 @@
 	Queues   []Queue
 }
 
-// ServerHints tells peers which servers should get no work for now.
+// ServerHints names the servers that should get no work for now.
 type ServerHints struct {
 	_ struct{} `cbor:",toarray"`
 	// Changing lists the servers that the sender has ordered to change their
--- a/scheduler/rolechange.go
+++ b/scheduler/rolechange.go
@@ -55,7 +55,7 @@
 }
 
 // roleChange says how long a server that changes its role takes no work, and
-// whether this instance has ordered the change. Peers are told only of those.
+// whether this instance has ordered the change. Only those are reported to peers.
 type roleChange struct {
 	until   time.Time
 	ordered bool
