platformtest: reserve the ports of processes under test

Cause: "listen for the balancer: address already in use". The scripts took a free port from the range that the system uses for outgoing connections and released it before the process started, and two of the three ports for peers were not tried at all.

Change: ReservePorts, which the soak had for itself, is shared: ports below that range, free for TCP and UDP, and given out once in a test process.

The clash itself is rare and was not repeated before it.

--- a/cmd/egretflow/platform_test.go
+++ b/cmd/egretflow/platform_test.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -48,11 +47,12 @@
 			s.stopDesk = stopServer
 		}
 	}
-	port := freePort(ts)
-	s.metrics = fmt.Sprintf("127.0.0.1:%d", port)
+	peers, err := platformtest.ReservePorts(3)
+	ts.Check(err)
+	s.metrics = fmt.Sprintf("127.0.0.1:%d", peers+2)
 	settings, err := json.Marshal(map[string]any{
 		"Name": "front-1", "Region": "r", "FailureDomain": "z", "Listen": ts.Getenv(args[1]), "ReadyListen": ts.Getenv(args[2]),
-		"Address": "127.0.0.1", "PeerPorts": []int{port - 2, port}, "Store": address, "GraceSeconds": 4, "MemoryMegabytes": 100,
+		"Address": "127.0.0.1", "PeerPorts": []uint16{peers, peers + 2}, "Store": address, "GraceSeconds": 4, "MemoryMegabytes": 100,
 		"RetryRatio": 0.2, "RetrySlack": 56, "RetryWindowSeconds": 10, "LeaseMilliseconds": 3000,
 	})
 	ts.Check(err)
@@ -60,13 +60,6 @@
 	ts.Value(standInsKey).(map[string]*standIns)["now"] = s
 }
 
-func freePort(ts *testscript.TestScript) int {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	ts.Check(err)
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().(*net.TCPAddr).Port
-}
-
 // writeConfiguration implements "configure": it writes the first configuration to
 // the store, as an operator does.
 func writeConfiguration(ts *testscript.TestScript, _ bool, _ []string) {
--- a/cmd/egretflow/script_test.go
+++ b/cmd/egretflow/script_test.go
@@ -7,7 +7,6 @@
 	"flag"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -17,6 +16,8 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/egretflow/egretflow/platform/platformtest"
 )
 
 func TestMain(m *testing.M) {
@@ -100,10 +101,9 @@
 // freePorts sets each named variable to a free loopback address.
 func freePorts(ts *testscript.TestScript, _ bool, names []string) {
 	for _, name := range names {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		port, err := platformtest.ReservePorts(1)
 		ts.Check(err)
-		defer func() { _ = ln.Close() }()
-		ts.Setenv(name, ln.Addr().String())
+		ts.Setenv(name, fmt.Sprintf("127.0.0.1:%d", port))
 	}
 }
 
