--- a/relayer/successor.go
+++ b/relayer/successor.go
@@ -58,8 +58,8 @@
 
 // giveUpAfter reserves a successor of the attempt a when timeout has passed, and ends
 // the attempt with errStalled if there is one. Otherwise it asks the scheduler again
-// after the same time. The returned function must be called after ctx has ended; f.successor is not
-// written after it returns.
+// after the same time. The returned function must be called after ctx has ended;
+// f.successor is not written after it returns.
 func (f *forwardState) giveUpAfter(ctx context.Context, a *egretflow.Assignment, timeout time.Duration, cancel context.CancelCauseFunc) (stop func()) {
 	ended := make(chan struct{})
 	timer := time.AfterFunc(timeout, func() {
