Add review case 2: a stream that crashes engines after its first event

Cause: a crash after the first event of an attempt isn't confirmed, so that the request is never charged by the crash detector, on any instance. Change: a script that plays such a stream at two instances; case 1 shares its stand-ins.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -54,7 +54,7 @@
 	switch kind {
 	case "stock":
 		method, body = http.MethodGet, ""
-	case "warranty":
+	case "warranty", "fog":
 		x.deadline = 14 * time.Second
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), x.deadline)
@@ -75,10 +75,10 @@
 	}
 	q.Header.Set("X-Request-Id", x.id)
 	q.Header.Set("X-Deadline-Ms", fmt.Sprint(x.deadline.Milliseconds()))
-	if kind == "warranty" {
+	if kind == "warranty" || kind == "fog" {
 		q.Header.Set("X-Model", "m")
 		q.Header.Set("X-Token-Counts", "3200,72")
-		q.Header.Set("X-Prompt-Prefix", fmt.Sprintf("5c1e07a2:200,%08x:3000", c.next))
+		q.Header.Set("X-Prompt-Prefix", fmt.Sprintf("5c1e07a2:200,%08x:3000", promptOf(path, c.next)))
 	}
 	c.w.record("sent    request=%s node=%s %s %s", x.id, n.name, method, path)
 	resp, err := c.client.Do(q)
@@ -103,3 +103,12 @@
 		}
 	})
 }
+
+// promptOf returns the id of the last part of a prompt: requests with a path of their own
+// have the same prompt each time.
+func promptOf(path string, n int) int {
+	if strings.HasSuffix(path, "/2f") {
+		return n
+	}
+	return 0x7fff0001
+}
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -334,5 +334,8 @@
 		r.mu.Unlock()
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, strings.Repeat("t", 40))
 		w.(http.Flusher).Flush()
+		if n == first+1 && r.onRun != nil && !r.onRun(r, q) {
+			return
+		}
 	}
 }
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -94,6 +94,7 @@
 	ready    string
 	settings string
 	memoryMB int
+	peerPort int
 
 	mu      sync.Mutex
 	cmd     *exec.Cmd
@@ -137,23 +138,28 @@
 	}
 }
 
-// newNode writes the settings of a process, as the platform makes them of the template
-// deploy/settings.json.
+// newNode returns a process that isn't started yet.
 func (w *world) newNode(name string, memoryMB int) *node {
-	n := &node{w: w, name: name, memoryMB: memoryMB, front: "127.0.0.1:" + strconv.Itoa(freePort()), ready: "127.0.0.1:" + strconv.Itoa(freePort())}
-	first := freePorts()
+	n := &node{w: w, name: name, front: "127.0.0.1:" + strconv.Itoa(freePort()), ready: "127.0.0.1:" + strconv.Itoa(freePort())}
+	n.memoryMB, n.peerPort = memoryMB, freePorts()
+	n.writeSettings(true)
+	w.nodes = append(w.nodes, n)
+	return n
+}
+
+// writeSettings writes the settings as the platform makes them of deploy/settings.json.
+func (n *node) writeSettings(bootstrap bool) {
+	first := n.peerPort
 	settings := map[string]any{
-		"Name": name, "Region": "r", "FailureDomain": "z", "Listen": n.front, "ReadyListen": n.ready, "Address": "127.0.0.1",
-		"PeerPorts": []int{first, first + 3}, "Store": w.storeAt, "GraceSeconds": 8, "MemoryMegabytes": memoryMB, "ProcessorShare": 0.4,
-		"Bootstrap": true, "RetryRatio": 0.2, "RetrySlack": 56, "RetryWindowSeconds": 10, "LeaseMilliseconds": 3000,
+		"Name": n.name, "Region": "r", "FailureDomain": "z", "Listen": n.front, "ReadyListen": n.ready, "Address": "127.0.0.1",
+		"PeerPorts": []int{first, first + 3}, "Store": n.w.storeAt, "GraceSeconds": 8, "MemoryMegabytes": n.memoryMB, "ProcessorShare": 0.4,
+		"Bootstrap": bootstrap, "RetryRatio": 0.2, "RetrySlack": 56, "RetryWindowSeconds": 10, "LeaseMilliseconds": 3000,
 	}
 	data, _ := json.Marshal(settings)
-	n.settings = filepath.Join(w.dir, name+".json")
+	n.settings = filepath.Join(n.w.dir, n.name+".json")
 	if err := os.WriteFile(n.settings, data, 0o600); err != nil {
 		fatal(err)
 	}
-	w.nodes = append(w.nodes, n)
-	return n
 }
 
 // start starts the process with the command of the deploy file. One that ends is started
@@ -188,6 +194,7 @@
 		again := !n.stopped
 		n.mu.Unlock()
 		if again {
+			n.writeSettings(false)
 			n.start()
 		}
 	}(n.ended)
@@ -249,7 +256,7 @@
 func (w *world) configure(version int) {
 	route := func(name, prefix, kind, service string, timeout, target, attempts, priority int) map[string]any {
 		r := map[string]any{"name": name, "host": "ficu95.example", "prefix": prefix, "kind": kind, "timeout_ms": timeout, "target_latency_ms": target,
-			"priority": priority, "service": service, "max_attempts": attempts, "sticky_sessions": false, "resumable": false}
+			"priority": priority, "service": service, "max_attempts": attempts, "sticky_sessions": false, "resumable": name == "r-fog"}
 		if kind == "streaming" {
 			r["sticky_sessions"], r["gap_aim_ms"] = true, 300
 		}
@@ -259,6 +266,7 @@
 		"version": version,
 		"routes": []any{
 			route("r-warranty", "/warranty/", "streaming", "assistant", 14000, 900, 1, 1),
+			route("r-fog", "/fog/", "streaming", "assistant", 14000, 900, 2, 1),
 			route("r-order", "/order/", "unsafe", "desk", 4000, 300, 2, 2),
 			route("r-stock", "/stock/", "safe", "desk", 4000, 300, 2, 2),
 		},
