Add review case 1: a planned stop closes waiting requests without an answer

Cause: requests that wait for an engine at the end of the drain are neither refused nor bounded by its end; their connections are closed.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -7,4 +7,4 @@
 	exit 2
 fi
 export TROUBLE="${TROUBLE:-1}"
-exec target/review-standin poison-stream review/2/record.txt
+exec target/review-standin poison-call review/2/record.txt
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -13,17 +13,19 @@
 
 // request is one request of a client and what became of it.
 type request struct {
-	id       string
-	kind     string
-	node     *node
-	kept     bool // sent on a kept connection
-	sentAt   time.Time
-	endedAt  time.Time
-	status   int
-	stamp    string
-	body     string
-	err      error
-	deadline time.Duration
+	id      string
+	kind    string
+	node    *node
+	kept    bool // sent on a kept connection
+	sentAt  time.Time
+	endedAt time.Time
+	status  int
+	stamp   string
+	// retryAfter is in seconds, with fractions.
+	retryAfter string
+	body       string
+	err        error
+	deadline   time.Duration
 }
 
 // clients sends requests on kept connections and holds their results.
@@ -45,6 +47,12 @@
 
 // sendTo is like send, with a path of its own.
 func (c *clients) sendTo(n *node, kind, path string) *request {
+	return c.sendBefore(n, kind, path, 0)
+}
+
+// sendBefore is like sendTo, for a client that waits no longer than left; 0 means the
+// deadline of the kind.
+func (c *clients) sendBefore(n *node, kind, path string, left time.Duration) *request {
 	c.mu.Lock()
 	c.next++
 	x := &request{id: fmt.Sprintf("%s-%05d", kind, c.next), kind: kind, node: n, sentAt: time.Now(), deadline: 4 * time.Second}
@@ -54,9 +62,12 @@
 	switch kind {
 	case "stock":
 		method, body = http.MethodGet, ""
-	case "warranty", "fog":
+	case "warranty", "fog", "summary":
 		x.deadline = 14 * time.Second
 	}
+	if left > 0 {
+		x.deadline = left
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), x.deadline)
 	defer cancel()
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { x.kept = i.Reused }})
@@ -75,15 +86,18 @@
 	}
 	q.Header.Set("X-Request-Id", x.id)
 	q.Header.Set("X-Deadline-Ms", fmt.Sprint(x.deadline.Milliseconds()))
-	if kind == "warranty" || kind == "fog" {
+	if kind == "warranty" || kind == "fog" || kind == "summary" {
 		q.Header.Set("X-Model", "m")
 		q.Header.Set("X-Token-Counts", "3200,72")
+		if kind == "summary" {
+			q.Header.Set("X-Token-Counts", "3200,720")
+		}
 		q.Header.Set("X-Prompt-Prefix", fmt.Sprintf("5c1e07a2:200,%08x:3000", promptOf(path, c.next)))
 	}
 	c.w.record("sent    request=%s node=%s %s %s", x.id, n.name, method, path)
 	resp, err := c.client.Do(q)
 	if err == nil {
-		x.status, x.stamp = resp.StatusCode, resp.Header.Get("X-Response-Stamp")
+		x.status, x.stamp, x.retryAfter = resp.StatusCode, resp.Header.Get("X-Response-Stamp"), resp.Header.Get("Retry-After")
 		var data []byte
 		data, err = io.ReadAll(resp.Body)
 		x.body = string(data)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -15,7 +15,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
 		os.Exit(2)
 	}
-	play, ok := map[string]func(w *world) bool{"poison-call": playPoisonCall, "poison-stream": playPoisonStream}[os.Args[1]]
+	play, ok := map[string]func(w *world) bool{"poison-call": playPoisonCall, "poison-stream": playPoisonStream, "stop": playStop}[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
 		os.Exit(2)
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -325,7 +325,7 @@
 	first, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
 	for n := first + 1; n <= (output+eventTokens-1)/eventTokens; n++ {
 		select {
-		case <-time.After(eventPause):
+		case <-time.After(r.w.pause(q)):
 		case <-q.Context().Done():
 			return
 		}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -267,6 +267,7 @@
 		"routes": []any{
 			route("r-warranty", "/warranty/", "streaming", "assistant", 14000, 900, 1, 1),
 			route("r-fog", "/fog/", "streaming", "assistant", 14000, 900, 2, 1),
+			route("r-summary", "/summary/", "streaming", "assistant", 14000, 2000, 1, 1),
 			route("r-order", "/order/", "unsafe", "desk", 4000, 300, 2, 2),
 			route("r-stock", "/stock/", "safe", "desk", 4000, 300, 2, 2),
 		},
