--- a/review/standin/stop.go
+++ b/review/standin/stop.go
@@ -14,11 +14,13 @@
 	slack     = 200 * time.Millisecond
 	// summaryPause is the pause between two events of a summary, summaryDeadline how long
 	// its client waits.
-	summaryPause    = 200 * time.Millisecond
+	summaryPause    = 240 * time.Millisecond
 	summaryDeadline = 14 * time.Second
-	firstClients    = 30
-	laterClients    = 40
-	stopAfter       = 3500 * time.Millisecond
+	// perSecond is 2.3 times the traffic of kpp-egret at four engines: 16 streams a second
+	// at 18 engines. burstTime is the length of the longest burst of its site file.
+	perSecond = 8
+	burstTime = 10 * time.Second
+	stopAfter = 5 * time.Second
 )
 
 // pause returns the pause between two events of a stream.
@@ -50,12 +52,12 @@
 	}
 	c.wg.Wait()
 	started := time.Now()
-	for n := range firstClients + laterClients {
-		if n >= firstClients {
-			time.Sleep(20 * time.Millisecond)
+	c.wg.Go(func() {
+		for time.Since(started) < burstTime {
+			c.wg.Go(func() { c.sendAgain(front, "summary") })
+			time.Sleep(time.Second / perSecond)
 		}
-		c.wg.Go(func() { c.sendAgain(front, "summary") })
-	}
+	})
 	time.Sleep(time.Until(started.Add(stopAfter)))
 	var stopped time.Time
 	if w.trouble {
