--- a/review/standin/stop.go
+++ b/review/standin/stop.go
@@ -16,11 +16,10 @@
 	// its client waits.
 	summaryPause    = 240 * time.Millisecond
 	summaryDeadline = 14 * time.Second
-	// perSecond is 2.3 times the traffic of kpp-egret at four engines: 16 streams a second
-	// at 18 engines. burstTime is the length of the longest burst of its site file.
-	perSecond = 8
-	burstTime = 10 * time.Second
-	stopAfter = 5 * time.Second
+	// perSecond summaries a second come all the while, without a burst.
+	perSecond   = 8
+	trafficTime = 14 * time.Second
+	stopAfter   = 5 * time.Second
 )
 
 // pause returns the pause between two events of a stream.
@@ -53,7 +52,7 @@
 	c.wg.Wait()
 	started := time.Now()
 	c.wg.Go(func() {
-		for time.Since(started) < burstTime {
+		for time.Since(started) < trafficTime {
 			c.wg.Go(func() { c.sendAgain(front, "summary") })
 			time.Sleep(time.Second / perSecond)
 		}
