frontend: answer every open request before the drain ends

Cause: no part owned the answer. The drain closed all connections and left it to the relayer to end what was open, but nothing ended a request that waits for an assignment, a call that may run only once and therefore outlives its caller's context, or an exchange that could be tried elsewhere.

Change: pendingRequest is the response writer of each accepted request, and whoever begins the response claims it. At the end of the drain the frontend cancels the open requests, so that handlers answer what they know (503 if nothing was sent on), and answers the rest itself 200 ms later with 502, which promises nothing. The refusal of a handler is written before its request counts as closed. A request that arrives after SIGTERM no longer queues beyond the end of the drain. Calls of the own interface that outlast the shutdown get the same.

--- a/frontend/completion.go
+++ b/frontend/completion.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"time"
@@ -169,9 +170,9 @@
 	outcome, name := recorder.OutcomeServed, egretflow.EventCompleted
 	switch {
 	case err == nil:
-	case errors.Is(err, relayer.ErrHandedOver):
+	case errors.Is(err, relayer.ErrHandedOver) && f.cfg.Dialect == nil:
 		outcome = recorder.OutcomeHandedOver
-	case c.Request().Context().Err() != nil && !errors.Is(err, errDeadline):
+	case errors.Is(context.Cause(c.Request().Context()), context.Canceled):
 		outcome, name = recorder.OutcomeCancelled, egretflow.EventCancelled
 	default:
 		outcome, name = string(asRefusal(err).Reason), egretflow.EventRefused
--- a/frontend/drain_test.go
+++ b/frontend/drain_test.go
@@ -91,6 +91,13 @@
 // serveForwardingOn is serveForwarding with a listener.
 func serveForwardingOn(t *testing.T, ln net.Listener, tables *egretflow.Tables, dialect egretflow.Dialect, engines egretflow.EngineClient) (address string, stop func()) {
 	t.Helper()
+	return serveForwardingBy(t, ln, newFakeScheduler(tables, 1), dialect, engines)
+}
+
+// serveForwardingBy is serveForwardingOn with a scheduler, whose tables are used.
+func serveForwardingBy(t *testing.T, ln net.Listener, scheduler *fakeScheduler, dialect egretflow.Dialect, engines egretflow.EngineClient) (address string, stop func()) {
+	t.Helper()
+	tables := scheduler.tables
 	metrics, err := recorder.New()
 	if err != nil {
 		t.Fatal(err)
@@ -98,7 +105,6 @@
 	events := explainer.New(16, nil)
 	check := checker.New("i", time.Now, events, nil)
 	source := rand.New(rand.NewPCG(1, 1))
-	scheduler := newFakeScheduler(tables, 1)
 	rel := relayer.New(relayer.Config{
 		Instance: "i", Scheduler: scheduler, Recorder: events, Checker: check, Clock: time.Now, Rand: source,
 		Dial: (&net.Dialer{}).DialContext, Dialect: dialect, Engines: engines,
--- a/frontend/fake_test.go
+++ b/frontend/fake_test.go
@@ -20,6 +20,8 @@
 	// grantHedges allows hedges. refusal, if set, is returned for every request.
 	grantHedges bool
 	refusal     *egretflow.Refusal
+	// queues makes every request wait until it is cancelled.
+	queues bool
 	// firstToken is the expected time to the first token.
 	firstToken time.Duration
 
@@ -56,6 +58,10 @@
 }
 
 func (s *fakeScheduler) Acquire(ctx context.Context, w *egretflow.Work) (*egretflow.Assignment, error) {
+	if s.queues {
+		<-ctx.Done()
+		return nil, context.Cause(ctx)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.refusal != nil {
--- a/frontend/forward.go
+++ b/frontend/forward.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
 
 	"github.com/egretflow/egretflow"
 	"github.com/egretflow/egretflow/relayer"
@@ -54,23 +55,25 @@
 	}
 }
 
-// admitForwarded counts the request as open, or refuses it if the drain has ended
-// or there are no tables yet.
+// admitForwarded adds the request to the open ones, or refuses it if the drain has
+// ended or there are no tables yet.
 func (f *Frontend) admitForwarded(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
-		if !f.open.enterDuringDrain() {
+		err := f.whileOpen(c, f.open.enterDuringDrain, func() error {
+			if f.open.stopping() {
+				c.Response().Header().Set("Connection", "close")
+			}
+			if f.cfg.Tables() == nil {
+				return f.refuseForwarded(egretflow.RefusalNoServer, "the instance has no configuration yet")
+			}
+			f.cfg.Metrics.RequestStarted()
+			defer f.cfg.Metrics.RequestEnded()
+			return next(c)
+		})
+		if errors.Is(err, errNotAdmitted) {
 			return f.refuseDraining()
 		}
-		defer f.open.leave()
-		if f.open.stopping() {
-			c.Response().Header().Set("Connection", "close")
-		}
-		if f.cfg.Tables() == nil {
-			return f.refuseForwarded(egretflow.RefusalNoServer, "the instance has no configuration yet")
-		}
-		f.cfg.Metrics.RequestStarted()
-		defer f.cfg.Metrics.RequestEnded()
-		return next(c)
+		return err
 	}
 }
 
@@ -138,7 +141,7 @@
 // connections, service calls are short, and a refusal would use up one of the
 // caller's attempts.
 func (f *Frontend) endsBeforeDrain(x *request, route *egretflow.Route, pool *egretflow.Pool) bool {
-	return pool.Kind == egretflow.PoolKindService && !f.latestEnd(x, route).After(f.drainDeadline())
+	return pool.Kind == egretflow.PoolKindService && !f.latestEnd(x, route).After(f.drainEnd())
 }
 
 // latestEnd returns when a request ends at the latest: at the caller's deadline or
@@ -168,6 +171,9 @@
 	if work.Deadline.Before(work.GiveUpBy) {
 		work.GiveUpBy = work.Deadline
 	}
+	if end := f.drainEnd(); f.open.stopping() && end.Before(work.GiveUpBy) {
+		work.GiveUpBy = end
+	}
 	return work
 }
 
@@ -234,9 +240,13 @@
 		return
 	}
 	abortIfGone(err, c)
-	refusal, x := asRefusal(err), requestOf(c)
+	f.writeRefusal(c, asRefusal(err))
+}
+
+// forwardRefusalHeader sets the header of a refusal of a forwarded request and returns
+// its status.
+func (f *Frontend) forwardRefusalHeader(h http.Header, refusal *egretflow.Refusal, x *request) int {
 	status := forwardStatus(refusal)
-	h := c.Response().Header()
 	if x.shownID != "" {
 		h.Set(headerRequestID, x.shownID)
 	}
@@ -244,10 +254,7 @@
 		refusal.RetryAt = f.cfg.Clock().Add(f.jitter(forwardRetryAfter))
 	}
 	f.cfg.Dialect.WriteRefusal(h, refusal, f.cfg.Clock())
-	f.record(egretflow.EventRefused, x.id, field("reason", string(refusal.Reason)), field("run_state", string(refusal.RunState)),
-		field("status", strconv.Itoa(status)), field("retry_after", h.Get("Retry-After")), field("error", refusal.Error()))
-	// A write error means that the caller has disconnected.
-	_ = c.JSON(status, newErrorBody(refusal, x))
+	return status
 }
 
 // forwardStatus returns the HTTP status of a refusal. A status that means to the
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -119,9 +119,9 @@
 
 	open  *openRequests
 	waits waitEstimator
-	// drainDeadlineNanos is the latest end of the drain, in nanoseconds since
-	// 1970; 0 before the drain.
-	drainDeadlineNanos atomic.Int64
+	// drainEndNanos is when open requests are handed over or cancelled, in nanoseconds
+	// since 1970; 0 before the shutdown.
+	drainEndNanos atomic.Int64
 	// handover is cancelled when open streams must end after the current event.
 	handover      context.Context
 	startHandover context.CancelFunc
--- a/frontend/limits.go
+++ b/frontend/limits.go
@@ -113,6 +113,9 @@
 		room.resize(0)
 		return nil, nil, err
 	}
+	if p := requestOf(c).pending; p != nil {
+		p.read.Store(true)
+	}
 	return body, func() { room.resize(0) }, nil
 }
 
--- a/frontend/refusal.go
+++ b/frontend/refusal.go
@@ -82,9 +82,25 @@
 		return
 	}
 	abortIfGone(err, c)
-	refusal := asRefusal(err)
-	x := requestOf(c)
-	h := c.Response().Header()
+	f.writeRefusal(c, asRefusal(err))
+}
+
+// writeRefusal writes a refusal and records it.
+func (f *Frontend) writeRefusal(c echo.Context, refusal *egretflow.Refusal) {
+	x, h := requestOf(c), c.Response().Header()
+	status := f.refusalHeader(h, refusal, x)
+	f.recordRefusal(status, h, refusal, x)
+	// A write error means that the caller has disconnected, or that the request was
+	// answered at the end of a drain.
+	_ = c.JSON(status, newErrorBody(refusal, x))
+}
+
+// refusalHeader sets the header of a refusal and returns its status.
+func (f *Frontend) refusalHeader(h http.Header, refusal *egretflow.Refusal, x *request) int {
+	if f.cfg.Dialect != nil {
+		return f.forwardRefusalHeader(h, refusal, x)
+	}
+	h.Set(headerRequestID, x.shownID)
 	h.Set(headerRunState, string(refusal.RunState))
 	if !refusal.RetryAt.IsZero() {
 		seconds := math.Ceil(refusal.RetryAt.Sub(f.cfg.Clock()).Seconds())
@@ -94,10 +110,19 @@
 		// The rest of the body is not read, so the connection cannot be reused.
 		h.Set("Connection", "close")
 	}
-	f.record(egretflow.EventRefused, x.id, x.callerID(), field("reason", string(refusal.Reason)),
-		field("run_state", string(refusal.RunState)), field("status", strconv.Itoa(refusal.Status)), field("error", refusal.Error()))
-	// A write error means that the caller has disconnected.
-	_ = c.JSON(refusal.Status, newErrorBody(refusal, x))
+	return refusal.Status
+}
+
+// recordRefusal records a refusal that is written with the header h.
+func (f *Frontend) recordRefusal(status int, h http.Header, refusal *egretflow.Refusal, x *request) {
+	fields := []egretflow.EventField{
+		field("reason", string(refusal.Reason)), field("run_state", string(refusal.RunState)), field("status", strconv.Itoa(status)),
+		field("retry_after", h.Get("Retry-After")), field("error", refusal.Error()),
+	}
+	if f.cfg.Dialect == nil {
+		fields = append(fields, x.callerID())
+	}
+	f.record(egretflow.EventRefused, x.id, fields...)
 }
 
 // abortIfGone closes the connection of a caller that has disconnected. If the handler
--- a/frontend/request.go
+++ b/frontend/request.go
@@ -28,6 +28,8 @@
 	arrived time.Time
 	// deadline is the deadline that the caller sent; zero if none.
 	deadline time.Time
+	// pending is set while the request is open.
+	pending *pendingRequest
 }
 
 // requestKey is the key of the *request in the echo context.
@@ -47,7 +49,11 @@
 // requestIDPattern matches the valid values of a caller's X-Request-Id.
 var requestIDPattern = regexp.MustCompile(`^[A-Za-z0-9._-]{1,64}$`)
 
-var errDeadline = errors.New("deadline of the request passed")
+var (
+	errDeadline = errors.New("deadline of the request passed")
+	// errNotAdmitted means that a drain admits no further requests.
+	errNotAdmitted = errors.New("the drain admits no further requests")
+)
 
 // identify finds the caller by its API key and stores the request in the context.
 // Requests without a known key are refused.
@@ -95,36 +101,57 @@
 	return len(id) > len(suffix) && string(id[len(id)-len(suffix):]) == suffix
 }
 
+// whileOpen adds the request to the open ones with add and runs handle, whose error it
+// answers. It returns errNotAdmitted if add does not admit the request.
+func (f *Frontend) whileOpen(c echo.Context, add func(*pendingRequest) bool, handle func() error) error {
+	x, original := requestOf(c), c.Request()
+	ctx, cancel := context.WithCancelCause(original.Context())
+	defer cancel(context.Canceled)
+	p := newPendingRequest(x, c.Response().Writer, cancel)
+	if !add(p) {
+		return errNotAdmitted
+	}
+	defer f.open.leave(p)
+	x.pending = p
+	c.Response().Writer = p
+	c.SetRequest(original.WithContext(ctx))
+	// The original context shows the error handler whether the caller has disconnected.
+	defer c.SetRequest(original)
+	if err := handle(); err != nil {
+		c.SetRequest(original)
+		c.Error(err)
+	}
+	return nil
+}
+
 // admit refuses requests during a drain and those over the limit of open requests
 // of a caller, and sets the deadline of the others.
 func (f *Frontend) admit(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		x := requestOf(c)
-		if !f.open.enter() {
+		err := f.whileOpen(c, f.open.enter, func() error {
+			if f.cfg.Tables() == nil {
+				return f.refuseWithRetry(http.StatusServiceUnavailable, egretflow.RefusalNoServer, "the instance has no tables yet")
+			}
+			if f.openByCaller.add(x.caller) > f.cfg.Limits.MaxStreams {
+				f.openByCaller.remove(x.caller)
+				return f.tooManyRequests()
+			}
+			defer f.openByCaller.remove(x.caller)
+			f.cfg.Metrics.RequestStarted()
+			defer f.cfg.Metrics.RequestEnded()
+			ctx, cancel, err := f.withDeadline(c)
+			if err != nil {
+				return err
+			}
+			defer cancel()
+			c.SetRequest(c.Request().WithContext(ctx))
+			return next(c)
+		})
+		if errors.Is(err, errNotAdmitted) {
 			return f.refuseWithRetry(http.StatusServiceUnavailable, egretflow.RefusalDraining, "the instance is shutting down")
 		}
-		defer f.open.leave()
-		if f.cfg.Tables() == nil {
-			return f.refuseWithRetry(http.StatusServiceUnavailable, egretflow.RefusalNoServer, "the instance has no tables yet")
-		}
-		if f.openByCaller.add(x.caller) > f.cfg.Limits.MaxStreams {
-			f.openByCaller.remove(x.caller)
-			return f.tooManyRequests()
-		}
-		defer f.openByCaller.remove(x.caller)
-		f.cfg.Metrics.RequestStarted()
-		defer f.cfg.Metrics.RequestEnded()
-		ctx, cancel, err := f.withDeadline(c)
-		if err != nil {
-			return err
-		}
-		defer cancel()
-		original := c.Request()
-		c.SetRequest(original.WithContext(ctx))
-		// writeError runs after cancel. The original context shows it whether the
-		// caller has disconnected.
-		defer c.SetRequest(original)
-		return next(c)
+		return err
 	}
 }
 
