relayer: charge every kind of request with the crash of its server

Cause: only streams before their first event asked whether the server had ended. Calls and prefills reported a broken connection, which charges nobody.

Change: Relayer.confirmCrash, where all failures are reported, is the one place that says that a server ended while it ran something; requests that break together share one check. More innocent requests are charged with a loss now, so a request with one loss prefers servers without other suspects but does not wait for them, and a second loss that another suspect may explain makes it run apart instead of rejecting it. Crash reports carry that. An attempt whose request is rejected gets no further prefill server.

Tests: the scripts crash-call-* and crash-prefill* failed before (no crash reported). TestSuspectsRunOnSeparateServers and TestOnlyCrashingRequestIsRejected demanded that suspects with one loss wait, which is what held innocent requests back; they now demand the same of requests with a shared second loss, and TestSuspectsWithOneLossDoNotWait demands that the others start. The verdict after one loss is called Separate in their place.

--- a/crashdetector/crashdetector.go
+++ b/crashdetector/crashdetector.go
@@ -4,11 +4,12 @@
 // # Usage
 //
 //	d := crashdetector.New()
-//	d.RecordLoss(work.Fingerprint, "decode-3", now) // for each request on the lost server
+//	d.RecordLoss(work.Fingerprint, crashdetector.Loss{Server: "decode-3"}, now) // for each request on the lost server
 //	d.RecordPartLoss(work.Parts, "decode-3", startedAt, now) // if it had sent no answer yet
 //	switch d.Verdict(work.Fingerprint, now) {
 //	case crashdetector.Reject: // refuse it
-//	case crashdetector.Isolate: // run it on a server without other suspects
+//	case crashdetector.Separate: // run it on a server without other suspects, if there is one
+//	case crashdetector.Isolate: // only run it on a server without other suspects
 //	}
 //	d.PartVerdict(work.Parts, now) // the same for the parts of its prompt
 //	d.AnswerBegan(work.Fingerprint, work.Parts, now)
@@ -19,10 +20,12 @@
 //  1. When a server is lost, the loss is charged to every request that it was
 //     running. One loss is charged to a request once, however many attempts
 //     report it.
-//  2. A request with one loss is a suspect. Suspects run on separate servers,
-//     so that the next loss is charged to only one of them.
+//  2. A request with one loss is a suspect. Suspects run on separate servers as far
+//     as there are free ones, so that the next loss is charged to only one of them.
+//     They do not wait for that: most were running beside the cause by chance.
 //  3. A request with MaxLosses losses is rejected until RejectFor has passed since
-//     the last one.
+//     the last one. If another suspect may explain its second loss, it needs one
+//     more, and runs only on servers without another suspect until then.
 //  4. When a request completes, its losses so far no longer count. Reports of
 //     peers about the same losses do not make them count again. Losses that all came
 //     before an answer had begun no longer count once one begins.
@@ -49,7 +52,8 @@
 )
 
 const (
-	// MaxLosses is the number of losses from which on a request is rejected.
+	// MaxLosses is the number of losses from which on a request is rejected, unless
+	// another suspect may explain the last of them.
 	MaxLosses = 2
 	// RejectFor is how long the losses of a request are kept after the last one.
 	RejectFor = 10 * time.Minute
@@ -71,14 +75,24 @@
 // Verdict says how a request may run.
 type Verdict string
 
-// A request may run on any server, only on a server without other suspects, or not
-// at all.
+// A request may run on any server, on one without other suspects if there is one, only
+// on a server without other suspects, or not at all.
 const (
-	Allow   Verdict = "Allow"
-	Isolate Verdict = "Isolate"
-	Reject  Verdict = "Reject"
+	Allow    Verdict = "Allow"
+	Separate Verdict = "Separate"
+	Isolate  Verdict = "Isolate"
+	Reject   Verdict = "Reject"
 )
 
+// Loss is the loss of a server that was running a request.
+type Loss struct {
+	Server egretflow.ServerName
+	// Early reports whether the server had sent none of the answer.
+	Early bool
+	// Shared reports whether other suspects may have been running on the server.
+	Shared bool
+}
+
 // entry holds the losses of one request.
 type entry struct {
 	// servers holds one server per loss, oldest first. A server occurs twice when
@@ -92,6 +106,8 @@
 	// afterStart reports whether a loss that counts came after an answer had begun.
 	// It is not used for parts.
 	afterStart bool
+	// shared reports whether another suspect may explain the second loss.
+	shared bool
 	// lastLossAt is when the newest loss was recorded. It is used for parts only, as
 	// is blocked.
 	lastLossAt time.Time
@@ -120,25 +136,24 @@
 	return &Detector{entries: table{}, parts: table{}, sound: map[egretflow.PartHash]time.Time{}}
 }
 
-// RecordLoss records that server was lost while it ran the request.
-func (d *Detector) RecordLoss(fingerprint uint64, server egretflow.ServerName, now time.Time) {
-	d.entries.entryFor(fingerprint, now).recordLoss(server, now).afterStart = true
-}
-
-// RecordEarlyLoss records that server was lost while it ran the request and before it
-// sent any of the answer.
-func (d *Detector) RecordEarlyLoss(fingerprint uint64, server egretflow.ServerName, now time.Time) {
-	d.entries.entryFor(fingerprint, now).recordLoss(server, now)
+// RecordLoss records that a server was lost while it ran the request.
+func (d *Detector) RecordLoss(fingerprint uint64, l Loss, now time.Time) {
+	e := d.entries.entryFor(fingerprint, now)
+	e.afterStart = e.afterStart || !l.Early
+	if e.recordLoss(l.Server, now) && e.losses() == MaxLosses {
+		e.shared = l.Shared
+	}
 }
 
-// recordLoss adds a loss unless it is the same as an earlier one.
-func (e *entry) recordLoss(server egretflow.ServerName, now time.Time) *entry {
+// recordLoss adds a loss unless it is the same as an earlier one, and reports whether
+// it did.
+func (e *entry) recordLoss(server egretflow.ServerName, now time.Time) bool {
 	if slices.Contains(e.servers, server) && now.Sub(e.lostAt[server]) < sameLossWindow {
-		return e
+		return false
 	}
 	e.addLoss(server, now)
 	e.lastLossAt, e.expiresAt = now, now.Add(RejectFor)
-	return e
+	return true
 }
 
 // addLoss adds a loss. An entry with maxServers losses drops its oldest one if that
@@ -206,10 +221,12 @@
 	switch {
 	case !ok || !now.Before(e.expiresAt) || e.losses() <= 0:
 		return Allow
-	case e.losses() >= MaxLosses:
-		return Reject
+	case e.losses() < MaxLosses:
+		return Separate
+	case e.losses() == MaxLosses && e.shared:
+		return Isolate
 	}
-	return Isolate
+	return Reject
 }
 
 // ExpiresAt returns when the losses of the request expire, or the zero time if it
@@ -230,7 +247,7 @@
 
 // clear makes the losses so far no longer count.
 func (e *entry) clear() {
-	e.cleared, e.afterStart, e.blocked = len(e.servers), false, false
+	e.cleared, e.afterStart, e.shared, e.blocked = len(e.servers), false, false, false
 }
 
 // Reports returns the losses to send to peers, at most maxReports requests and parts,
@@ -249,7 +266,9 @@
 			continue
 		}
 		if e.losses() > 0 {
-			reports = append(reports, egretflow.CrashReport{Fingerprint: key, Servers: slices.Clone(e.servers[e.cleared:]), ExpiresAt: e.expiresAt})
+			reports = append(reports, egretflow.CrashReport{
+				Fingerprint: key, Servers: slices.Clone(e.servers[e.cleared:]), ExpiresAt: e.expiresAt, Shared: e.shared,
+			})
 		}
 	}
 	return reports
@@ -283,17 +302,31 @@
 			continue
 		}
 		e := d.entries.entryFor(r.Fingerprint, now)
-		for n, server := range r.Servers {
-			if count(e.servers, server) < count(r.Servers[:n+1], server) {
-				e.addLoss(server, now)
-			}
-		}
+		e.merge(&r, now)
 		if r.ExpiresAt.After(e.expiresAt) {
 			e.expiresAt = r.ExpiresAt
 		}
 	}
 }
 
+// merge adds the losses of a report that e lacks. The second loss is shared unless one
+// instance that knows both losses says that it is not.
+func (e *entry) merge(r *egretflow.CrashReport, now time.Time) {
+	known := e.losses()
+	for n, server := range r.Servers {
+		if count(e.servers, server) < count(r.Servers[:n+1], server) {
+			e.addLoss(server, now)
+		}
+	}
+	switch {
+	case e.losses() != MaxLosses:
+	case e.losses() == len(r.Servers):
+		e.shared = r.Shared && (e.shared || known < MaxLosses)
+	case known < MaxLosses:
+		e.shared = true
+	}
+}
+
 // count returns how often server occurs in servers.
 func count(servers []egretflow.ServerName, server egretflow.ServerName) int {
 	n := 0
--- a/frontend/wire_test.go
+++ b/frontend/wire_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -25,9 +26,14 @@
 	return egretflow.RequestMetadata{ID: "r1", ResumeAfter: r.Header.Get("Last-Event-Id")}, nil
 }
 
-// wireEngines reads every prefill response as a handle. Its other methods are not used.
+// wireEngines reads every prefill response as a handle. All engines are reachable. Its
+// other methods are not used.
 type wireEngines struct{ egretflow.EngineClient }
 
+func (wireEngines) Load(context.Context, *egretflow.Server) (*egretflow.LoadReport, error) {
+	return &egretflow.LoadReport{}, nil
+}
+
 func (wireEngines) ReadPrefill(body io.Reader) (egretflow.PrefillResult, error) {
 	data, err := io.ReadAll(body)
 	return egretflow.PrefillResult{Handle: egretflow.KVHandle(data)}, err
--- a/gossiper/message.go
+++ b/gossiper/message.go
@@ -90,6 +90,7 @@
 	Servers     []egretflow.ServerName
 	LeftMS      int64
 	Part        bool
+	Shared      bool
 }
 
 // encoding keeps the milliseconds of times, because the fingerprint of the servers
@@ -181,7 +182,7 @@
 	reports := make([]egretflow.CrashReport, len(crashes))
 	for n, c := range crashes {
 		reports[n] = egretflow.CrashReport{
-			Fingerprint: c.Fingerprint, Part: c.Part, Servers: c.Servers, ExpiresAt: now.Add(time.Duration(c.LeftMS) * time.Millisecond),
+			Fingerprint: c.Fingerprint, Part: c.Part, Shared: c.Shared, Servers: c.Servers, ExpiresAt: now.Add(time.Duration(c.LeftMS) * time.Millisecond),
 		}
 	}
 	return reports
--- a/gossiper/send.go
+++ b/gossiper/send.go
@@ -321,7 +321,9 @@
 			continue
 		}
 		g.sendCounts[key] = crashSent{sent.count + 1, now}
-		crashes = append(crashes, crash{Fingerprint: r.Fingerprint, Part: r.Part, Servers: r.Servers, LeftMS: r.ExpiresAt.Sub(now).Milliseconds()})
+		crashes = append(crashes, crash{
+			Fingerprint: r.Fingerprint, Part: r.Part, Shared: r.Shared, Servers: r.Servers, LeftMS: r.ExpiresAt.Sub(now).Milliseconds(),
+		})
 	}
 	return crashes
 }
--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -54,6 +54,7 @@
 	Servers     []string
 	ExpiresAt   int64
 	Part        bool
+	Shared      bool
 }
 
 type wireRequest struct {
@@ -159,7 +160,7 @@
 func wireCrashes(reports []egretflow.CrashReport) []wireCrash {
 	crashes := make([]wireCrash, len(reports))
 	for i, c := range reports {
-		crashes[i] = wireCrash{Fingerprint: c.Fingerprint, Part: c.Part, ExpiresAt: c.ExpiresAt.UnixMicro(), Servers: make([]string, len(c.Servers))}
+		crashes[i] = wireCrash{Fingerprint: c.Fingerprint, Part: c.Part, Shared: c.Shared, ExpiresAt: c.ExpiresAt.UnixMicro(), Servers: make([]string, len(c.Servers))}
 		for j, s := range c.Servers {
 			crashes[i].Servers[j] = string(s)
 		}
@@ -248,7 +249,7 @@
 func crashReports(crashes []wireCrash) []egretflow.CrashReport {
 	var reports []egretflow.CrashReport
 	for _, c := range crashes {
-		report := egretflow.CrashReport{Fingerprint: c.Fingerprint, Part: c.Part, ExpiresAt: time.UnixMicro(c.ExpiresAt)}
+		report := egretflow.CrashReport{Fingerprint: c.Fingerprint, Part: c.Part, Shared: c.Shared, ExpiresAt: time.UnixMicro(c.ExpiresAt)}
 		for _, s := range c.Servers {
 			report.Servers = append(report.Servers, egretflow.ServerName(s))
 		}
--- a/peer.go
+++ b/peer.go
@@ -99,6 +99,8 @@
 	Servers     []ServerName
 	ExpiresAt   time.Time
 	Part        bool
+	// Shared reports whether other requests may have caused the second loss.
+	Shared bool
 }
 
 // ExchangeRequest is the message that an instance sends periodically to a peer
--- a/relayer/call.go
+++ b/relayer/call.go
@@ -211,7 +211,7 @@
 		if !errors.As(err, &f) {
 			f = connectionFailure(ctx, at.a.Decode, err)
 		}
-		at.r.reportFailure(f, at.a)
+		at.r.reportFailure(f, at.a, at.call.Pool)
 		return nil, f
 	}
 	return &response{attempt: at, Response: resp, prefix: prefix, complete: len(prefix) < prefixBytes}, nil
--- a/relayer/forward.go
+++ b/relayer/forward.go
@@ -365,7 +365,7 @@
 	if !errors.As(err, &cause) {
 		return err
 	}
-	f.r.reportFailure(cause, a)
+	f.r.reportFailure(cause, a, f.call.Pool)
 	return err
 }
 
--- a/relayer/forward_test.go
+++ b/relayer/forward_test.go
@@ -51,9 +51,10 @@
 // unframedreset, raw BYTES [reset] (exactly these bytes, as decodeBody reads them, with a
 // pause at each "%", a long one at "%SLEEP%"),
 // foreign (a response to another request), garbage (not HTTP), late MS [body], early [body] (responds before it
-// reads the request body), silent, prefill, events A-B [cut|reset|hang], full (no
+// reads the request body), silent, prefill, events A-B [cut|reset|hang|crash], full (no
 // memory can be reserved), refuse (no process listens), crash (sends the head of a
-// stream, breaks the connection and stops listening), endless WHAT (sends bytes
+// stream, breaks the connection and stops listening), exit [BYTES] (the same after
+// exactly these bytes), endless WHAT (sends bytes
 // until its connection is closed; WHAT is a key of floods), dribbles (one
 // event, then comments), sized (two events of a stream with a longer Content-Length),
 // sends WHAT (runs the request and responds with what answers holds), greets WHAT (the
--- a/relayer/once.go
+++ b/relayer/once.go
@@ -154,7 +154,7 @@
 		if !errors.As(err, &f) {
 			f = connectionFailure(detached, at.a.Decode, err)
 		}
-		at.r.reportFailure(f, at.a)
+		at.r.reportFailure(f, at.a, at.call.Pool)
 		return nil, f
 	}
 	at.reportServed(c.r.now())
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -12,6 +12,7 @@
 	"github.com/egretflow/egretflow/connector"
 	"github.com/egretflow/egretflow/internal/openai"
 	"github.com/pkg/errors"
+	"golang.org/x/sync/singleflight"
 )
 
 // ErrHandedOver is the cause of an answer that ends after a complete event because
@@ -62,6 +63,8 @@
 	// aborts ends when aborts are no longer repeated, and stopAborts ends it.
 	aborts     context.Context
 	stopAborts context.CancelFunc
+	// crashes joins the checks of one server by confirmCrash.
+	crashes singleflight.Group
 	// randMu guards cfg.Rand.
 	randMu sync.Mutex
 }
--- a/relayer/release.go
+++ b/relayer/release.go
@@ -40,12 +40,14 @@
 	}
 	at.wastedTokens += at.unusedTokens
 	at.unusedTokens = 0
-	at.r.reportFailure(f, at.a)
+	at.r.reportFailure(f, at.a, at.job.Pool)
 	return f
 }
 
-// reportFailure reports a failure to the scheduler, the log and the metrics.
-func (r *Relayer) reportFailure(f *failure, a *egretflow.Assignment) {
+// reportFailure reports a failure to the scheduler, the log and the metrics, after it
+// has found out whether the server has crashed.
+func (r *Relayer) reportFailure(f *failure, a *egretflow.Assignment, pool *egretflow.Pool) {
+	r.confirmCrash(f, a, pool)
 	now := r.now()
 	if kind, ok := observationKinds[f.kind]; ok {
 		r.cfg.Scheduler.Observe(egretflow.Observation{Kind: kind, Server: f.server, Attempt: a.Attempt, StartedAt: now, EndedAt: now, Unsent: f.unsent, RetryAt: f.retryAt})
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -53,7 +53,7 @@
 		t.enqueueBaseline(w)
 	case w.work.Hedge:
 		t.hedge(w)
-	case w.isolate:
+	case w.verdict == crashdetector.Isolate:
 		t.queueSuspect(w)
 	default:
 		t.offer(w)
@@ -69,12 +69,9 @@
 		t.refuse(w, http.StatusGatewayTimeout, egretflow.RefusalDeadline, "the deadline has passed", admitter.Verdict{})
 		return false
 	}
-	switch t.verdict(work) {
-	case crashdetector.Reject:
+	if w.verdict = t.verdict(work); w.verdict == crashdetector.Reject {
 		t.refuseCrashing(w)
 		return false
-	case crashdetector.Isolate:
-		w.isolate = true
 	}
 	if r == nil {
 		return true
@@ -126,7 +123,7 @@
 	if p.queue.WaitingBefore(w.work) || t.fullFor(p, w.work) {
 		return false
 	}
-	pl, ok := p.picker.Pick(w.work, picker.Options{}, t.now)
+	pl, ok := t.pickFor(w, picker.Options{})
 	if !ok || (!pl.Probe && !allowsRemeasurement(p) && t.missesTarget(w.work, pl.FirstTokenAt)) {
 		return false
 	}
@@ -144,12 +141,12 @@
 
 // hedge starts w at once on servers that are not suspect, or refuses it (5.4).
 func (t *task) hedge(w *waiter) {
-	pl, ok := w.pool.picker.Pick(w.work, picker.Options{ExcludeSuspects: true, Isolate: w.isolate}, t.now)
+	pl, ok := w.pool.picker.Pick(w.work, picker.Options{ExcludeSuspects: true}, t.now)
 	r := t.routes[w.work.Route]
 	switch {
 	case !ok || t.missesTarget(w.work, pl.FirstTokenAt):
 		t.refuse(w, http.StatusServiceUnavailable, egretflow.RefusalOverload, "no healthy server is free for a hedge", admitter.Verdict{})
-	case w.isolate || r == nil || !r.hedges.Spend(t.now):
+	case w.verdict != crashdetector.Allow || r == nil || !r.hedges.Spend(t.now):
 		t.refuse(w, http.StatusServiceUnavailable, egretflow.RefusalOverload, "the hedge budget of the route is spent", admitter.Verdict{})
 	default:
 		t.start(w, pl)
@@ -199,11 +196,11 @@
 // tryPlace takes w out of its queue and starts, postpones or refuses it. It returns
 // false if w has to wait longer.
 func (t *task) tryPlace(w *waiter, o picker.Options) bool {
-	if t.verdict(w.work) != crashdetector.Allow {
+	if w.verdict = t.verdict(w.work); w.verdict == crashdetector.Isolate || w.verdict == crashdetector.Reject {
 		t.moveSuspect(w)
 		return true
 	}
-	pl, ok := w.pool.picker.Pick(w.work, o, t.now)
+	pl, ok := t.pickFor(w, o)
 	if !ok {
 		return false
 	}
--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -7,6 +7,7 @@
 
 	"github.com/egretflow/egretflow"
 	"github.com/egretflow/egretflow/admitter"
+	"github.com/egretflow/egretflow/crashdetector"
 	"github.com/egretflow/egretflow/picker"
 )
 
@@ -21,8 +22,9 @@
 	pool            *pool
 	startedAt       time.Time
 	// isolated is true if the request is a crash suspect and shares its servers
-	// with no other one.
-	isolated bool
+	// with no other one. mustIsolate is true if it must not.
+	isolated    bool
+	mustIsolate bool
 	// isolationKeys holds what keeps other isolated requests from running.
 	isolationKeys []uint64
 	// began reports whether an answer began, which a prefill alone does not show.
@@ -43,7 +45,8 @@
 func (t *task) start(w *waiter, pl picker.Placement) {
 	p := w.pool
 	a := &w.attempt
-	a.placement, a.pool, a.startedAt, a.isolated = pl, p, t.now, w.isolate
+	a.placement, a.pool, a.startedAt, a.isolated = pl, p, t.now, w.apart
+	a.mustIsolate = w.verdict == crashdetector.Isolate
 	if t.usesJointPolicy() {
 		t.checkReservation(w.work, &pl)
 	}
@@ -141,6 +144,10 @@
 		return
 	}
 	w.pool = a.pool
+	if w.verdict = t.verdict(w.work); w.verdict == crashdetector.Reject {
+		t.refuseCrashing(w)
+		return
+	}
 	if r := t.routes[w.work.Route]; r != nil && !t.spendRetry(w, r) {
 		return
 	}
@@ -172,6 +179,11 @@
 	}
 	o := picker.Options{Decode: a.placement.Decode, ExcludePrefill: a.placement.Prefill, Isolate: a.isolated}
 	pl, ok := t.pick(a.pool, w.work, o)
+	if !ok && a.isolated && !a.mustIsolate {
+		t.endIsolation(a)
+		o.Isolate = false
+		pl, ok = t.pick(a.pool, w.work, o)
+	}
 	if !ok {
 		if by := w.work.LatestStart(); !by.IsZero() && t.now.After(by) {
 			t.refuseLate(w, admitter.Verdict{})
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -88,7 +88,8 @@
 }
 
 // answerBegan processes the first output of a. If that clears the request of what it
-// was suspected of, others need not wait until its answer ends.
+// was suspected of, or if it only prefers to be apart, others need not wait until its
+// answer ends.
 func (t *task) answerBegan(a *attempt) {
 	if a.began {
 		return
@@ -96,7 +97,7 @@
 	a.began = true
 	work := a.assignment.Work
 	t.crashes.AnswerBegan(work.Fingerprint, work.Parts, t.now)
-	if a.isolated && t.verdict(work) == crashdetector.Allow {
+	if a.isolated && (!a.mustIsolate || t.verdict(work) == crashdetector.Allow) {
 		t.endIsolation(a)
 		t.dispatch(a.pool)
 	}
@@ -118,19 +119,11 @@
 		t.refuseLate(w, admitter.Verdict{})
 		return true
 	}
-	switch t.verdict(w.work) {
-	case crashdetector.Reject:
+	if w.verdict = t.verdict(w.work); w.verdict == crashdetector.Reject {
 		t.refuseCrashing(w)
 		return true
-	case crashdetector.Allow:
-		w.isolate = false
-	default:
-		w.isolate = true
 	}
-	if w.isolate && slices.ContainsFunc(t.isolationKeys(w.work), func(key uint64) bool { return t.isolated[key] }) {
-		return false
-	}
-	pl, ok := w.pool.picker.Pick(w.work, picker.Options{Isolate: w.isolate}, t.now)
+	pl, ok := t.pickFor(w, picker.Options{})
 	if !ok || t.missesTarget(w.work, pl.FirstTokenAt) {
 		return false
 	}
@@ -146,10 +139,30 @@
 		t.refuseCrashing(w)
 		return
 	}
-	w.isolate = true
 	t.addSuspect(w)
 }
 
+// pickFor chooses servers for w. A crash suspect gets servers without another one if
+// there are some; it gets no others if its verdict is crashdetector.Isolate.
+func (t *task) pickFor(w *waiter, o picker.Options) (picker.Placement, bool) {
+	w.apart = false
+	if w.verdict == crashdetector.Allow {
+		return w.pool.picker.Pick(w.work, o, t.now)
+	}
+	if !slices.ContainsFunc(t.isolationKeys(w.work), func(key uint64) bool { return t.isolated[key] }) {
+		apart := o
+		apart.Isolate = true
+		if pl, ok := w.pool.picker.Pick(w.work, apart, t.now); ok {
+			w.apart = true
+			return pl, true
+		}
+	}
+	if w.verdict == crashdetector.Isolate {
+		return picker.Placement{}, false
+	}
+	return w.pool.picker.Pick(w.work, o, t.now)
+}
+
 // addSuspect appends w to the waiting crash suspects, or refuses it if there are too
 // many. It reports whether w waits.
 func (t *task) addSuspect(w *waiter) bool {
@@ -168,16 +181,21 @@
 		t.charge(a, s)
 		return
 	}
+	for _, id := range t.runningOn(s) {
+		t.charge(t.attempts[id], s)
+	}
+}
+
+// runningOn returns the attempts that run on s, in a fixed order.
+func (t *task) runningOn(s *picker.Server) []egretflow.AttemptID {
 	var ids []egretflow.AttemptID
-	for id, other := range t.attempts {
-		if other.placement.Decode == s || runsPrefillOn(other, s) {
+	for id, a := range t.attempts {
+		if a.placement.Decode == s || runsPrefillOn(a, s) {
 			ids = append(ids, id)
 		}
 	}
 	slices.Sort(ids)
-	for _, id := range ids {
-		t.charge(t.attempts[id], s)
-	}
+	return ids
 }
 
 // charge counts the crash of s against the request of a, and against the parts of its
@@ -186,12 +204,9 @@
 func (t *task) charge(a *attempt, s *picker.Server) {
 	work, server := a.assignment.Work, s.Spec.Name
 	a.crashed = true
-	switch {
-	case work.Fingerprint == 0:
-	case a.began:
-		t.crashes.RecordLoss(work.Fingerprint, server, t.now)
-	default:
-		t.crashes.RecordEarlyLoss(work.Fingerprint, server, t.now)
+	if work.Fingerprint != 0 {
+		shared := t.mayShareLoss(a, s)
+		t.crashes.RecordLoss(work.Fingerprint, crashdetector.Loss{Server: server, Early: !a.began, Shared: shared}, t.now)
 	}
 	fields := []egretflow.EventField{{Key: "Server", Value: string(server)}}
 	if part, ok := t.chargeParts(a, server); ok {
--- a/scheduler/message.go
+++ b/scheduler/message.go
@@ -5,6 +5,7 @@
 
 	"github.com/egretflow/egretflow"
 	"github.com/egretflow/egretflow/admitter"
+	"github.com/egretflow/egretflow/crashdetector"
 )
 
 // message is one of the types below.
@@ -28,9 +29,10 @@
 	// late reports whether the request misses its first-token target and is in
 	// pool.lateQueue.
 	late bool
-	// isolate is true if the request is a crash suspect and must share its servers
-	// with no other one (5.6).
-	isolate bool
+	// verdict says whether the request may share its servers with other crash suspects
+	// (5.6). apart is true if servers were chosen that it does not share with one.
+	verdict crashdetector.Verdict
+	apart   bool
 	// streamOpen reports whether the waiting request counts as an open stream. When
 	// it starts, the stream belongs to the attempt.
 	streamOpen bool
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -93,6 +93,8 @@
 	crashes  *crashdetector.Detector
 	// isolated holds the isolationKeys of the running crash suspects.
 	isolated map[uint64]bool
+	// crashSites holds the crashes of the last crashSitePeriod.
+	crashSites map[egretflow.ServerName]crashSite
 	// unavailable holds the servers of the last SetUnavailable.
 	unavailable map[egretflow.ServerName]bool
 	// roleChanges holds the servers that are changing their role.
@@ -119,6 +121,7 @@
 		streams:     limiter.NewStreamCounts(),
 		crashes:     crashdetector.New(),
 		isolated:    map[uint64]bool{},
+		crashSites:  map[egretflow.ServerName]crashSite{},
 		unavailable: map[egretflow.ServerName]bool{},
 		roleChanges: map[egretflow.ServerName]roleChange{},
 		lost:        map[egretflow.ServerName]lostServer{},
