relayer: charge streams with a crash after their first event

Cause: the check whether the engine had ended was skipped once an event had arrived, so that the loss counted as a broken connection.

Change: the condition is removed; streams are treated like every other request. A loss after the begin of an answer counts as one that may have another cause, so that sound streams beside it go on at once and are not rejected.

--- a/relayer/crash.go
+++ b/relayer/crash.go
@@ -27,7 +27,7 @@
 // have another cause. Every failed attempt passes it, whatever the server was running.
 func (r *Relayer) confirmCrash(f *failure, a *egretflow.Assignment, pool *egretflow.Pool) {
 	server := serverOf(a, f.server)
-	if f.kind != failureBroken || f.status != 0 || f.begun || server == nil {
+	if f.kind != failureBroken || f.status != 0 || server == nil {
 		return
 	}
 	// The requests that break together share one check.
--- a/relayer/failure.go
+++ b/relayer/failure.go
@@ -62,8 +62,6 @@
 	// delivered reports whether the request may have reached the server, even if the
 	// server refused it. It is set for forwarded requests only.
 	delivered bool
-	// begun reports whether the server had sent a part of the answer.
-	begun bool
 	// unsent reports whether no connection to the server was made.
 	unsent bool
 	// retryAt is set if the server wants no work of this instance before then.
--- a/relayer/forwardstream.go
+++ b/relayer/forwardstream.go
@@ -73,10 +73,6 @@
 	cancel(context.Canceled)
 	g.checks.Wait()
 	if err != nil {
-		var cause *failure
-		if errors.As(err, &cause) {
-			cause.begun = g.events > 0
-		}
 		return f.reportFailure(g.a, err)
 	}
 	return nil
