gossiper: learn of changes in time although the relay is silent

Cause: a subscriber learned of changes from one member only, and the time to find that silent (2.5 s), to wake for it (1 s) and to read from the silent one first (1.5 s) added up.

Change: after one missed update a subscriber asks its relay and three other members for one update and applies what comes first; the relay is replaced only if it does not answer. The sender wakes for that. Reads from a slow member are hedged with another one. A subscriber that nobody answers reads the platform. New subscriptions are answered to their sender instead of all subscribers.

--- a/gossiper/directory.go
+++ b/gossiper/directory.go
@@ -30,7 +30,10 @@
 	// platform follow.
 	relayReadTimeout = 1500 * time.Millisecond
 	aheadReadTimeout = 500 * time.Millisecond
-	serveTimeout     = 3 * time.Second
+	// readHedgeDelay is how long a read waits for one member before another one is
+	// asked, too.
+	readHedgeDelay = 300 * time.Millisecond
+	serveTimeout   = 3 * time.Second
 	// maxSnapshotBytes bounds the decompressed response of a relay.
 	maxSnapshotBytes = 8 << 20
 )
@@ -66,15 +69,10 @@
 	if c, ok := d.readAhead(ctx); ok {
 		return c, nil
 	}
-	var c *egretflow.Configuration
-	err := d.tryInOrder(ctx, func(ctx context.Context, from netip.AddrPort) error {
-		c = &egretflow.Configuration{}
-		return d.read(ctx, from, configurationPath, c)
-	}, func(ctx context.Context) (err error) {
-		c, err = d.cfg.Source.Configuration(ctx)
-		return errors.Wrap(err, "read the platform")
-	})
-	return c, err
+	return readInOrder(ctx, d, func(ctx context.Context, from netip.AddrPort) (*egretflow.Configuration, error) {
+		c := &egretflow.Configuration{}
+		return c, d.read(ctx, from, configurationPath, c)
+	}, d.cfg.Source.Configuration)
 }
 
 // AwaitChange implements egretflow.Directory.
@@ -84,20 +82,14 @@
 
 // Servers implements egretflow.Directory.
 func (d *relayDirectory) Servers(ctx context.Context) (egretflow.ServerList, error) {
-	var list egretflow.ServerList
-	err := d.tryInOrder(ctx, func(ctx context.Context, from netip.AddrPort) error {
+	return readInOrder(ctx, d, func(ctx context.Context, from netip.AddrPort) (egretflow.ServerList, error) {
 		var s serversSnapshot
 		if err := d.read(ctx, from, serversPath, &s); err != nil {
-			return err
+			return egretflow.ServerList{}, err
 		}
 		at := d.cfg.Clock().Add(-time.Duration(min(max(s.AgeMS, 0), maxAgeMS)) * time.Millisecond)
-		list = egretflow.ServerList{Entries: s.Entries, Revision: s.Revision, ConfirmedAt: at}
-		return nil
-	}, func(ctx context.Context) (err error) {
-		list, err = d.cfg.Source.Servers(ctx)
-		return errors.Wrap(err, "read the platform")
-	})
-	return list, err
+		return egretflow.ServerList{Entries: s.Entries, Revision: s.Revision, ConfirmedAt: at}, nil
+	}, d.cfg.Source.Servers)
 }
 
 // readAhead reads the configuration from a member that is ahead of this instance. It
@@ -139,23 +131,61 @@
 	return rendezvous.Rank(rankKey, ahead)[0].Address, true
 }
 
-// tryInOrder reads the sources of this instance until one succeeds: a subscriber its
-// relay and then the platform, a member the platform. Both turn to another member at
-// last, because the platform may refuse single instances. It returns the error of the
-// platform.
-func (d *relayDirectory) tryInOrder(ctx context.Context, fromMember func(ctx context.Context, from netip.AddrPort) error, fromPlatform func(ctx context.Context) error) error {
+// readInOrder reads the sources of this instance until one succeeds: a subscriber its
+// relay, with another member if that is slow, and then the platform, a member the
+// platform. Both turn to another member at last, because the platform may refuse single
+// instances. It returns the error of the platform.
+func readInOrder[T any](ctx context.Context, d *relayDirectory, fromMember func(ctx context.Context, from netip.AddrPort) (T, error), fromPlatform func(ctx context.Context) (T, error)) (T, error) {
 	relay, ok := d.relayAddress(ctx)
-	if ok && fromMember(ctx, relay) == nil {
-		return nil
+	if ok {
+		if read, err := readHedged(ctx, d, relay, fromMember); err == nil {
+			return read, nil
+		}
 	}
-	err := fromPlatform(ctx)
+	read, err := fromPlatform(ctx)
 	if err == nil || errors.Is(err, egretflow.ErrNotFound) {
-		return err
+		return read, errors.Wrap(err, "read the platform")
 	}
-	if other, ok := d.otherMember(relay); ok && fromMember(ctx, other) == nil {
-		return nil
+	if other, ok := d.otherMember(relay); ok {
+		if read, err := fromMember(ctx, other); err == nil {
+			return read, nil
+		}
+	}
+	return read, errors.Wrap(err, "read the platform")
+}
+
+// readHedged reads from the relay, and from another member as well if the relay has not
+// answered after readHedgeDelay. It returns the first reading, or an error if both fail.
+func readHedged[T any](ctx context.Context, d *relayDirectory, relay netip.AddrPort, fromMember func(ctx context.Context, from netip.AddrPort) (T, error)) (T, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type result struct {
+		read T
+		err  error
+	}
+	results := make(chan result, 2)
+	start := func(from netip.AddrPort) {
+		go func() {
+			read, err := fromMember(ctx, from)
+			results <- result{read, err}
+		}()
+	}
+	start(relay)
+	hedge := time.NewTimer(readHedgeDelay)
+	defer hedge.Stop()
+	for running := 1; ; {
+		select {
+		case <-hedge.C:
+			if other, ok := d.otherMember(relay); ok {
+				running++
+				start(other)
+			}
+		case r := <-results:
+			if running--; r.err == nil || running == 0 {
+				return r.read, r.err
+			}
+		}
 	}
-	return err
 }
 
 // otherMember returns the address of a live member, except this instance and the one
@@ -183,7 +213,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.role != roleSubscriber {
+	if d.role != roleSubscriber || d.isolated() {
 		return netip.AddrPort{}, false
 	}
 	d.chooseRelay(d.cfg.Clock())
--- a/gossiper/doc.go
+++ b/gossiper/doc.go
@@ -21,9 +21,14 @@
 //  3. Every other instance subscribes to a member, its relay, of its own failure
 //     domain where there is one. The relay sends it an update when something has
 //     changed and every MemberInterval. An instance whose relay is silent for
-//     relayTimeout subscribes to another one.
-//  4. Subscribers read the configuration and the servers from their relay, and from
-//     the store only if it does not answer. An instance that the store refuses
+//     relayTimeout asks the relay and askedMembers others for an update, and then
+//     subscribes to all. What any of them sends counts at once; the first one that
+//     answers replaces a relay that does not. Therefore a silent relay delays a change
+//     by relayTimeout and a round trip, and costs a few datagrams and no store call. A
+//     subscriber that nobody answers reads the store itself until somebody does.
+//  4. Subscribers read the configuration and the servers from their relay, from another
+//     member as well if that takes readHedgeDelay, and from the store only if none of
+//     them answers. An instance that the store refuses
 //     reads from another member. A configuration is read from a member that has
 //     confirmed it, if there is one, so that no instance waits for a silent store.
 //  5. Each message carries the whole state of its sender and replaces the one
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -31,9 +31,6 @@
 	// subscriptionLifetime how long a relay keeps one.
 	subscribeInterval    = 2 * time.Second
 	subscriptionLifetime = 5 * time.Second
-	// relayTimeout is how long a relay may be silent. It is two updates and a
-	// half.
-	relayTimeout = 2500 * time.Millisecond
 )
 
 // State is the part of the scheduler whose state is sent to other instances and that
@@ -51,6 +48,9 @@
 	ApplyConfirmation(c egretflow.Confirmation)
 	// Snapshot returns the configuration, which may be nil, and the servers.
 	Snapshot() (*egretflow.Configuration, egretflow.ServerList)
+	// Recheck makes the registrar check at once whether it must read, because Relayed
+	// has changed.
+	Recheck()
 }
 
 // Config holds the settings and dependencies of a Gossiper.
@@ -113,7 +113,11 @@
 	// subscribers maps the instances that this one updates to their last
 	// subscription.
 	subscribers map[egretflow.InstanceName]subscriber
-	relay       relay
+	// asking holds the instances that have asked for one update.
+	asking map[egretflow.InstanceName]netip.AddrPort
+	relay  relay
+	// recheckDue asks the sender to call Follower.Recheck.
+	recheckDue bool
 	// instances is the size of the fleet as the member with rank 0 counts it; 0
 	// if unknown.
 	instances int
@@ -144,16 +148,6 @@
 	heardAt time.Time
 }
 
-// relay is the member that updates this instance.
-type relay struct {
-	name    egretflow.InstanceName
-	heardAt time.Time
-	// searching reports whether the relay is silent and another one is looked for,
-	// and searchedAt is when the members were last asked.
-	searching  bool
-	searchedAt time.Time
-}
-
 // New returns a Gossiper without members. Follow must be called before Run.
 func New(cfg Config) *Gossiper {
 	roleKnown := make(chan struct{})
@@ -161,6 +155,7 @@
 		cfg: cfg, wake: make(chan struct{}, 1), roleKnown: roleKnown, markRoleKnown: sync.OnceFunc(func() { close(roleKnown) }), role: roleNone,
 		sendCounts: map[crashKey]crashSent{}, senders: map[egretflow.InstanceName]received{},
 		members: map[egretflow.InstanceName]*member{}, subscribers: map[egretflow.InstanceName]subscriber{},
+		asking: map[egretflow.InstanceName]netip.AddrPort{}, relay: relay{search: searchNone},
 	}
 }
 
@@ -237,11 +232,12 @@
 	return max(g.instances, g.countInstances())
 }
 
-// Relayed reports whether this instance reads the platform through a relay.
+// Relayed reports whether this instance reads the platform through a relay. One that no
+// member answers reads it itself.
 func (g *Gossiper) Relayed() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.role == roleSubscriber
+	return g.role == roleSubscriber && !g.isolated()
 }
 
 // countInstances counts the members and their subscribers. The caller holds mu.
@@ -318,7 +314,7 @@
 	if m.From == g.cfg.Self.Name || !g.accept(m, unmapped(address.AddrPort()), now) {
 		return nil
 	}
-	if m.Confirmed.AgeMS >= 0 && m.Kind != kindSubscribe {
+	if m.Confirmed.AgeMS >= 0 && (m.Kind == kindMember || m.Kind == kindUpdate) {
 		g.follower.ApplyConfirmation(m.Confirmed.confirmation(now))
 		g.forward()
 	}
@@ -366,6 +362,9 @@
 		g.acceptSubscription(m, from, now)
 	case kindUpdate:
 		g.acceptUpdate(m, from, now)
+	case kindAsk:
+		g.asking[m.From] = from
+		g.wakeSender()
 	}
 	return true
 }
@@ -390,12 +389,11 @@
 	}
 }
 
-// acceptSubscription notes a subscriber, which is sent an update soon if it is new.
-// The caller holds mu.
+// acceptSubscription notes a subscriber. A new one is sent an update soon, as is one that
+// takes this instance for a member although it is none. The caller holds mu.
 func (g *Gossiper) acceptSubscription(m *message, from netip.AddrPort, now time.Time) {
-	if _, known := g.subscribers[m.From]; !known {
-		g.updatesDue = true
-		g.sentMembers = nil
+	if _, known := g.subscribers[m.From]; !known || g.role == roleSubscriber {
+		g.asking[m.From] = from
 		g.wakeSender()
 	}
 	if m.Leaving {
@@ -403,11 +401,6 @@
 		return
 	}
 	g.subscribers[m.From] = subscriber{address: from, heardAt: now}
-	if g.role == roleSubscriber {
-		// The sender takes this instance for a member, so the next update shows it
-		// who is one.
-		g.updatesDue = true
-	}
 }
 
 // acceptUpdate takes the members that a relay lists. The caller holds mu.
@@ -434,15 +427,7 @@
 	if x := g.members[m.From]; x != nil {
 		x.noteVersion(&m.Confirmed)
 	}
-	switch {
-	case m.Leaving && m.From == g.relay.name:
-		g.relay.heardAt = time.Time{}
-	case m.Leaving:
-	case m.From == g.relay.name:
-		g.relay.heardAt, g.relay.searching = now, false
-	case g.relay.name == "" || g.relay.searching:
-		g.setRelay(m.From, now)
-	}
+	g.noteUpdate(m, now)
 }
 
 // noteVersion notes the configuration that the member has confirmed.
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -73,6 +73,8 @@
 	confirmedAt time.Time
 	readAt      time.Time
 	deltas      []egretflow.ServersDelta
+	// rechecked counts the calls of Recheck.
+	rechecked int
 	// behind makes it keep its version when another instance confirms a newer one.
 	behind bool
 }
@@ -97,6 +99,12 @@
 	return &egretflow.Configuration{Version: f.version}, egretflow.ServerList{ConfirmedAt: f.confirmedAt, Revision: int64(f.version)}
 }
 
+func (f *fakeFollower) Recheck() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rechecked++
+}
+
 // read stands for a read of the platform.
 func (f *fakeFollower) read(version uint64) {
 	f.mu.Lock()
--- a/gossiper/message.go
+++ b/gossiper/message.go
@@ -37,6 +37,8 @@
 	kindSubscribe messageKind = "Subscribe"
 	// kindUpdate is what a relay sends to its subscribers.
 	kindUpdate messageKind = "Update"
+	// kindAsk requests one update from a member.
+	kindAsk messageKind = "Ask"
 )
 
 // message is the content of one datagram, in CBOR.
@@ -124,7 +126,7 @@
 		return err
 	}
 	switch m.Kind {
-	case kindMember, kindSubscribe, kindUpdate:
+	case kindMember, kindSubscribe, kindUpdate, kindAsk:
 	default:
 		return &egretflow.FieldError{Field: "Kind", Reason: "is unknown"}
 	}
--- a/gossiper/send.go
+++ b/gossiper/send.go
@@ -30,6 +30,8 @@
 type datagram struct {
 	message *message
 	to      []netip.AddrPort
+	// answers reports whether it answers questions, so that the subscribers lack it.
+	answers bool
 }
 
 // schedule holds when the sender last sent each kind of message. Only the goroutine of
@@ -59,6 +61,7 @@
 		for _, d := range g.due(&s, g.collect(now), now) {
 			g.write(d)
 		}
+		g.recheck()
 		if !g.pauseAfterSend(ctx) {
 			return
 		}
@@ -77,15 +80,29 @@
 	g.expire(now)
 	list := g.dueToMembers(s, own, repeat, now)
 	list = append(list, g.dueToSubscribers(s, own, repeat, now)...)
+	list = append(list, g.answers(own, now)...)
 	if c := toConfirmation(own.confirmation, own.confirmation.ConfirmedAt, now); g.confirms(&c) {
 		s.repeatAt = now.Add(repeatDelay)
 	}
 	for _, d := range list {
-		g.noteSent(d.message)
+		if !d.answers {
+			g.noteSent(d.message)
+		}
 	}
 	return list
 }
 
+// recheck makes the follower read if the search for a relay has failed.
+func (g *Gossiper) recheck() {
+	g.mu.Lock()
+	due := g.recheckDue
+	g.recheckDue = false
+	g.mu.Unlock()
+	if due {
+		g.follower.Recheck()
+	}
+}
+
 // dueToMembers returns the message to the other members, or to the relay. The caller
 // holds mu.
 func (g *Gossiper) dueToMembers(s *schedule, own ownState, repeat bool, now time.Time) []datagram {
@@ -95,9 +112,8 @@
 	case g.role == roleMember && (due || repeat || now.Sub(s.memberAt) >= MemberInterval):
 		s.memberAt = now
 		return []datagram{g.memberMessage(own, now)}
-	case g.role == roleSubscriber && (g.chooseRelay(now) || due || now.Sub(s.subscribeAt) >= subscribeInterval):
-		s.subscribeAt = now
-		return []datagram{g.subscription(own)}
+	case g.role == roleSubscriber:
+		return g.dueToRelay(s, own, due, now)
 	}
 	return nil
 }
@@ -146,6 +162,9 @@
 		earlier(s.memberAt.Add(MemberInterval))
 	case roleSubscriber:
 		earlier(s.subscribeAt.Add(subscribeInterval))
+		if g.relay.name != "" {
+			earlier(g.relay.dueAt())
+		}
 	}
 	if len(g.subscribers) > 0 {
 		earlier(s.updateAt.Add(MemberInterval))
@@ -236,19 +255,6 @@
 	return len(ranked) > 0 && ranked[0].Name == g.cfg.Self.Name
 }
 
-// subscription returns the message to the relay. An instance that looks for a relay
-// asks all other members, because a whole failure domain may be lost; the first one
-// that answers becomes its relay. The caller holds mu.
-func (g *Gossiper) subscription(own ownState) datagram {
-	d := datagram{message: g.newMessage(kindSubscribe, own)}
-	for name, m := range g.members {
-		if (name == g.relay.name) != g.relay.searching {
-			d.to = append(d.to, m.Address)
-		}
-	}
-	return d
-}
-
 // update returns the message to the subscribers. The caller holds mu.
 func (g *Gossiper) update(own ownState, now time.Time) datagram {
 	m := g.newMessage(kindUpdate, own)
@@ -327,50 +333,3 @@
 	}
 	return crashes
 }
-
-// chooseRelay chooses a relay if this instance has none, and looks for another one if
-// its relay is silent. It reports whether a subscription is due. The caller holds mu.
-func (g *Gossiper) chooseRelay(now time.Time) bool {
-	_, known := g.members[g.relay.name]
-	switch {
-	case known && now.Sub(g.relay.heardAt) < relayTimeout:
-		return false
-	case g.relay.name == "":
-		next, ok := g.nextRelay()
-		if ok {
-			g.setRelay(next, now)
-		}
-		return ok
-	case g.relay.searching && now.Sub(g.relay.searchedAt) < MemberInterval:
-		return false
-	}
-	g.relay.searching, g.relay.searchedAt = true, now
-	return true
-}
-
-// setRelay makes a member the relay of this instance. The caller holds mu.
-func (g *Gossiper) setRelay(name egretflow.InstanceName, now time.Time) {
-	g.record(egretflow.EventRelayChanged, "From", string(g.relay.name), "To", string(name))
-	g.relay = relay{name: name, heardAt: now}
-}
-
-// nextRelay returns the member that ranks first for this instance, in its own failure
-// domain if that has any. The caller holds mu.
-func (g *Gossiper) nextRelay() (egretflow.InstanceName, bool) {
-	var own, other []egretflow.Member
-	for _, m := range g.members {
-		switch {
-		case m.leaving:
-		case m.FailureDomain == g.cfg.Self.FailureDomain:
-			own = append(own, m.Member)
-		default:
-			other = append(other, m.Member)
-		}
-	}
-	for _, members := range [][]egretflow.Member{own, other} {
-		if ranked := rendezvous.Rank("relay/"+string(g.cfg.Self.Name), members); len(ranked) > 0 {
-			return ranked[0].Name, true
-		}
-	}
-	return "", false
-}
--- a/registrar/reading.go
+++ b/registrar/reading.go
@@ -194,6 +194,10 @@
 	}
 }
 
+// Recheck makes this instance check at once whether it must read the servers, because
+// Config.Relayed has changed.
+func (r *Registrar) Recheck() { notify(r.wakeServers) }
+
 // rank returns the rank of this instance (see Config.Rank), or 0 if none is
 // configured.
 func (r *Registrar) rank() int {
