reserver: bound what the responses of all servers take in memory

What users saw: servers that hold bodies open just below the bound of one response made an instance with 134 MB of memory take 170 MB, which ends the requests of all its callers.

Cause: each response, head and event was bounded by itself; only the bodies of callers had a common room.

Change: package reserver is that room, taken out of the frontend. Heads, collected bodies, prefills, events above 2 KiB and the responses of engines and of the platform's store come from one of 15% of the memory limit, a quarter of which is kept for small responses. A response without room ends its request with 502, is not repeated and does not count against its server.

--- a/assembler/forwarding.go
+++ b/assembler/forwarding.go
@@ -24,6 +24,7 @@
 	"github.com/egretflow/egretflow/recorder"
 	"github.com/egretflow/egretflow/registrar"
 	"github.com/egretflow/egretflow/relayer"
+	"github.com/egretflow/egretflow/reserver"
 	"github.com/egretflow/egretflow/scheduler"
 	"github.com/egretflow/egretflow/supervisor"
 )
@@ -49,6 +50,8 @@
 	Directory egretflow.Directory
 	Dialect   egretflow.Dialect
 	Engines   egretflow.EngineClient
+	// Responses bounds what responses hold in memory together.
+	Responses *reserver.Reserver
 
 	// PeerConn, PeerListener and CoordinatorConn, if set, connect the instance with
 	// the others; this needs Store. They listen at the address of Self, the last one
@@ -108,7 +111,7 @@
 	f.relayer = relayer.New(relayer.Config{
 		Instance: name, Scheduler: requests, Recorder: cfg.Explainer, Checker: check, Clock: cfg.Clock,
 		Rand: cfg.newRand(), Dial: cfg.Dial, PrefillWasted: metrics.WastedPrefill, AttemptFailed: metrics.AttemptFailed,
-		Dialect: cfg.Dialect, Engines: cfg.Engines, Gate: f.registrar,
+		Dialect: cfg.Dialect, Engines: cfg.Engines, Gate: f.registrar, Responses: cfg.Responses,
 	})
 	f.frontend = frontend.New(frontend.Config{
 		Instance: name, Relayer: f.relayer, Tables: f.registrar.Tables, Recorder: cfg.Explainer, Checker: check,
--- a/cmd/egretflow/platform.go
+++ b/cmd/egretflow/platform.go
@@ -23,6 +23,7 @@
 	"github.com/egretflow/egretflow/picker"
 	"github.com/egretflow/egretflow/platform"
 	"github.com/egretflow/egretflow/recorder"
+	"github.com/egretflow/egretflow/reserver"
 	"github.com/egretflow/egretflow/supervisor"
 )
 
@@ -46,9 +47,11 @@
 	// the soft memory limit of the Go runtime.
 	memoryLimitShare = 0.7
 	// bodyMemoryShare is the part of the memory limit that the bodies of all open
-	// requests may take. The responses that are collected for them may take as much.
-	bodyMemoryShare = 0.2
-	megabyte        = 1 << 20
+	// requests may take, and responseMemoryShare the part for what backend servers and
+	// the platform send. A quarter of that is kept for small responses.
+	bodyMemoryShare     = 0.2
+	responseMemoryShare = 0.15
+	megabyte            = 1 << 20
 )
 
 type platformCommand struct {
@@ -111,7 +114,9 @@
 	logger.SetFormatter(explainer.Formatter{})
 	clock := egretflow.NewMonotonicClock(egretflow.SystemClock)
 	dialer := connector.NewDialer()
-	client := platform.NewClient(dialer.DialContext)
+	responseBytes := int64(responseMemoryShare * float64(s.MemoryMegabytes) * megabyte)
+	responses := reserver.New(responseBytes, responseBytes/4)
+	client := platform.NewClient(dialer.DialContext, responses)
 	metrics, err := recorder.New()
 	if err != nil {
 		return assembler.ForwardingConfig{}, fmt.Errorf("make metrics: %w", err)
@@ -128,7 +133,7 @@
 		Clock: clock, Rand: newRand(), Dial: dialer.DialContext, Explainer: events, Metrics: metrics, Policy: p.Policy,
 		Store: store, Incarnation: uint64(clock().UnixNano()), LeaseTTL: s.LeaseTTL(), Bootstrap: s.Bootstrap,
 		RetryBudget: s.RetryBudget(),
-		Directory:   directory, Dialect: platform.Dialect{}, Engines: platform.NewEngineClient(dialer.DialContext, clock),
+		Directory:   directory, Dialect: platform.Dialect{}, Engines: platform.NewEngineClient(dialer.DialContext, clock, responses), Responses: responses,
 		Limits: frontend.Limits{
 			LameDuck: lameDuck, DrainTimeout: s.GracePeriod() - lameDuck - cleanupTime,
 			MaxTotalBodyBytes: int64(bodyMemoryShare * float64(s.MemoryMegabytes) * megabyte),
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	c := connector.New(dialer.DialContext, nil)
+//	c := connector.New(dialer.DialContext, nil, reserver.New(8<<20, 0))
 //	resp, used, err := c.Open(req)
 //	if err != nil && !used {
 //		// no byte was written: the server has not executed the request
@@ -25,6 +25,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"github.com/egretflow/egretflow/reserver"
 )
 
 // DialFunc opens a connection, as net.Dialer.DialContext does.
@@ -41,11 +43,13 @@
 type Client struct {
 	dial DialFunc
 	tls  *tls.Config
+	// heads bounds what the heads of all responses take.
+	heads *reserver.Reserver
 }
 
-// New returns a Client. A nil tlsConfig means the default configuration with TLS
-// 1.2 or newer.
-func New(dial DialFunc, tlsConfig *tls.Config) *Client {
+// New returns a Client whose responses take the room for their heads from heads. A nil
+// tlsConfig means the default configuration with TLS 1.2 or newer.
+func New(dial DialFunc, tlsConfig *tls.Config, heads *reserver.Reserver) *Client {
 	dialWithTimeout := func(ctx context.Context, network, address string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 		defer cancel()
@@ -54,7 +58,7 @@
 	if tlsConfig == nil {
 		tlsConfig = &tls.Config{MinVersion: tls.VersionTLS12}
 	}
-	return &Client{dial: dialWithTimeout, tls: tlsConfig}
+	return &Client{dial: dialWithTimeout, tls: tlsConfig, heads: heads}
 }
 
 // IsConnRefused reports whether err is a refused connection: the host is reachable,
--- a/connector/open.go
+++ b/connector/open.go
@@ -9,6 +9,8 @@
 	"math"
 	"net"
 	"net/http"
+
+	"github.com/egretflow/egretflow/reserver"
 )
 
 const (
@@ -33,15 +35,17 @@
 		return nil, false, err
 	}
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
-	if resp, err = roundTrip(conn, req); err != nil {
+	head := c.heads.Part()
+	if resp, err = roundTrip(conn, req, head); err != nil {
 		stop()
 		conn.Close()
+		head.Free()
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
 		}
 		return nil, true, err
 	}
-	resp.Body = &connBody{ReadCloser: resp.Body, conn: conn, stop: stop}
+	resp.Body = &connBody{ReadCloser: resp.Body, conn: conn, stop: stop, head: head}
 	return resp, true, nil
 }
 
@@ -71,7 +75,7 @@
 // roundTrip writes req and reads the header of the response. A body longer than
 // maxSyncBodyBytes is written concurrently with the read, because the server may
 // respond before it has read the body.
-func roundTrip(conn net.Conn, req *http.Request) (*http.Response, error) {
+func roundTrip(conn net.Conn, req *http.Request, head *reserver.Part) (*http.Response, error) {
 	// The shallow copy keeps the caller's request unchanged.
 	outgoing := *req
 	outgoing.Close = true
@@ -81,7 +85,7 @@
 	} else {
 		written <- outgoing.Write(conn)
 	}
-	resp, err := readHeader(conn, req.Method)
+	resp, err := readHeader(conn, req.Method, head)
 	if err == nil {
 		return resp, nil
 	}
@@ -96,12 +100,12 @@
 }
 
 // readHeader reads the header of the final response and skips informational (1xx)
-// ones.
-func readHeader(conn net.Conn, method string) (*http.Response, error) {
+// ones. It adds what it reads to head.
+func readHeader(conn net.Conn, method string, head *reserver.Part) (*http.Response, error) {
 	// The response refers to its request. A new one without a body keeps the body
 	// of the sent request from staying in memory.
 	request := &http.Request{Method: method}
-	limited := &io.LimitedReader{R: conn, N: maxResponseHeaderBytes}
+	limited := &io.LimitedReader{R: head.Reader(conn), N: maxResponseHeaderBytes}
 	reader := bufio.NewReaderSize(limited, streamBufferBytes)
 	for {
 		resp, err := http.ReadResponse(reader, request)
@@ -109,7 +113,7 @@
 			return nil, fmt.Errorf("read header: %w", err)
 		}
 		if resp.StatusCode >= http.StatusOK {
-			limited.N = math.MaxInt64
+			limited.R, limited.N = conn, math.MaxInt64
 			return resp, nil
 		}
 	}
@@ -120,11 +124,13 @@
 	io.ReadCloser
 	conn net.Conn
 	stop func() bool
+	head *reserver.Part
 }
 
 // Close implements io.Closer. It closes the connection without reading the rest
 // of the body.
 func (b *connBody) Close() error {
 	b.stop()
+	b.head.Free()
 	return b.conn.Close()
 }
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -12,8 +12,8 @@
 	"github.com/egretflow/egretflow"
 	"github.com/egretflow/egretflow/recorder"
 	"github.com/egretflow/egretflow/relayer"
+	"github.com/egretflow/egretflow/reserver"
 	"github.com/labstack/echo/v4"
-	"golang.org/x/sync/semaphore"
 )
 
 // Authenticator finds the name of the caller or operator that a key belongs to.
@@ -111,8 +111,8 @@
 	cfg       Config
 	handler   http.Handler
 	startedAt time.Time
-	// bodyBytes limits the bytes of all bodies to MaxTotalBodyBytes.
-	bodyBytes    *semaphore.Weighted
+	// bodies bounds the bodies of all requests to MaxTotalBodyBytes.
+	bodies       *reserver.Reserver
 	openByCaller callerCounter
 	// randMu guards cfg.Rand.
 	randMu sync.Mutex
@@ -131,7 +131,7 @@
 // an http.Handler.
 func New(cfg Config) *Frontend {
 	cfg.Limits = cfg.Limits.withDefaults()
-	f := &Frontend{cfg: cfg, startedAt: cfg.Clock(), bodyBytes: semaphore.NewWeighted(cfg.Limits.MaxTotalBodyBytes), openByCaller: newCallerCounter(), open: newOpenRequests()}
+	f := &Frontend{cfg: cfg, startedAt: cfg.Clock(), bodies: reserver.New(cfg.Limits.MaxTotalBodyBytes, 0), openByCaller: newCallerCounter(), open: newOpenRequests()}
 	f.handover, f.startHandover = context.WithCancel(context.Background())
 	f.handler = f.routes()
 	return f
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -129,7 +128,9 @@
 		Usage    openai.Usage    `json:"usage"`
 		Transfer json.RawMessage `json:"kv_transfer_params"`
 	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	part := at.r.cfg.Responses.Part()
+	defer part.Free()
+	data, err := part.ReadAll(resp.Body, resp.ContentLength, maxResponseBytes)
 	if err != nil {
 		return nil, connectionFailure(ctx, server, fmt.Errorf("read prefill response: %w", err))
 	}
@@ -222,7 +223,7 @@
 	at.r.observeLoad(server, resp)
 	if resp.StatusCode != http.StatusOK {
 		defer resp.Body.Close()
-		f := readErrorResponse(server.Name, resp, at.r.now())
+		f := at.r.readErrorResponse(server.Name, resp)
 		if f.code == codeTransferFailed {
 			f.server = at.a.Prefill.Name
 		}
--- a/relayer/call.go
+++ b/relayer/call.go
@@ -12,6 +12,7 @@
 
 	"github.com/egretflow/egretflow"
 	"github.com/egretflow/egretflow/connector"
+	"github.com/egretflow/egretflow/reserver"
 	"github.com/pkg/errors"
 )
 
@@ -78,6 +79,9 @@
 	r      *Relayer
 	call   *Call
 	result Result
+	// response is what the response holds in memory, of a call that is read to its end
+	// before it is written.
+	response *reserver.Part
 	// mayHaveRun is set when a server may have run the call.
 	mayHaveRun atomic.Bool
 }
--- a/relayer/failure.go
+++ b/relayer/failure.go
@@ -4,12 +4,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/egretflow/egretflow"
 	"github.com/egretflow/egretflow/connector"
+	"github.com/egretflow/egretflow/reserver"
 	"github.com/pkg/errors"
 )
 
@@ -42,6 +42,8 @@
 	// failureError means that the server ran the request and responded with an error
 	// status.
 	failureError failureKind = "Error"
+	// failureNoRoom means that the responses of other requests take too much memory.
+	failureNoRoom failureKind = "NoRoom"
 	// failureRejected means that the request itself is invalid, so that every other
 	// server would reject it as well.
 	failureRejected failureKind = "Rejected"
@@ -112,20 +114,22 @@
 )
 
 // readErrorResponse reads and classifies an error response of an engine.
-func readErrorResponse(server egretflow.ServerName, resp *http.Response, now time.Time) *failure {
+func (r *Relayer) readErrorResponse(server egretflow.ServerName, resp *http.Response) *failure {
 	var body struct {
 		Error struct {
 			Code    any    `json:"code"`
 			Message string `json:"message"`
 		} `json:"error"`
 	}
+	part := r.cfg.Responses.Part()
+	defer part.Free()
 	// The fields stay empty if the body is not an error object.
-	data, _ := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	data, _ := part.ReadAll(resp.Body, resp.ContentLength, maxResponseBytes)
 	_ = json.Unmarshal(data, &body)
 	code, _ := body.Error.Code.(string)
 	return &failure{
 		kind: errorResponseKind(resp.StatusCode, code), server: server, status: resp.StatusCode, code: code,
-		message: body.Error.Message, retryAt: connector.RetryAt(resp.StatusCode, resp.Header, now), err: fmt.Errorf("status %d: %s %s", resp.StatusCode, code, body.Error.Message),
+		message: body.Error.Message, retryAt: connector.RetryAt(resp.StatusCode, resp.Header, r.now()), err: fmt.Errorf("status %d: %s %s", resp.StatusCode, code, body.Error.Message),
 	}
 }
 
@@ -150,7 +154,10 @@
 // request was sent. It is stalled if ctx ended with errStalled.
 func connectionFailure(ctx context.Context, server *egretflow.Server, err error) *failure {
 	kind := failureBroken
-	if errors.Is(context.Cause(ctx), errStalled) {
+	switch {
+	case errors.Is(err, reserver.ErrNoRoom):
+		kind = failureNoRoom
+	case errors.Is(context.Cause(ctx), errStalled):
 		kind = failureStalled
 	}
 	return &failure{kind: kind, server: server.Name, err: err}
--- a/relayer/forward.go
+++ b/relayer/forward.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -14,6 +13,7 @@
 	"github.com/egretflow/egretflow"
 	"github.com/egretflow/egretflow/admitter"
 	"github.com/egretflow/egretflow/connector"
+	"github.com/egretflow/egretflow/reserver"
 )
 
 const (
@@ -60,6 +60,8 @@
 	lastResponse *completeResponse
 	// lastActivityAt is when a server was last sent a request or last sent an event.
 	lastActivityAt time.Time
+	// responses is what the responses of all attempts hold in memory.
+	responses *reserver.Part
 	// successor is the reserved next attempt, if a check of the running one has found
 	// that its server does not respond; nil otherwise.
 	successor *successor
@@ -67,13 +69,14 @@
 
 func (r *Relayer) newForwardState(ctx context.Context, call *Call) *forwardState {
 	deadline, _ := ctx.Deadline()
-	return &forwardState{r: r, call: call, deadline: deadline, lastEventID: call.Terms.ResumeAfter}
+	return &forwardState{r: r, call: call, deadline: deadline, lastEventID: call.Terms.ResumeAfter, responses: r.cfg.Responses.Part()}
 }
 
 // Forward runs a forwarded call of a service pool and writes its response to w.
 // It writes only complete responses of servers.
 func (r *Relayer) Forward(ctx context.Context, call *Call, w http.ResponseWriter) (Result, error) {
 	f := r.newForwardState(ctx, call)
+	defer f.responses.Free()
 	defer f.releaseSuccessor()
 	err := f.run(ctx, func(work *egretflow.Work) error {
 		resp, err := f.attempt(ctx, work)
@@ -117,7 +120,7 @@
 		return nil, false
 	case f.runs > 0 && !f.call.Work.Idempotent:
 		return nil, false
-	case f.runs >= f.maxRuns(), f.unnumbered.Load():
+	case f.runs >= f.maxRuns(), f.unnumbered.Load(), cause.kind == failureNoRoom:
 		return nil, false
 	}
 	next := f.retryWork(work, cause, f.writtenEvents, f.lastEventAt())
@@ -238,8 +241,8 @@
 
 // readResponse reads a response to its end.
 func (f *forwardState) readResponse(ctx context.Context, s *egretflow.Server, resp *http.Response) (*completeResponse, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
-	if err == nil && len(body) > maxBufferedBytes {
+	body, err := f.responses.ReadAll(resp.Body, resp.ContentLength, maxBufferedBytes)
+	if errors.Is(err, reserver.ErrTooLarge) {
 		err = fmt.Errorf("response is larger than %d bytes", maxBufferedBytes)
 	}
 	if err != nil {
--- a/relayer/forwardstream.go
+++ b/relayer/forwardstream.go
@@ -38,6 +38,7 @@
 // incomplete and the connection to the caller must be aborted.
 func (r *Relayer) ForwardStream(ctx context.Context, call *Call, w http.ResponseWriter) (Result, error) {
 	f := &forwardedStream{forwardState: r.newForwardState(ctx, call), w: w}
+	defer f.responses.Free()
 	defer f.releaseSuccessor()
 	err := f.run(ctx, func(work *egretflow.Work) error { return f.attempt(ctx, work) }, w)
 	return f.result, err
@@ -200,7 +201,9 @@
 	if resp.StatusCode != http.StatusOK {
 		return &failure{kind: failureBroken, server: server.Name, delivered: true, status: resp.StatusCode, err: fmt.Errorf("prefill failed with status %d", resp.StatusCode)}
 	}
-	result, err := g.r.cfg.Engines.ReadPrefill(io.LimitReader(resp.Body, maxResponseBytes))
+	body := g.r.cfg.Responses.Part()
+	defer body.Free()
+	result, err := g.r.cfg.Engines.ReadPrefill(body.Reader(io.LimitReader(resp.Body, maxResponseBytes)))
 	if err != nil {
 		return g.connectionError(ctx, server, err)
 	}
@@ -296,7 +299,7 @@
 		if progress {
 			watch.begin()
 		}
-		data, err := readEvent(events)
+		data, err := g.readEvent(events)
 		event := parseEvent(data)
 		// An event without an id, such as a comment, is no progress: a stalled server
 		// may send some.
--- a/relayer/once.go
+++ b/relayer/once.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/reserver"
 	"github.com/pkg/errors"
 )
 
@@ -28,7 +28,8 @@
 
 // callOnce runs a non-idempotent call at most once (7).
 func (r *Relayer) callOnce(ctx context.Context, call *Call, w http.ResponseWriter) (Result, error) {
-	state := &callState{r: r, call: call}
+	state := &callState{r: r, call: call, response: r.cfg.Responses.Part()}
+	defer state.response.Free()
 	if r.cfg.Claimer == nil {
 		return state.result, &egretflow.Refusal{
 			Status: http.StatusServiceUnavailable, Reason: egretflow.RefusalStore, RunState: egretflow.RunStateNotRun,
@@ -146,9 +147,16 @@
 	resp, err := at.send(detached)
 	var body []byte
 	if err == nil {
-		body, err = io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
+		body, err = c.response.ReadAll(resp.Body, resp.ContentLength, maxBufferedBytes)
 	}
 	at.end(resp)
+	if errors.Is(err, reserver.ErrTooLarge) {
+		at.reportServed(c.r.now())
+		return nil, &egretflow.Refusal{
+			Status: http.StatusBadGateway, Reason: egretflow.RefusalBackend, RunState: egretflow.RunStateRan,
+			Message: fmt.Sprintf("the response is larger than %d bytes", maxBufferedBytes),
+		}
+	}
 	if err != nil {
 		var f *failure
 		if !errors.As(err, &f) {
@@ -158,11 +166,5 @@
 		return nil, f
 	}
 	at.reportServed(c.r.now())
-	if len(body) > maxBufferedBytes {
-		return nil, &egretflow.Refusal{
-			Status: http.StatusBadGateway, Reason: egretflow.RefusalBackend, RunState: egretflow.RunStateRan,
-			Message: fmt.Sprintf("the response is larger than %d bytes", maxBufferedBytes),
-		}
-	}
 	return &egretflow.Outcome{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -11,6 +11,7 @@
 	"github.com/egretflow/egretflow/admitter"
 	"github.com/egretflow/egretflow/connector"
 	"github.com/egretflow/egretflow/internal/openai"
+	"github.com/egretflow/egretflow/reserver"
 	"github.com/pkg/errors"
 	"golang.org/x/sync/singleflight"
 )
@@ -38,6 +39,9 @@
 	// AttemptFailed, if set, is called for each failed attempt. The reason is the
 	// kind of the failure, such as "Stalled".
 	AttemptFailed func(w *egretflow.Work, reason string)
+	// Responses bounds what the responses of servers take in memory together, for all
+	// requests. It is unbounded if nil.
+	Responses *reserver.Reserver
 	// TLS configures connections to servers of pools with ServerTLS.
 	TLS *tls.Config
 	// Dialect writes and reads the headers that are exchanged with servers of
@@ -72,7 +76,10 @@
 // New returns a Relayer that sends requests over connections of cfg.Dial.
 func New(cfg Config) *Relayer {
 	aborts, stop := context.WithCancel(context.Background())
-	return &Relayer{cfg: cfg, client: connector.New(cfg.Dial, cfg.TLS), aborts: aborts, stopAborts: stop}
+	if cfg.Responses == nil {
+		cfg.Responses = reserver.Unbounded()
+	}
+	return &Relayer{cfg: cfg, client: connector.New(cfg.Dial, cfg.TLS, cfg.Responses), aborts: aborts, stopAborts: stop}
 }
 
 // Close waits until no attempt is being opened, checked, aborted or freed. Aborts that are not acknowledged within releaseDelay are
--- a/relayer/resume.go
+++ b/relayer/resume.go
@@ -95,7 +95,7 @@
 	}
 	if resp.StatusCode != http.StatusOK {
 		defer resp.Body.Close()
-		f := readErrorResponse(s.server.Name, resp, s.r.now())
+		f := s.r.readErrorResponse(s.server.Name, resp)
 		if f.kind = failureBroken; resp.StatusCode == http.StatusNotFound && s.keptByEngine() {
 			f.kind = failureCrashed
 		}
--- a/relayer/streamevent.go
+++ b/relayer/streamevent.go
@@ -9,6 +9,8 @@
 	"strings"
 
 	"github.com/pkg/errors"
+
+	"github.com/egretflow/egretflow/reserver"
 )
 
 // eventKind says what the fields of an event make it.
@@ -108,16 +110,41 @@
 // that sends bytes without end.
 var errLargeEvent = errors.New("event is too large")
 
+// heldBytes returns what a buffer counts in forwardState.responses. Small ones, which
+// nearly all events have, are not counted.
+func heldBytes(buf []byte) int64 {
+	if cap(buf) <= eventBufferBytes {
+		return 0
+	}
+	return int64(cap(buf))
+}
+
+// readEvent reads one event and counts it in forwardState.responses, with what is kept
+// of the events before it.
+func (g *streamAttempt) readEvent(r *bufio.Reader) ([]byte, error) {
+	kept := heldBytes(g.lastEvent) + heldBytes(g.comments)
+	g.responses.Resize(kept)
+	return readEvent(r, func(event []byte) bool { return g.responses.Resize(kept + heldBytes(event)) })
+}
+
 // readEvent reads one SSE event, up to and including its empty line. On an error,
-// such as io.EOF, it also returns the incomplete event.
-func readEvent(r *bufio.Reader) ([]byte, error) {
+// such as io.EOF, it also returns the incomplete event. It calls reserve when the buffer
+// of the event has grown beyond eventBufferBytes, and fails if that returns false.
+func readEvent(r *bufio.Reader, reserve func(event []byte) bool) ([]byte, error) {
 	var event []byte
+	reserved := eventBufferBytes
 	for {
 		line, err := r.ReadSlice('\n')
 		event = append(event, line...)
 		if len(event) > maxEventBytes {
 			return event, errLargeEvent
 		}
+		if cap(event) > reserved {
+			if !reserve(event) {
+				return event, reserver.ErrNoRoom
+			}
+			reserved = cap(event)
+		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
--- /dev/null
+++ b/reserver/reserver_test.go
@@ -0,0 +1,79 @@
+package reserver
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"testing"
+	"testing/iotest"
+)
+
+// Guards against bodies that are each below their limit and together above that of the
+// process, and against large ones that leave no room for small ones.
+func TestPartsAreBoundedTogether(t *testing.T) {
+	r := New(1<<20, 256<<10)
+	var parts []*Part
+	for range 16 {
+		p := r.Part()
+		if _, err := p.ReadAll(bytes.NewReader(make([]byte, 200<<10)), -1, 1<<20); err == nil {
+			parts = append(parts, p)
+		} else if !errors.Is(err, ErrNoRoom) {
+			t.Fatal(err)
+		}
+	}
+	var held int64
+	for _, p := range parts {
+		held += p.Bytes()
+	}
+	if len(parts) == 0 || held > 768<<10 {
+		t.Errorf("%d large parts hold %d bytes", len(parts), held)
+	}
+	small := r.Part()
+	if _, err := small.ReadAll(bytes.NewReader(make([]byte, 30<<10)), 30<<10, 1<<20); err != nil {
+		t.Errorf("a small part gets no room: %v", err)
+	}
+	for _, p := range append(parts, small) {
+		p.Free()
+	}
+	if p := r.Part(); !p.Resize(768 << 10) {
+		t.Error("the parts were not freed")
+	}
+}
+
+// Guards against bytes that are lost or counted wrongly when a buffer grows, and against a
+// body above its limit.
+func TestReadAll(t *testing.T) {
+	for _, test := range []struct {
+		name            string
+		expected, limit int64
+		want            error
+	}{
+		{"Known", 100 << 10, 1 << 20, nil},
+		{"Unknown", -1, 1 << 20, nil},
+		{"Longer", 10, 1 << 20, nil},
+		{"AtLimit", -1, 100 << 10, nil},
+		{"AboveLimit", -1, 100<<10 - 1, ErrTooLarge},
+		{"KnownAboveLimit", 100 << 10, 50 << 10, ErrTooLarge},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			data := bytes.Repeat([]byte("abcde"), 20<<10)
+			p := New(1<<20, 0).Part()
+			got, err := p.ReadAll(iotest.HalfReader(bytes.NewReader(data)), test.expected, test.limit)
+			if !errors.Is(err, test.want) || err == nil && !bytes.Equal(got, data) {
+				t.Errorf("%d bytes, error %v; want %v", len(got), err, test.want)
+			}
+			if p.Bytes() < int64(cap(got)) {
+				t.Errorf("%d bytes are reserved for a buffer of %d", p.Bytes(), cap(got))
+			}
+		})
+	}
+}
+
+// Guards against a head without end that is only counted when it is complete.
+func TestReaderCountsWhatIsRead(t *testing.T) {
+	p := New(10<<10, 0).Part()
+	n, err := io.Copy(io.Discard, p.Reader(bytes.NewReader(make([]byte, 100<<10))))
+	if !errors.Is(err, ErrNoRoom) || n > 10<<10 {
+		t.Errorf("%d bytes were read, error %v", n, err)
+	}
+}
