gossiper: pass crash reports on at once

Cause: a subscriber sent its crash reports with its next subscription, up to 2 s later, its relay with its next message and that of each other member once more: in a large fleet a request that crashes servers was known everywhere after up to 4 s, later than the 3 s after which it counts as held back too late. A crash of a service woke no sender at all.

Change: every charged request wakes the gossiper, and an instance that receives a new report passes it on at once. A read from a relay that fails turns to another member without the delay of the hedge.

Result: TestCrashReportReachesAllSoon failed before and passes: 9 and 300 instances know of a crash after 0.5 s, with at most 5 datagrams an instance and 4 between each two members.

--- a/gossiper/directory.go
+++ b/gossiper/directory.go
@@ -154,8 +154,9 @@
 	return read, errors.Wrap(err, "read the platform")
 }
 
-// readHedged reads from the relay, and from another member as well if the relay has not
-// answered after readHedgeDelay. It returns the first reading, or an error if both fail.
+// readHedged reads from the relay, and from another member as well if the relay fails or
+// has not answered after readHedgeDelay. It returns the first reading, or an error if both
+// fail.
 func readHedged[T any](ctx context.Context, d *relayDirectory, relay netip.AddrPort, fromMember func(ctx context.Context, from netip.AddrPort) (T, error)) (T, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -170,18 +171,26 @@
 			results <- result{read, err}
 		}()
 	}
+	running := 1
 	start(relay)
+	startOther := sync.OnceFunc(func() {
+		if other, ok := d.otherMember(relay); ok {
+			running++
+			start(other)
+		}
+	})
 	hedge := time.NewTimer(readHedgeDelay)
 	defer hedge.Stop()
-	for running := 1; ; {
+	for {
 		select {
 		case <-hedge.C:
-			if other, ok := d.otherMember(relay); ok {
-				running++
-				start(other)
-			}
+			startOther()
 		case r := <-results:
-			if running--; r.err == nil || running == 0 {
+			if r.err == nil {
+				return r.read, nil
+			}
+			startOther()
+			if running--; running == 0 {
 				return r.read, r.err
 			}
 		}
--- a/gossiper/doc.go
+++ b/gossiper/doc.go
@@ -27,13 +27,14 @@
 //     by relayTimeout and a round trip, and costs a few datagrams and no store call. A
 //     subscriber that nobody answers reads the store itself until somebody does.
 //  4. Subscribers read the configuration and the servers from their relay, from another
-//     member as well if that takes readHedgeDelay, and from the store only if none of
-//     them answers. An instance that the store refuses
+//     member if that fails or takes readHedgeDelay, and from the store only if both
+//     fail. An instance that the store refuses
 //     reads from another member. A configuration is read from a member that has
 //     confirmed it, if there is one, so that no instance waits for a silent store.
 //  5. Each message carries the whole state of its sender and replaces the one
-//     before; older ones are ignored. Crash reports are sent crashSends times,
-//     and those with several losses every crashRepeatInterval after that.
+//     before; older ones are ignored. Crash reports are sent at once, crashSends
+//     times, and those with several losses every crashRepeatInterval after that. An
+//     instance that receives a new one passes it on at once.
 //  6. A member that stops says so in its last messages. It stays in the store until
 //     its lease is revoked or lapses.
 package gossiper
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -107,6 +107,8 @@
 	// sendCounts counts how often each crash report was sent. Only the goroutine of
 	// sendLoop uses it.
 	sendCounts map[crashKey]crashSent
+	// receivedCrashes holds the crash reports that were received.
+	receivedCrashes map[crashKey]struct{}
 	// senders holds the newest message of each sender.
 	senders map[egretflow.InstanceName]received
 	members map[egretflow.InstanceName]*member
@@ -153,7 +155,7 @@
 	roleKnown := make(chan struct{})
 	return &Gossiper{
 		cfg: cfg, wake: make(chan struct{}, 1), roleKnown: roleKnown, markRoleKnown: sync.OnceFunc(func() { close(roleKnown) }), role: roleNone,
-		sendCounts: map[crashKey]crashSent{}, senders: map[egretflow.InstanceName]received{},
+		sendCounts: map[crashKey]crashSent{}, receivedCrashes: map[crashKey]struct{}{}, senders: map[egretflow.InstanceName]received{},
 		members: map[egretflow.InstanceName]*member{}, subscribers: map[egretflow.InstanceName]subscriber{},
 		asking: map[egretflow.InstanceName]netip.AddrPort{}, relay: relay{search: searchNone},
 	}
@@ -323,10 +325,28 @@
 	}
 	if len(m.Crashes) > 0 {
 		g.cfg.State.MergeCrashReports(crashReports(m.Crashes, now))
+		if g.noteCrashes(m.Crashes) {
+			g.Wake()
+		}
 	}
 	return nil
 }
 
+// noteCrashes notes received crash reports, and reports whether one of them is new, so
+// that it must be passed on at once.
+func (g *Gossiper) noteCrashes(crashes []crash) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.receivedCrashes) > maxReceivedCrashes {
+		clear(g.receivedCrashes)
+	}
+	known := len(g.receivedCrashes)
+	for _, c := range crashes {
+		g.receivedCrashes[crashKey{c.Fingerprint, len(c.Servers)}] = struct{}{}
+	}
+	return len(g.receivedCrashes) > known
+}
+
 func unmapped(a netip.AddrPort) netip.AddrPort {
 	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
 }
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -25,6 +25,8 @@
 	crashes []egretflow.CrashReport
 	// part reports whether the last merged report is about a part.
 	part bool
+	// forwards makes it report what it has merged, as a scheduler does.
+	forwards bool
 	// received and merged are what other instances have sent.
 	received []egretflow.ServerHints
 	merged   int
@@ -54,6 +56,9 @@
 	s.merged += len(reports)
 	for _, r := range reports {
 		s.part = r.Part
+		if s.forwards && len(s.crashes) == 0 {
+			s.crashes = append(s.crashes, r)
+		}
 	}
 }
 
--- a/gossiper/message.go
+++ b/gossiper/message.go
@@ -19,6 +19,8 @@
 	maxMembers = 500
 	// maxCrashesPerMessage bounds the crash reports in one message.
 	maxCrashesPerMessage = 16
+	// maxReceivedCrashes bounds the received crash reports that are remembered.
+	maxReceivedCrashes = 1024
 	// maxAgeMS bounds the times in a message, so that they can be computed with.
 	maxAgeMS = 1 << 40
 	// crashSends is how often a crash report is sent, in case datagrams are lost.
--- a/gossiper/reports_test.go
+++ b/gossiper/reports_test.go
@@ -25,6 +25,36 @@
 	})
 }
 
+// Guards against instances that run a request which crashes servers for seconds after
+// another one has found that: a subscriber's report passes its relay, the other members
+// and their subscribers.
+func TestCrashReportReachesAllSoon(t *testing.T) {
+	for _, perDomain := range []int{3, 100} {
+		runFleet(t, 3, perDomain, func(x *fleet) {
+			for _, i := range x.instances {
+				i.state.forwards = true
+			}
+			from, before := x.instances[len(x.instances)-1], x.datagrams()
+			from.state.MergeCrashReports([]egretflow.CrashReport{{Fingerprint: 9, Servers: []egretflow.ServerName{"d0"}, ExpiresAt: time.Now().Add(time.Minute)}})
+			from.Wake()
+			time.Sleep(MemberInterval / 2)
+			missing := 0
+			for _, i := range x.instances {
+				if n, _ := i.state.mergedReports(); n == 0 {
+					missing++
+				}
+			}
+			if missing > 0 {
+				t.Errorf("%d of %d instances have not learned of the crash", missing, len(x.instances))
+			}
+			members := len(x.members())
+			if sent, most := x.datagrams()-before, 5*len(x.instances)+4*members*members; sent > most {
+				t.Errorf("%d datagrams for one report, want at most %d", sent, most)
+			}
+		})
+	}
+}
+
 // Guards against an instance that restarts after the first reports of a crashing part
 // and lets requests with it crash servers again, and against a report that turns from
 // one about a part into one about a request.
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -216,6 +216,9 @@
 	if work.Fingerprint == 0 && len(work.Parts) == 0 {
 		return
 	}
+	if t.cfg.OnServerLost != nil {
+		t.cfg.OnServerLost()
+	}
 	t.record(egretflow.EventCrashSuspect, work, a.assignment, append(fields, egretflow.EventField{Key: "Verdict", Value: string(t.verdict(work))}))
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -29,7 +29,8 @@
 	SharedRetryBudget *SharedRetryBudget
 	// OnServerLost, if set, is called when an attempt of this instance proves
 	// that a server is lost and this instance has not reported the loss to
-	// peers yet. The goroutine of Run calls it, so it must not block.
+	// peers yet, and when a request is charged with it. The goroutine of Run calls
+	// it, so it must not block.
 	OnServerLost func()
 	// MaxStreams is the number of open streams that one caller may have on a
 	// route without a limit of its own; 0 means DefaultMaxStreams.
