registrar, frontend: log by which configuration an instance decides

Cause: the logs could not tell whether an instance that decides by an old configuration had heard of the newer one, what it was doing then, and how old the version was that a refusal rests on.

Change: NewerVersionKnown names the version, the peer that reported it and what the instance was doing; RevisionInForce says for how long the version was known; Refused carries the version, the newest one known, the age of its last confirmation and whose that was. No decision changes.

--- a/assembler/forwarding.go
+++ b/assembler/forwarding.go
@@ -114,7 +114,7 @@
 		Dialect: cfg.Dialect, Engines: cfg.Engines, Gate: f.registrar, Responses: cfg.Responses,
 	})
 	f.frontend = frontend.New(frontend.Config{
-		Instance: name, Relayer: f.relayer, Tables: f.registrar.Tables, Recorder: cfg.Explainer, Checker: check,
+		Instance: name, Relayer: f.relayer, Tables: f.registrar.Tables, Configuration: f.registrar.Configuration, Recorder: cfg.Explainer, Checker: check,
 		Metrics: metrics, Clock: cfg.Clock, Rand: cfg.newRand(), Limits: cfg.Limits, Dialect: cfg.Dialect,
 	})
 	if err := metrics.ObserveState(cfg.Clock, f.metricsState); err != nil {
--- a/event.go
+++ b/event.go
@@ -57,6 +57,7 @@
 	EventShutdownStarted     EventName = "ShutdownStarted"
 	EventShutdownDone        EventName = "ShutdownDone"
 	EventConfigurationUnread EventName = "ConfigurationUnread"
+	EventNewerVersionKnown   EventName = "NewerVersionKnown"
 	EventStoreUnavailable    EventName = "StoreUnavailable"
 	EventStoreAvailable      EventName = "StoreAvailable"
 	EventOldReading          EventName = "OldReading"
--- a/fleet.go
+++ b/fleet.go
@@ -37,9 +37,23 @@
 	ConfirmedAt time.Time
 }
 
+// ConfigurationState says by which version of the configuration an instance decides,
+// and how certain it is that no newer one is in force.
+type ConfigurationState struct {
+	Version uint64
+	// ConfirmedAt is when the version was last known to be the newest one, and
+	// ConfirmedBy the instance that read it then.
+	ConfirmedAt time.Time
+	ConfirmedBy InstanceName
+	// KnownVersion is the highest version that another instance has reported.
+	KnownVersion uint64
+}
+
 // Confirmation is the state of the platform that an instance knows to be
 // current, as it passes it on to peers.
 type Confirmation struct {
+	// From is the instance that sent the confirmation.
+	From InstanceName
 	// Servers is a hash of the set of backend servers. Revision is the revision
 	// of the platform's store at which that set was read, and Version that of
 	// the configuration.
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -91,14 +91,17 @@
 	Instance egretflow.InstanceName
 	Relayer  *relayer.Relayer
 	// Tables returns the current tables, or nil while there are none.
-	Tables   func() *egretflow.Tables
-	Callers  Authenticator
-	Recorder egretflow.Recorder
-	Checker  egretflow.Checker
-	Metrics  *recorder.Metrics
-	Clock    egretflow.Clock
-	Rand     *rand.Rand
-	Limits   Limits
+	Tables func() *egretflow.Tables
+	// Configuration, if set, returns by which version of the configuration the
+	// instance decides.
+	Configuration func() egretflow.ConfigurationState
+	Callers       Authenticator
+	Recorder      egretflow.Recorder
+	Checker       egretflow.Checker
+	Metrics       *recorder.Metrics
+	Clock         egretflow.Clock
+	Rand          *rand.Rand
+	Limits        Limits
 	// TLS, if set, is used to serve callers over TLS.
 	TLS *tls.Config
 	// Dialect, if set, makes the frontend forward requests unchanged by host and
--- a/frontend/refusal.go
+++ b/frontend/refusal.go
@@ -122,9 +122,25 @@
 	if f.cfg.Dialect == nil {
 		fields = append(fields, x.callerID())
 	}
+	if f.cfg.Configuration != nil {
+		fields = append(fields, configurationFields(f.cfg.Configuration(), f.cfg.Clock())...)
+	}
 	f.record(egretflow.EventRefused, x.id, fields...)
 }
 
+// configurationFields returns by which version of the configuration a request was
+// judged, and how old its last confirmation is; -1 if there is none.
+func configurationFields(s egretflow.ConfigurationState, now time.Time) []egretflow.EventField {
+	age := int64(-1)
+	if !s.ConfirmedAt.IsZero() {
+		age = now.Sub(s.ConfirmedAt).Milliseconds()
+	}
+	return []egretflow.EventField{
+		field("version", strconv.FormatUint(s.Version, 10)), field("known_version", strconv.FormatUint(s.KnownVersion, 10)),
+		field("confirmed_ms", strconv.FormatInt(age, 10)), field("confirmed_by", string(s.ConfirmedBy)),
+	}
+}
+
 // abortIfGone closes the connection of a caller that has disconnected. If the handler
 // just returned, net/http would write an empty answer with status 200. A caller that
 // has closed only its own direction would receive it.
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -317,7 +317,9 @@
 		return nil
 	}
 	if m.Confirmed.AgeMS >= 0 && (m.Kind == kindMember || m.Kind == kindUpdate) {
-		g.follower.ApplyConfirmation(m.Confirmed.confirmation(now))
+		c := m.Confirmed.confirmation(now)
+		c.From = m.From
+		g.follower.ApplyConfirmation(c)
 		g.forward()
 	}
 	if len(m.Hints.Changing)+len(m.Hints.Lost) > 0 {
--- a/registrar/reading.go
+++ b/registrar/reading.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -52,14 +53,53 @@
 	// list, and mismatchAt is when this instance learned of it.
 	peerRevision int64
 	mismatchAt   time.Time
-	// peerVersion is the highest configuration version that a peer has reported.
-	peerVersion uint64
+	// peerVersion is the highest configuration version that a peer has reported, and
+	// peerVersionAt when it did so first.
+	peerVersion   uint64
+	peerVersionAt time.Time
+	// confirmedBy is the instance whose reading set confirmedAt.
+	confirmedBy egretflow.InstanceName
 	failures    int
 	// configurationDue reports whether this instance must read the configuration
 	// although no peer has reported a higher version.
 	configurationDue bool
 }
 
+// activity is what the goroutine that keeps the configuration up to date does.
+type activity string
+
+const (
+	activityRead  activity = "Read"
+	activityWatch activity = "Watch"
+	activityWait  activity = "Wait"
+	activityPause activity = "Pause"
+)
+
+// setActivity notes what the goroutine does from now on.
+func (r *Registrar) setActivity(a activity) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.activity = a
+}
+
+// knownFor returns for how many milliseconds a version, or a newer one, has been known
+// from other instances; 0 if none has reported it.
+func (r *readSchedule) knownFor(version uint64, now time.Time) string {
+	if r.peerVersion < version {
+		return "0"
+	}
+	return strconv.FormatInt(now.Sub(r.peerVersionAt).Milliseconds(), 10)
+}
+
+// Configuration returns the state of the configuration by which this instance decides.
+func (r *Registrar) Configuration() egretflow.ConfigurationState {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return egretflow.ConfigurationState{
+		Version: r.state.version(), ConfirmedAt: r.schedule.confirmedAt, ConfirmedBy: r.schedule.confirmedBy, KnownVersion: r.schedule.peerVersion,
+	}
+}
+
 // due returns the time at which this instance must read the servers. mismatch
 // reports whether a peer has read a different list, relayed whether this instance
 // reads through a relay.
@@ -150,7 +190,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if c.Version > max(r.schedule.peerVersion, r.state.version()) {
-		r.schedule.peerVersion = c.Version
+		r.schedule.peerVersion, r.schedule.peerVersionAt = c.Version, r.cfg.Clock()
+		r.record(egretflow.EventNewerVersionKnown, "Version", strconv.FormatUint(c.Version, 10), "InForce", strconv.FormatUint(r.state.version(), 10),
+			"From", string(c.From), "During", string(r.activity))
 		notify(r.wakeConfiguration)
 	}
 	r.applyPeerServers(&c)
@@ -173,7 +215,7 @@
 	case c.Servers == r.state.fingerprint:
 		r.state.storeRevision = max(r.state.storeRevision, c.Revision)
 		if c.ReadAt.After(r.schedule.confirmedAt) {
-			r.schedule.confirmedAt, r.schedule.failures = c.ReadAt, 0
+			r.schedule.confirmedAt, r.schedule.failures, r.schedule.confirmedBy = c.ReadAt, 0, c.From
 		}
 	case newer && !r.mismatch():
 		r.schedule.peerRevision, r.schedule.mismatchAt = c.Revision, r.cfg.Clock()
@@ -227,8 +269,10 @@
 // or until they have rank 0 themselves.
 func (r *Registrar) awaitConfiguration(ctx context.Context) error {
 	if r.rank() == 0 {
+		r.setActivity(activityWatch)
 		return r.cfg.Directory.AwaitChange(ctx)
 	}
+	r.setActivity(activityWait)
 	for ctx.Err() == nil && r.rank() != 0 {
 		r.mu.Lock()
 		due := r.schedule.configurationDue || r.schedule.peerVersion > r.state.version()
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -52,6 +52,7 @@
 	mu          sync.Mutex
 	state       state
 	schedule    readSchedule
+	activity    activity
 	tables      *egretflow.Tables
 	subscribers []func(t *egretflow.Tables)
 }
@@ -98,6 +99,7 @@
 // change, until ctx ends.
 func (r *Registrar) syncConfiguration(ctx context.Context) {
 	for failures := 0; ctx.Err() == nil; {
+		r.setActivity(activityRead)
 		c, err := r.cfg.Directory.Configuration(ctx)
 		if err == nil {
 			r.applyConfiguration(c)
@@ -110,6 +112,7 @@
 		}
 		failures++
 		r.handleConfigurationError(ctx, failures, err)
+		r.setActivity(activityPause)
 		pause(ctx, retryAfter(failures, r.rank()))
 	}
 }
@@ -176,7 +179,8 @@
 	if !r.state.applyConfiguration(c) {
 		return
 	}
-	r.record(egretflow.EventRevisionInForce, "Version", strconv.FormatUint(c.Version, 10), "Routes", strconv.Itoa(len(c.Routes)))
+	r.record(egretflow.EventRevisionInForce, "Version", strconv.FormatUint(c.Version, 10), "Routes", strconv.Itoa(len(c.Routes)),
+		"KnownForMs", r.schedule.knownFor(c.Version, r.cfg.Clock()))
 	r.publish()
 }
 
@@ -194,7 +198,7 @@
 	}
 	r.schedule.attemptedAt, r.schedule.failures = readAt, 0
 	if list.ConfirmedAt.IsZero() {
-		r.schedule.confirmedAt, r.schedule.succeededAt = readAt, readAt
+		r.schedule.confirmedAt, r.schedule.succeededAt, r.schedule.confirmedBy = readAt, readAt, r.cfg.Instance
 	} else if list.ConfirmedAt.After(r.schedule.confirmedAt) {
 		r.schedule.confirmedAt = list.ConfirmedAt
 	}
