--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -94,7 +94,7 @@
 func configuration(version uint64) *egretflow.Configuration {
 	return &egretflow.Configuration{
 		Version: version, Pools: []egretflow.Pool{{Name: "desk", Kind: egretflow.PoolKindService}},
-		Routes: []egretflow.Route{{Name: "r", Host: "h", PathPrefix: "/", Pool: "desk", Patience: egretflow.Duration(version)}},
+		Routes: []egretflow.Route{{Name: "r", Host: "h", PathPrefix: "/", Pool: "desk", Importance: egretflow.ImportanceNormal, Patience: egretflow.Duration(version)}},
 	}
 }
 
