frontend: answer 404 only by a configuration that is known to be the newest one

Cause: an instance that knew of a newer configuration, or whose configuration nobody had confirmed for seconds, still answered 404 for a route that it lacked. Callers do not come back after a 404, so those of an added route were turned away for good.

Change: such an instance answers 503 with Retry-After; the request has not run. The limit is 3 s, which covers a watch and a message of a relay.

--- a/frontend/forward.go
+++ b/frontend/forward.go
@@ -29,6 +29,10 @@
 	// callerRetryMinShare counts as a first one with a short deadline.
 	callerRetryMinShare = 0.5
 	callerRetryMaxShare = 0.84
+	// maxConfirmationAge is the age of the last confirmation up to which a configuration
+	// counts as the newest one. Between two confirmations lie one watch of the platform
+	// and one message of a relay.
+	maxConfirmationAge = 3 * time.Second
 	// forwardRetryAfter is the longest time after which callers are asked to retry
 	// when the refusal has no estimate; jitter shortens it by up to half.
 	forwardRetryAfter = time.Second
@@ -85,6 +89,19 @@
 	return refusal
 }
 
+// refuseUnknownRoute returns the refusal of a request that no route serves. That is final
+// for the caller only if the configuration is known to be the newest one: otherwise the
+// caller may retry, at another instance.
+func (f *Frontend) refuseUnknownRoute(err error) *egretflow.Refusal {
+	if f.cfg.Configuration != nil {
+		s := f.cfg.Configuration()
+		if s.Behind() || f.cfg.Clock().Sub(s.ConfirmedAt) > maxConfirmationAge {
+			return f.refuseForwarded(egretflow.RefusalNoServer, "the configuration may not be the newest one, and has no route for this host and path")
+		}
+	}
+	return refuse(http.StatusNotFound, egretflow.RefusalForbidden, "no route serves this host and path", err)
+}
+
 // serveForwarded passes a request to a server in the pool of its route.
 func (f *Frontend) serveForwarded(c echo.Context) error {
 	x, r := requestOf(c), c.Request()
@@ -92,7 +109,7 @@
 	tables := f.cfg.Tables()
 	route, err := tables.RouteForHost(r.Host, r.URL.Path)
 	if err != nil {
-		return refuse(http.StatusNotFound, egretflow.RefusalForbidden, "no route serves this host and path", err)
+		return f.refuseUnknownRoute(err)
 	}
 	pool, ok := tables.Pool(route.PoolOf(xxhash.Sum64String(terms.ID)))
 	if !ok {
