gossiper: read the servers in time although the store refuses all members

Subscribers read the list of servers through relays only. If the store refuses all registered instances, nobody read it, although it answers others, and gone servers went on getting work.

In an outage of the whole store this adds no call.

--- a/gossiper/directory.go
+++ b/gossiper/directory.go
@@ -114,9 +114,12 @@
 	return result, errors.Wrap(err, "watch the platform")
 }
 
-// Servers implements egretflow.Directory.
+// Servers implements egretflow.Directory. A subscriber whose list nobody confirms reads the
+// store if that has answered its reads of the configuration: it may refuse all members.
 func (d *relayDirectory) Servers(ctx context.Context) (egretflow.ServerList, error) {
-	return readInOrder(ctx, d, true, func(ctx context.Context, from netip.AddrPort) (egretflow.ServerList, error) {
+	known := d.follower.Confirmation().ConfirmedAt
+	stale := !known.IsZero() && d.cfg.Clock().Sub(known) >= memberTimeout
+	return readInOrder(ctx, d, !stale || !d.storeAnswers(), func(ctx context.Context, from netip.AddrPort) (egretflow.ServerList, error) {
 		var s serversSnapshot
 		if _, err := d.read(ctx, from, serversPath, &s); err != nil {
 			return egretflow.ServerList{}, err
--- a/gossiper/doc.go
+++ b/gossiper/doc.go
@@ -32,7 +32,8 @@
 //     configuration is read from instances that have a newer one, if there are any, so
 //     that no instance waits for a silent store. A subscriber whose configuration nobody
 //     has confirmed for configwatcher.StaleAfter reads the store and tells its relay,
-//     because the store may refuse all members.
+//     because the store may refuse all members. If that succeeds, it does the same for
+//     the servers.
 //  5. Each message carries the whole state of its sender and replaces the one
 //     before; older ones are ignored. Crash reports are sent at once, crashSends
 //     times, and those with several losses every crashRepeatInterval after that. An
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -121,8 +121,10 @@
 	// instances is the size of the fleet as the member with rank 0 counts it; 0
 	// if unknown.
 	instances int
-	// storeFailing reports whether the last call of the store by this instance failed.
-	storeFailing bool
+	// storeFailing reports whether the last call of the store by this instance failed, and
+	// storeAnsweredAt is when the last one that did not ended.
+	storeFailing    bool
+	storeAnsweredAt time.Time
 	// sentServers, sentVersion and sentMembers are what the last messages carried.
 	sentServers uint64
 	sentVersion uint64
--- a/gossiper/message.go
+++ b/gossiper/message.go
@@ -211,11 +211,11 @@
 	return s
 }
 
-// confirmation returns what a message says of the platform. Subscriptions and questions
-// say nothing of the servers.
+// confirmation returns what a message says of the platform. Its ReadAt is zero if that is
+// nothing about the servers.
 func (m *message) confirmation(now time.Time) egretflow.Confirmation {
 	c := egretflow.Confirmation{From: m.From, Configuration: m.Configuration.state(now)}
-	if m.Confirmed.AgeMS < 0 || m.Kind != kindMember && m.Kind != kindUpdate {
+	if m.Confirmed.AgeMS < 0 {
 		return c
 	}
 	at := now.Add(-time.Duration(m.Confirmed.AgeMS) * time.Millisecond)
--- a/gossiper/reader.go
+++ b/gossiper/reader.go
@@ -83,6 +83,13 @@
 	return g.storeFailing && len(readers) > 0 && g.failing(readers[0].Name) == 0
 }
 
+// storeAnswers reports whether the store has answered this instance lately.
+func (g *Gossiper) storeAnswers() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.storeFailing && g.cfg.Clock().Sub(g.storeAnsweredAt) < memberTimeout
+}
+
 // noteStoreCall notes the outcome of a call of the store by this instance. Other errors
 // than ErrUnavailable are answers.
 func (g *Gossiper) noteStoreCall(ctx context.Context, err error) {
@@ -92,6 +99,9 @@
 	failing := errors.Is(err, egretflow.ErrUnavailable)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if !failing {
+		g.storeAnsweredAt = g.cfg.Clock()
+	}
 	if g.storeFailing == failing {
 		return
 	}
--- a/gossiper/relay.go
+++ b/gossiper/relay.go
@@ -96,6 +96,7 @@
 // and those that were asked are silent. The caller holds mu.
 func (g *Gossiper) subscription(own ownState, now time.Time) datagram {
 	d := datagram{message: g.newMessage(kindSubscribe, own, now)}
+	d.message.Confirmed = toConfirmation(own.confirmation, own.confirmation.ReadAt, now)
 	all := g.relay.search == searchSubscribed || g.relay.search == searchFailed
 	for name, m := range g.members {
 		if all || name == g.relay.name {
--- a/registrar/fleet_test.go
+++ b/registrar/fleet_test.go
@@ -27,6 +27,8 @@
 	watchTimeout = 1400 * time.Millisecond
 	watchTime    = time.Second
 	storeLatency = 4 * time.Millisecond
+	// registeredServers is the number of servers at the start.
+	registeredServers = 20
 	// settleTime is how long a fleet takes to start.
 	settleTime = 10 * time.Second
 )
@@ -49,6 +51,8 @@
 	changed chan struct{}
 	reads   int
 	watches int
+	// gone is the number of servers that are no longer registered.
+	gone int
 	// serversTake is how long a read of the servers takes.
 	serversTake time.Duration
 }
@@ -61,6 +65,13 @@
 	s.changed = make(chan struct{})
 }
 
+// remove removes server n, which is the first one that is left.
+func (s *sharedStore) remove(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gone = n + 1
+}
+
 func (s *sharedStore) calls() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -127,7 +138,13 @@
 	if err := a.call(ctx, took); err != nil {
 		return egretflow.ServerList{}, err
 	}
-	return egretflow.ServerList{Entries: []egretflow.ServerEntry{server(1)}, Revision: 1}, nil
+	a.sharedStore.mu.Lock()
+	defer a.sharedStore.mu.Unlock()
+	list := egretflow.ServerList{Revision: int64(1 + a.gone)}
+	for n := a.gone; n < registeredServers; n++ {
+		list.Entries = append(list.Entries, server(n))
+	}
+	return list, nil
 }
 
 // await waits until the configuration has another version than the one read, and
@@ -261,69 +278,91 @@
 	return ranked
 }
 
-// apply writes a version and returns how long the slowest instance takes to put it in
-// force, at most longest, and how many have not done so then.
-func (x *connectedFleet) apply(version uint64, longest time.Duration) (time.Duration, int) {
-	written := time.Now()
-	x.store.write(version)
-	behind := len(x.instances)
-	for behind > 0 && time.Since(written) < longest {
+// wait waits until all instances know a change, at most for longest. It returns how long
+// that took and how many do not know it then.
+func (x *connectedFleet) wait(longest time.Duration, knows func(i *node) bool) (time.Duration, int) {
+	started, behind := time.Now(), len(x.instances)
+	for behind > 0 && time.Since(started) < longest {
 		time.Sleep(10 * time.Millisecond)
 		behind = 0
 		for _, i := range x.instances {
-			if versionOf(i.Registrar) < int(version) {
+			if !knows(i) {
 				behind++
 			}
 		}
 	}
-	return time.Since(written), behind
+	return time.Since(started), behind
 }
 
-// Guards against a configuration that is in force late while the store refuses some
-// instances, on them and on the others.
-func TestChangeIsInForceInTimeWhileStoreRefusesInstances(t *testing.T) {
+// refusalCase is a fleet of which the store refuses some instances.
+type refusalCase struct {
+	Name               string
+	Domains, PerDomain int
+	// Refuses is Reader or Half, which are those that read first.
+	Refuses       string
+	How           refusal
+	ServersTakeMS int
+	Changes       int
+	// BoundMS is the time that deployments of this size allow from the acknowledgement of
+	// a change until all instances act on it.
+	BoundMS int
+}
+
+// play makes changes at different times after the last reading, and checks that all
+// instances know each of them in time.
+func (c *refusalCase) play(t *testing.T, change func(x *connectedFleet, n int), knows func(i *node, n int) bool) {
+	x := startFleet(t, c.Domains, c.PerDomain)
+	bound, ranked, refused := time.Duration(c.BoundMS)*time.Millisecond, x.byRank(), 1
+	if c.Refuses == "Half" {
+		refused = len(ranked) / 2
+	}
+	x.store.mu.Lock()
+	x.store.serversTake = time.Duration(c.ServersTakeMS) * time.Millisecond
+	x.store.mu.Unlock()
+	for _, i := range ranked[:refused] {
+		i.access.refuse(c.How)
+	}
+	for n := range c.Changes {
+		time.Sleep(time.Duration(n) * 170 * time.Millisecond)
+		change(x, n)
+		if took, behind := x.wait(2*bound, func(i *node) bool { return knows(i, n) }); took > bound {
+			t.Errorf("change %d is known after %v (%d of %d instances are behind then), want at most %v", n, took, behind, len(ranked), bound)
+		}
+		time.Sleep(time.Second)
+	}
+}
+
+// playRefusals runs f for each case of testdata/refusals.json in virtual time.
+func playRefusals(t *testing.T, f func(t *testing.T, c *refusalCase)) {
 	data, err := os.ReadFile("testdata/refusals.json")
 	if err != nil {
 		t.Fatal(err)
 	}
-	var cases []struct {
-		Name               string
-		Domains, PerDomain int
-		// Refuses is Reader or Half, which are those that read first.
-		Refuses       string
-		How           refusal
-		ServersTakeMS int
-		Changes       int
-		// BoundMS is the time that deployments of this size allow from the
-		// acknowledgement of a configuration until all instances decide by it.
-		BoundMS int
-	}
+	var cases []refusalCase
 	if err := json.Unmarshal(data, &cases); err != nil {
 		t.Fatal(err)
 	}
-	for _, c := range cases {
-		t.Run(c.Name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				x := startFleet(t, c.Domains, c.PerDomain)
-				bound, ranked, refused := time.Duration(c.BoundMS)*time.Millisecond, x.byRank(), 1
-				if c.Refuses == "Half" {
-					refused = len(ranked) / 2
-				}
-				x.store.mu.Lock()
-				x.store.serversTake = time.Duration(c.ServersTakeMS) * time.Millisecond
-				x.store.mu.Unlock()
-				for _, i := range ranked[:refused] {
-					i.access.refuse(c.How)
-				}
-				for n := range c.Changes {
-					// The changes come at different times after the last reading.
-					time.Sleep(time.Duration(n) * 170 * time.Millisecond)
-					if took, behind := x.apply(uint64(2+n), 2*bound); took > bound {
-						t.Errorf("change %d is in force after %v (%d of %d instances are behind then), want at most %v", n, took, behind, len(ranked), bound)
-					}
-					time.Sleep(time.Second)
-				}
-			})
+	for n := range cases {
+		t.Run(cases[n].Name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { f(t, &cases[n]) })
 		})
 	}
 }
+
+// Guards against a configuration that is in force late while the store refuses some
+// instances, on them and on the others.
+func TestChangeIsInForceInTimeWhileStoreRefusesInstances(t *testing.T) {
+	playRefusals(t, func(t *testing.T, c *refusalCase) {
+		c.play(t, func(x *connectedFleet, n int) { x.store.write(uint64(2 + n)) },
+			func(i *node, n int) bool { return versionOf(i.Registrar) >= 2+n })
+	})
+}
+
+// Guards against work for a server that is gone, from instances that the store refuses
+// or whose reader it refuses.
+func TestGoneServerIsKnownInTimeWhileStoreRefusesInstances(t *testing.T) {
+	playRefusals(t, func(t *testing.T, c *refusalCase) {
+		c.play(t, func(x *connectedFleet, n int) { x.store.remove(n) },
+			func(i *node, n int) bool { return !i.AcceptsWork(server(n).Server.Name) })
+	})
+}
