registrar: bound the calls of the store for the configuration

Cause: nothing held the number of watches and reads that the fleet makes; with two watchers it must not grow with the number of instances either.

Change: TestConfigurationCallsStayFlat counts them at 15, 100 and 300 instances; unknown kinds of refusals in testdata/refusals.json fail.

--- a/registrar/fleet_test.go
+++ b/registrar/fleet_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"os"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -343,6 +344,11 @@
 		t.Fatal(err)
 	}
 	for n := range cases {
+		switch cases[n].How {
+		case refusalSilent, refusalUnavailable, refusalSilentWatch:
+		default:
+			t.Fatalf("%s: unknown refusal %q", cases[n].Name, cases[n].How)
+		}
 		t.Run(cases[n].Name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { f(t, &cases[n]) })
 		})
@@ -366,3 +372,25 @@
 			func(i *node, n int) bool { return !i.AcceptsWork(server(n).Server.Name) })
 	})
 }
+
+// Guards against calls of the store for the configuration that grow with the number of
+// instances.
+func TestConfigurationCallsStayFlat(t *testing.T) {
+	const (
+		period = 10 * time.Second
+		// calmCalls is the number of calls of two watchers, each of which watches for watchTime.
+		calmCalls = 2 * int(period/watchTime)
+	)
+	for _, perDomain := range []int{3, 20, 60} {
+		t.Run(strconv.Itoa(perDomain), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				x := startFleet(t, 5, perDomain)
+				before := x.store.calls()
+				time.Sleep(period)
+				if calls := x.store.calls() - before; calls > calmCalls {
+					t.Errorf("%d calls in %v, want at most %d", calls, period, calmCalls)
+				}
+			})
+		})
+	}
+}
