recorder, registrar: metrics of the configuration; one copy of the takeover and retry delays

Cause: metrics showed the age of the list of servers only, so an instance that is behind with the configuration could not be seen from outside. registrar and configwatcher each had the same takeover and retry delays.

Change: three gauges, version in force, newest known version and age of the last confirmation. registrar uses configwatcher.TakeoverAge and RetryAfter.

Result: TestScrapeHasAllMetrics covers the gauges; tests of recorder, configwatcher, registrar, assembler and frontend pass.

--- a/assembler/forwarding.go
+++ b/assembler/forwarding.go
@@ -147,7 +147,9 @@
 
 // metricsState returns the state that the metrics report.
 func (f *Forwarding) metricsState() recorder.State {
-	return readMetricsState(f.scheduler, f.registrar, f.cfg.Explainer)
+	state := readMetricsState(f.scheduler, f.registrar, f.cfg.Explainer)
+	state.Configuration = f.registrar.Configuration()
+	return state
 }
 
 // readMetricsState reads the state of the components for one scrape.
--- a/configwatcher/schedule.go
+++ b/configwatcher/schedule.go
@@ -81,18 +81,24 @@
 func (s *state) next(p position) (activity, time.Time) {
 	switch {
 	case s.Version == 0 || s.readDue || s.Behind():
-		return activityRead, s.readEndedAt.Add(retryAfter(s.failures, p.rank))
+		return activityRead, s.readEndedAt.Add(RetryAfter(s.failures, p.rank))
 	case p.watches:
-		return activityWatch, s.watchFailedAt.Add(retryAfter(s.watchFailures, p.rank))
+		return activityWatch, s.watchFailedAt.Add(RetryAfter(s.watchFailures, p.rank))
 	case p.relayed:
 		return activityRead, later(s.ConfirmedAt.Add(StaleAfter+p.spread), s.readEndedAt.Add(max(minReadInterval, relayedRetryAfter(s.failures))))
 	}
-	wait := takeoverAfter + time.Duration(min(max(0, p.rank-1), takeoverRanks))*takeoverStep
-	return activityRead, later(s.ConfirmedAt.Add(wait), s.readEndedAt.Add(max(minReadInterval, retryAfter(s.failures, p.rank))))
+	return activityRead, later(s.ConfirmedAt.Add(TakeoverAge(p.rank)), s.readEndedAt.Add(max(minReadInterval, RetryAfter(s.failures, p.rank))))
 }
 
-// retryAfter returns the delay after the given number of failures in a row.
-func retryAfter(failures, rank int) time.Duration {
+// TakeoverAge returns the age of the newest confirmation at which an instance reads the
+// platform itself although it does not read for all.
+func TakeoverAge(rank int) time.Duration {
+	return takeoverAfter + time.Duration(min(max(0, rank-1), takeoverRanks))*takeoverStep
+}
+
+// RetryAfter returns the delay after the given number of failures in a row. Instances with
+// a low rank try more often; what they read is sent to the others.
+func RetryAfter(failures, rank int) time.Duration {
 	longest := maxRetryInterval
 	if rank > takeoverRanks {
 		longest *= 2
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -25,6 +25,7 @@
 // backend servers in 10 pools.
 func stateOfLargeFleet() State {
 	s := State{Revision: 7, ConfirmedAt: noon, DroppedLines: map[string]uint64{"info": 3}}
+	s.Configuration = egretflow.ConfigurationState{Version: 12, KnownVersion: 14, ConfirmedAt: noon.Add(time.Second)}
 	for n := range 10 {
 		s.Pools = append(s.Pools, egretflow.PoolStatus{
 			Name: egretflow.PoolName(fmt.Sprintf("letters-%d", n)), UsableCapacity: 100, UsedCapacity: 20,
@@ -72,6 +73,9 @@
 		`egretflow_retries_left{pool="letters-3"} 1.5`,
 		`egretflow_tables_revision 7`,
 		`egretflow_tables_age_seconds 1.5`,
+		`egretflow_configuration_version 12`,
+		`egretflow_configuration_known_version 14`,
+		`egretflow_configuration_age_seconds 0.5`,
 		`egretflow_log_lines_dropped_total{level="info"} 3`,
 	} {
 		if !strings.Contains(got, want+"\n") {
--- a/recorder/state.go
+++ b/recorder/state.go
@@ -19,14 +19,19 @@
 	// ConfirmedAt is the time at which the tables were last known to be current;
 	// zero if they never were.
 	ConfirmedAt time.Time
+	// Configuration is what the instance knows of the configuration on a platform; zero
+	// without one.
+	Configuration egretflow.ConfigurationState
 	// DroppedLines counts the log lines that were dropped, by level.
 	DroppedLines map[string]uint64
 }
 
 // observables holds the instruments whose values are observed for each scrape.
 type observables struct {
-	servers, places, queued, retriesLeft, tablesRevision, tablesAge metric.Float64ObservableGauge
-	droppedLines                                                    metric.Float64ObservableCounter
+	servers, places, queued, retriesLeft         metric.Float64ObservableGauge
+	tablesRevision, tablesAge                    metric.Float64ObservableGauge
+	configVersion, configKnownVersion, configAge metric.Float64ObservableGauge
+	droppedLines                                 metric.Float64ObservableCounter
 }
 
 // ObserveState adds the metrics of a State to each scrape. Every scrape calls state
@@ -45,6 +50,9 @@
 		{&o.retriesLeft, "egretflow_retries_left", "Extra attempts that this instance may make now.", ""},
 		{&o.tablesRevision, "egretflow_tables_revision", "Revision of the tables in force.", ""},
 		{&o.tablesAge, "egretflow_tables_age", "Time since the tables, with the backend servers, were last known to be current.", "s"},
+		{&o.configVersion, "egretflow_configuration_version", "Version of the configuration in force.", ""},
+		{&o.configKnownVersion, "egretflow_configuration_known_version", "Newest version of the configuration that the instance knows of.", ""},
+		{&o.configAge, "egretflow_configuration_age", "Time since the configuration in force was last known to be the newest one.", "s"},
 	} {
 		if *g.dst, err = m.meter.Float64ObservableGauge(g.name, metric.WithDescription(g.help), metric.WithUnit(g.unit)); err != nil {
 			return fmt.Errorf("create gauge %s: %w", g.name, err)
@@ -70,6 +78,13 @@
 	if !s.ConfirmedAt.IsZero() {
 		to.ObserveFloat64(o.tablesAge, now.Sub(s.ConfirmedAt).Seconds())
 	}
+	if c := &s.Configuration; c.Version > 0 {
+		to.ObserveFloat64(o.configVersion, float64(c.Version))
+		to.ObserveFloat64(o.configKnownVersion, float64(c.KnownVersion))
+		if !c.ConfirmedAt.IsZero() {
+			to.ObserveFloat64(o.configAge, now.Sub(c.ConfirmedAt).Seconds())
+		}
+	}
 	for level, n := range s.DroppedLines {
 		to.ObserveFloat64(o.droppedLines, float64(n), metric.WithAttributes(attribute.String("level", level)))
 	}
--- a/registrar/reading.go
+++ b/registrar/reading.go
@@ -10,26 +10,16 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/configwatcher"
 )
 
 const (
-	// takeoverAfter is the age of the newest confirmation at which the instance with
-	// rank 1 reads the servers itself.
-	takeoverAfter = 1200 * time.Millisecond
-	// takeoverStep is how much longer each further rank waits.
-	takeoverStep = 150 * time.Millisecond
-	// takeoverRanks is the largest number of such steps. Instances with a higher rank
-	// also retry less often after failed reads.
-	takeoverRanks = 3
 	// relayedTakeoverAfter is the age at which an instance that reads through a relay
 	// reads again. Its relay confirms the list about every second.
 	relayedTakeoverAfter = 3 * time.Second
 	// mismatchDelay is how long an instance that learns of a different server list
 	// waits for a peer to send the changes before it reads the list itself.
 	mismatchDelay = 200 * time.Millisecond
-	// maxRetryInterval is the longest time between two failed reads in an outage for
-	// the instances up to rank takeoverRanks. The others wait up to twice as long.
-	maxRetryInterval = time.Second
 )
 
 // readSchedule holds what decides when this instance must read the platform itself
@@ -57,7 +47,7 @@
 func (r *readSchedule) due(rank int, relayed, mismatch bool) time.Time {
 	switch {
 	case r.failures > 0:
-		return r.attemptedAt.Add(retryAfter(r.failures, rank))
+		return r.attemptedAt.Add(configwatcher.RetryAfter(r.failures, rank))
 	case rank == 0:
 		return r.attemptedAt.Add(ReadInterval)
 	case mismatch && r.attemptedAt.After(r.mismatchAt):
@@ -67,7 +57,7 @@
 	case mismatch:
 		return r.mismatchAt.Add(mismatchDelay)
 	}
-	after := takeoverAfter + time.Duration(min(rank-1, takeoverRanks))*takeoverStep
+	after := configwatcher.TakeoverAge(rank)
 	if relayed {
 		after = relayedTakeoverAfter
 	}
@@ -78,17 +68,6 @@
 	return due
 }
 
-// retryAfter returns the delay after the given number of failed reads in a row.
-// Instances up to rank takeoverRanks try more often; after their first successful
-// read they send the others the result.
-func retryAfter(failures, rank int) time.Duration {
-	longest := maxRetryInterval
-	if rank > takeoverRanks {
-		longest *= 2
-	}
-	return min(longest, time.Duration(failures)*retryInterval)
-}
-
 // fingerprint returns a hash of the given servers. It is compared with that of
 // peers.
 func fingerprint(servers map[egretflow.ServerName]egretflow.ServerEntry) uint64 {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -18,9 +18,6 @@
 	// ReregistrationGrace is how long a server that is missing after an outage of
 	// the platform is kept, so that it can register again.
 	ReregistrationGrace = 2200 * time.Millisecond
-	// retryInterval is the delay after the first failed read. Each further
-	// failure in a row adds the same again, up to maxRetryInterval.
-	retryInterval = 250 * time.Millisecond
 )
 
 // Config holds the settings and dependencies of a Registrar.
