--- a/configwatcher/configwatcher_test.go
+++ b/configwatcher/configwatcher_test.go
@@ -14,7 +14,7 @@
 const (
 	// silentTime is how long a call waits for a store that is silent.
 	silentTime = 1400 * time.Millisecond
-	// changeBound is the time in which an instance that is told of a version must apply it.
+	// changeBound is the time in which an instance must apply a version that a peer has reported.
 	changeBound = 500 * time.Millisecond
 )
 
@@ -117,8 +117,8 @@
 	x.Observe("peer", egretflow.ConfigurationState{Version: version, ConfirmedAt: confirmedAt, ConfirmedBy: "peer"})
 }
 
-// Guards against an instance that is told of a newer version and goes on waiting for a
-// store that is silent.
+// Guards against an instance that goes on waiting for a silent store although a peer has
+// reported a newer version.
 func TestNewsEndsSilentWatch(t *testing.T) {
 	run(t, true, func(x *world) {
 		x.source.set(func(s *source) { s.silent, s.version, s.by = true, 4, "peer" })
--- a/configwatcher/doc.go
+++ b/configwatcher/doc.go
@@ -1,12 +1,12 @@
 // Package configwatcher keeps the configuration of an instance up to date. It alone
-// decides when the configuration is read or watched, knows how recently the version in
-// force was confirmed to be the newest one, and is told of newer versions by peers.
+// decides when the configuration is read or watched, keeps how recently the version in
+// force was confirmed to be the newest one, and learns of newer versions from peers.
 //
 // # Usage
 //
 //	w := configwatcher.New(configwatcher.Config{Source: directory, Apply: apply, Clock: clock, Recorder: recorder, ...})
 //	go w.Run(ctx)
-//	w.Observe(peer, state) // what a message of a peer says of the configuration
+//	w.Observe(peer, state) // the state in a message of a peer
 //	state := w.State()     // for messages to peers and for decisions
 //
 // # Rules
@@ -23,6 +23,6 @@
 //     abandoned newsGrace later if it has not delivered that version by then.
 //  5. A read that returns an older version than the newest known one is applied if it is
 //     an advance, but it counts as failed and is repeated.
-//  6. A failed watch shows nothing about the configuration, which is read at once. A watch
-//     that fails again and again is started less often.
+//  6. A failed watch confirms nothing, so the configuration is read at once. A watch that
+//     fails repeatedly is started less often.
 package configwatcher
--- a/gossiper/doc.go
+++ b/gossiper/doc.go
@@ -31,7 +31,7 @@
 //     fail. An instance that the store refuses reads from another member. A
 //     configuration is read from instances that have a newer one, if there are any, so
 //     that no instance waits for a silent store. A subscriber whose configuration nobody
-//     has confirmed for configwatcher.StaleAfter reads the store and tells its relay,
+//     has confirmed for configwatcher.StaleAfter reads the store and reports to its relay,
 //     because the store may refuse all members. If that succeeds, it does the same for
 //     the servers.
 //  5. Each message carries the whole state of its sender and replaces the one
