--- /dev/null
+++ b/review/harness/main.go
@@ -0,0 +1,47 @@
+// Command harness plays the scripted cases of the second review. It starts the system's
+// program as separate processes on loopback addresses, with stand-ins of the store, of the
+// replicas and of the clients.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+)
+
+// Exit codes of a case.
+const (
+	held   = 0
+	broken = 1
+	failed = 2
+)
+
+func main() {
+	root := flag.String("root", ".", "root of the repository")
+	folder := flag.String("folder", "", "folder of the case, for record.txt")
+	trouble := flag.Bool("trouble", true, "with the disruption")
+	flag.Parse()
+	cases := map[string]func(root string, rec *record, trouble bool) (bool, error){
+		"crashmemory": crashMemory,
+	}
+	play, ok := cases[flag.Arg(0)]
+	if !ok {
+		fmt.Fprintln(os.Stderr, "unknown case")
+		os.Exit(failed)
+	}
+	rec, err := newRecord(*folder + "/record.txt")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(failed)
+	}
+	ok, err = play(*root, rec, *trouble)
+	switch {
+	case err != nil:
+		rec.print("the case could not run: %v", err)
+		fmt.Println("could not run:", err)
+		os.Exit(failed)
+	case ok:
+		os.Exit(held)
+	}
+	os.Exit(broken)
+}
