Add case 6: a part of a prompt that crashes replicas after one event is never found

Cause: the scheduler charges the crash of a server to the parts of a prompt only if no event of the answer has arrived, and calls all parts of a prompt sound with the first event of any answer.

No file of the system is changed.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -23,6 +23,7 @@
 	flag.Parse()
 	cases := map[string]func(root string, rec *record, trouble bool) (bool, error){
 		"crashmemory": crashMemory,
+		"crashpart":   crashPart(1),
 	}
 	play, ok := cases[flag.Arg(0)]
 	if !ok {
