Add case 7: after a loss of power an innocent part of the prompts is blocked

Cause: of several parts with two losses each, none of them known to be sound, the crash detector blocks the last. Which parts are sound is kept in memory only, so that after a start of all instances it is not known of any. A blocked part gets no request that could show it to be sound.

Change: review/7 with its script. The harness ends its processes when it is ended itself. No file of the system is changed.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -7,4 +7,4 @@
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
 [ -x "$root/target/egretflow" ] && [ -x "$root/target/review-2/harness" ] || { echo "not built"; exit 2; }
-exec "$root/target/review-2/harness" -root "$root" -folder "$here" -trouble="$trouble" crashmemory
+exec "$root/target/review-2/harness" -root "$root" -folder "$here" -trouble="$trouble" wrongpart
--- a/review/harness/crashpart.go
+++ b/review/harness/crashpart.go
@@ -21,6 +21,9 @@
 	rec       *record
 	store     *store
 	instances []*instance
+	// resumable and maxAttempts are those of the route.
+	resumable   bool
+	maxAttempts int
 
 	mu       sync.Mutex
 	attempts map[string]*attempt
@@ -40,7 +43,7 @@
 			return false, fmt.Errorf("make folder: %w", err)
 		}
 		defer os.RemoveAll(dir)
-		c := &partCase{rec: rec, store: newStore(), attempts: map[string]*attempt{}, answers: map[string]int{}}
+		c := &partCase{rec: rec, store: newStore(), attempts: map[string]*attempt{}, answers: map[string]int{}, maxAttempts: 1}
 		defer func() {
 			for _, x := range c.instances {
 				x.kill()
@@ -84,7 +87,7 @@
 		"version": 1,
 		"routes": []map[string]any{{
 			"name": "letters", "host": "letters.example", "prefix": "/letters/", "kind": "streaming", "timeout_ms": 14000, "target_latency_ms": 900,
-			"priority": 1, "service": "letter-writers", "max_attempts": 1, "sticky_sessions": true, "resumable": false, "gap_aim_ms": 300,
+			"priority": 1, "service": "letter-writers", "max_attempts": c.maxAttempts, "sticky_sessions": true, "resumable": c.resumable, "gap_aim_ms": 300,
 		}},
 		"services": []map[string]any{{
 			"name": "letter-writers", "health_path": "/health", "max_connections": 360, "protocol": "h1", "tls": false,
--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -36,6 +36,17 @@
 	fmt.Fprintf(r.file, "%8.3f  %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
 }
 
+// started holds the processes that run, so that none outlives the harness.
+var started sync.Map
+
+// endAll ends all processes that were started.
+func endAll() {
+	started.Range(func(key, _ any) bool {
+		_ = key.(*exec.Cmd).Process.Kill()
+		return true
+	})
+}
+
 // instance is one process of the system, started with the command of the deploy file.
 type instance struct {
 	name, ip string
@@ -121,6 +132,7 @@
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", x.name, err)
 	}
+	started.Store(cmd, nil)
 	x.cmd, x.startedAt = cmd, time.Now()
 	x.rec.print("%s starts, process %d", x.name, cmd.Process.Pid)
 	return nil
@@ -135,6 +147,7 @@
 	}
 	_ = x.cmd.Process.Kill()
 	_ = x.cmd.Wait()
+	started.Delete(x.cmd)
 	x.cmd = nil
 	x.rec.print("%s is killed", x.name)
 }
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -7,8 +7,14 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
+// longest is how long a case may take.
+const longest = 118 * time.Second
+
 // Exit codes of a case.
 const (
 	held   = 0
@@ -24,6 +30,7 @@
 	cases := map[string]func(root string, rec *record, trouble bool) (bool, error){
 		"crashmemory": crashMemory,
 		"crashpart":   crashPart(1),
+		"wrongpart":   wrongPart,
 	}
 	play, ok := cases[flag.Arg(0)]
 	if !ok {
@@ -35,6 +42,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(failed)
 	}
+	go endEarly(rec)
 	ok, err = play(*root, rec, *trouble)
 	switch {
 	case err != nil:
@@ -46,3 +54,16 @@
 	}
 	os.Exit(broken)
 }
+
+// endEarly ends all processes and the harness when it is asked to end or takes too long.
+func endEarly(rec *record) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case <-signals:
+	case <-time.After(longest):
+	}
+	rec.print("the case is ended early")
+	endAll()
+	os.Exit(failed)
+}
