Add case 8: a part that crashes replicas is not found behind 32 others

Cause: only the first 32 parts of a prompt are listed for the crash detector.

No file of the system is changed.

--- a/review/harness/crashpart.go
+++ b/review/harness/crashpart.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -15,6 +16,9 @@
 // poisonPart is the part of a prompt that crashes replicas.
 const poisonPart = "badbadbadbad0001"
 
+// partTokens is the length of a part of partList.
+const partTokens = 14
+
 // partCase is a small deployment with a model: three machines, three prefill and six decode
 // replicas.
 type partCase struct {
@@ -35,8 +39,8 @@
 // answer on it: no more than three requests with it reach replicas, sent by machines in
 // touch later than contact_ms after the fifth crash. Without trouble, the requests come
 // without that part. eventsBefore is the number of events that a replica has written when
-// it crashes.
-func crashPart(eventsBefore int) func(root string, rec *record, trouble bool) (bool, error) {
+// it crashes, and partsBefore the number of sound parts between the first part and it.
+func crashPart(eventsBefore, partsBefore int) func(root string, rec *record, trouble bool) (bool, error) {
 	return func(root string, rec *record, trouble bool) (bool, error) {
 		dir, err := os.MkdirTemp("", "review-2-")
 		if err != nil {
@@ -54,10 +58,12 @@
 		}
 		rec.print("traffic begins")
 		end := time.Now().Add(45 * time.Second)
+		tokensLeft := 600 - partTokens*partsBefore
 		var running sync.WaitGroup
 		running.Go(func() {
 			for n := 0; time.Now().Before(end); n++ {
-				running.Go(func() { c.send(n, fmt.Sprintf("5c1e07a2%08x:200,91bd3f06%08x:600,e4402b7d%08x:200", n%3, n, n), false) })
+				prefix := fmt.Sprintf("5c1e07a2%08x:200,%s91bd3f06%08x:%d,e4402b7d%08x:200", n%3, partList(partsBefore), n, tokensLeft, n)
+				running.Go(func() { c.send(n, prefix, false) })
 				time.Sleep(50 * time.Millisecond)
 			}
 		})
@@ -67,7 +73,8 @@
 				if !trouble {
 					part = fmt.Sprintf("91bd3f07%08x", n)
 				}
-				running.Go(func() { c.send(n, fmt.Sprintf("5c1e07a2%08x:200,%s:600,e4402b7e%08x:200", n%3, part, n), trouble) })
+				prefix := fmt.Sprintf("5c1e07a2%08x:200,%s%s:%d,e4402b7e%08x:200", n%3, partList(partsBefore), part, tokensLeft, n)
+				running.Go(func() { c.send(n, prefix, trouble) })
 				time.Sleep(2 * time.Second)
 			}
 		})
@@ -76,6 +83,15 @@
 	}
 }
 
+// partList lists n parts that sound requests share, as a prefix header does.
+func partList(n int) string {
+	var list strings.Builder
+	for k := range n {
+		fmt.Fprintf(&list, "6f0a%08x:%d,", k, partTokens)
+	}
+	return list.String()
+}
+
 func (c *partCase) begin(dir, root string, eventsBefore int) error {
 	zones := []string{"moshi-lab", "arusha-depot", "moshi-annex"}
 	ips := []string{"127.0.71.21", "127.0.71.22", "127.0.71.23"}
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -29,7 +29,8 @@
 	flag.Parse()
 	cases := map[string]func(root string, rec *record, trouble bool) (bool, error){
 		"crashmemory": crashMemory,
-		"crashpart":   crashPart(1),
+		"crashpart":   crashPart(1, 0),
+		"longprompt":  crashPart(0, 35),
 		"wrongpart":   wrongPart,
 	}
 	play, ok := cases[flag.Arg(0)]
