--- a/review/harness/wrongpart.go
+++ b/review/harness/wrongpart.go
@@ -5,18 +5,23 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 const (
-	// Sound requests come once a second, half a second after each request with the part
-	// that crashes replicas, which comes every third second.
-	soundEvery  = time.Second
+	// Sound requests come every second second and the others every third. The power is
+	// lost when there are enough sound requests to compare with.
+	soundEvery  = 2 * time.Second
 	poisonPause = 3 * time.Second
-	poisonFrom  = 21 * time.Second
-	lossAt      = 25200 * time.Millisecond
+	poisonFrom  = 43 * time.Second
+	lossAt      = 46 * time.Second
 	lossFor     = time.Second
-	playFor     = 58 * time.Second
+	// After the loss, the first of the requests with the part comes poisonAfter after all
+	// machines are ready, and the first sound one soundAfter after that moment.
+	poisonAfter = 1500 * time.Millisecond
+	soundAfter  = 2200 * time.Millisecond
+	playAfter   = 54 * time.Second
 )
 
 // wrongPart checks the rule LOST on a part that crashes replicas: sound requests with the
@@ -41,30 +46,8 @@
 	rec.print("traffic begins")
 	start := time.Now()
 	s := &soundCount{world: c}
-	var running sync.WaitGroup
-	running.Go(func() {
-		for n := 0; ; n++ {
-			at := start.Add(time.Duration(n)*soundEvery + soundEvery/2)
-			if at.After(start.Add(playFor)) {
-				return
-			}
-			time.Sleep(time.Until(at))
-			running.Go(func() { s.send(n, fmt.Sprintf("5c1e07a200000001:200,91bd3f0600000001:600,e4402b7d%08x:200", n)) })
-		}
-	})
-	running.Go(func() {
-		for n := 0; ; n++ {
-			at := start.Add(poisonFrom + time.Duration(n)*poisonPause)
-			if at.After(start.Add(playFor)) {
-				return
-			}
-			time.Sleep(time.Until(at))
-			prefix := fmt.Sprintf("5c1e07a200000001:200,%s:100,91bd3f0600000001:600,e4402b7e%08x:200", poisonPart, n)
-			running.Go(func() { c.send(n, prefix, true) })
-		}
-	})
+	s.play(start, start.Add(poisonFrom), start.Add(lossAt))
 	if trouble {
-		time.Sleep(time.Until(start.Add(lossAt)))
 		rec.print("all machines lose power")
 		for _, x := range c.instances {
 			x.kill()
@@ -75,14 +58,21 @@
 				return false, err
 			}
 		}
+		for _, x := range c.instances {
+			if err := x.awaitReady(10 * time.Second); err != nil {
+				return false, err
+			}
+		}
 	}
-	running.Wait()
+	again := time.Now()
+	s.play(again.Add(soundAfter), again.Add(poisonAfter), again.Add(playAfter))
 	return s.judge(), nil
 }
 
 // soundCount counts the sound requests that begin at their first attempt.
 type soundCount struct {
-	world *partCase
+	world  *partCase
+	number atomic.Int64
 
 	mu   sync.Mutex
 	sent []soundRequest
@@ -95,6 +85,30 @@
 	counts bool
 }
 
+// play sends sound requests from soundFrom on and requests with the part from poisonFrom on,
+// until the given time, and waits for their answers.
+func (s *soundCount) play(soundFrom, poisonFrom, until time.Time) {
+	var running sync.WaitGroup
+	repeat := func(from time.Time, every time.Duration, send func()) {
+		running.Go(func() {
+			for at := from; at.Before(until); at = at.Add(every) {
+				time.Sleep(time.Until(at))
+				running.Go(send)
+			}
+		})
+	}
+	repeat(soundFrom, soundEvery, func() {
+		n := int(s.number.Add(1))
+		s.send(n, fmt.Sprintf("5c1e07a200000001:200,91bd3f0600000001:600,e4402b7d%08x:200", n))
+	})
+	repeat(poisonFrom, poisonPause, func() {
+		n := int(s.number.Add(1))
+		s.world.send(n, fmt.Sprintf("5c1e07a200000001:200,%s:100,91bd3f0600000001:600,e4402b7e%08x:200", poisonPart, n), true)
+	})
+	running.Wait()
+	time.Sleep(time.Until(until))
+}
+
 func (s *soundCount) send(n int, prefix string) {
 	x := s.world.instances[n%len(s.world.instances)]
 	r := soundRequest{at: time.Now(), counts: x.upFor(time.Now()) > contact}
