Let case 7 fail to run with fewer sound requests than the rule needs

Cause: the rule of case 7 asks for 20 sound requests on either side; the script did not check that. Change: the script ends with status 2 if there are fewer, or if no replica has crashed.

--- a/review/harness/wrongpart.go
+++ b/review/harness/wrongpart.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"strings"
@@ -22,6 +23,8 @@
 	poisonAfter = 1500 * time.Millisecond
 	soundAfter  = 2200 * time.Millisecond
 	playAfter   = 54 * time.Second
+	// leastSound is the number of sound requests that the rule needs on either side.
+	leastSound = 20
 )
 
 // wrongPart checks the rule LOST on a part that crashes replicas: sound requests with the
@@ -66,7 +69,7 @@
 	}
 	again := time.Now()
 	s.play(again.Add(soundAfter), again.Add(poisonAfter), again.Add(playAfter))
-	return s.judge(), nil
+	return s.judge()
 }
 
 // soundCount counts the sound requests that begin at their first attempt.
@@ -122,14 +125,14 @@
 
 // judge compares the sound requests before the first crash with those later than
 // 2 x contact_ms after the fifth crash, or after the last one if there are fewer.
-func (s *soundCount) judge() bool {
+func (s *soundCount) judge() (bool, error) {
 	s.world.mu.Lock()
 	defer s.world.mu.Unlock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	runs := s.world.runs
 	if len(runs) == 0 {
-		return true
+		return false, errors.New("no replica has crashed")
 	}
 	last := runs[min(len(runs), 5)-1].at
 	var before, beforeBegan, after, afterBegan int
@@ -152,5 +155,8 @@
 		len(runs), beforeBegan, before, afterBegan, after)
 	s.world.rec.print("%s", result)
 	fmt.Println(result)
-	return 2*afterBegan*before >= beforeBegan*after
+	if min(before, after) < leastSound {
+		return false, fmt.Errorf("the rule needs %d sound requests before and after", leastSound)
+	}
+	return 2*afterBegan*before >= beforeBegan*after, nil
 }
