connector: fail an attempt whose answer has no status of HTTP

What callers saw: a server in trouble sent "HTTP/1.1 000 X" and then bytes that read as another head; the caller got these as a 200. The same held for 099, "+20" and 101. A 600 or 999 reached the caller as it was, with the server's stamp, and a request that may be repeated was not.

Cause: net/http accepts any three digits as a status, and a sign in place of the first. The connector took each status below 200 for an informational one and read on, so what followed counted as the head of the answer.

Change: the package connector owns the reading of answers. Client.Open checks the head of each answer, informational ones too, and the new Transport wraps http.Transport with the same check for all other calls: the stores, the engines, other instances, the lists and egretctl. An invalid head is an error of the connection after the request was sent, so that the relayer repeats what may be repeated and says of the rest that it may have run (502).

--- a/assembler/config.go
+++ b/assembler/config.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/connector"
 	"github.com/egretflow/egretflow/explainer"
 	"github.com/egretflow/egretflow/frontend"
 	"github.com/egretflow/egretflow/messenger"
@@ -111,16 +112,16 @@
 
 func (c *Config) httpClient() *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{DialContext: c.Dial, TLSClientConfig: c.ServerTLS, IdleConnTimeout: time.Minute},
+		Transport: connector.NewTransport(&http.Transport{DialContext: c.Dial, TLSClientConfig: c.ServerTLS, IdleConnTimeout: time.Minute}),
 		Timeout:   platformTimeout,
 	}
 }
 
 // streamClient returns a client without a limit on the duration of a response.
 func (c *Config) streamClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: connector.NewTransport(&http.Transport{
 		DialContext: c.Dial, TLSClientConfig: c.ServerTLS, ResponseHeaderTimeout: platformTimeout, DisableKeepAlives: true,
-	}}
+	})}
 }
 
 // staticTables holds the tables of an instance without a store, which never change.
--- a/cmd/egretctl/clients.go
+++ b/cmd/egretctl/clients.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/connector"
 	"github.com/egretflow/egretflow/editor"
 	"github.com/egretflow/egretflow/storeclient"
 	"github.com/google/uuid"
@@ -39,7 +40,8 @@
 		}
 		settings.Certificates = []tls.Certificate{cert}
 	}
-	return &http.Client{Transport: &http.Transport{TLSClientConfig: settings, TLSHandshakeTimeout: tlsHandshakeTimeout}}, nil
+	transport := &http.Transport{TLSClientConfig: settings, TLSHandshakeTimeout: tlsHandshakeTimeout}
+	return &http.Client{Transport: connector.NewTransport(transport)}, nil
 }
 
 // editor returns an editor of the tables in the store.
--- a/cmd/egretflow/settings.go
+++ b/cmd/egretflow/settings.go
@@ -86,7 +86,9 @@
 func (l *settingsLoader) loadTables(cfg *assembler.Config) error {
 	f := l.flags
 	if f.StoreURL != "" {
-		store, err := storeclient.New(storeclient.Config{BaseURL: f.StoreURL, Client: &http.Client{}, Clock: l.clock})
+		transport := http.DefaultTransport.(*http.Transport).Clone()
+		client := &http.Client{Transport: connector.NewTransport(transport)}
+		store, err := storeclient.New(storeclient.Config{BaseURL: f.StoreURL, Client: client, Clock: l.clock})
 		if err != nil {
 			return fmt.Errorf("open store: %w", err)
 		}
--- /dev/null
+++ b/connector/answers_test.go
@@ -0,0 +1,126 @@
+package connector_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/egretflow/egretflow/connector"
+	"github.com/egretflow/egretflow/reserver"
+)
+
+// answerCase is an answer of a server in testdata/answers.json, in which names in braces
+// stand for the parts that belong to a request. The test of package main sends the same
+// answers to the program.
+type answerCase struct {
+	Name, Answer string
+	// Kind is Sound for a valid answer, Broken for an invalid one and BrokenEnd for one that
+	// shows only at its end that it is invalid.
+	Kind string
+	// TransportAccepts reports whether Transport accepts the broken answer, because
+	// net/http shows nothing of what is broken and passes nothing of it on.
+	TransportAccepts bool
+}
+
+const answerBody = "the whole body"
+
+func (c *answerCase) text() string {
+	return strings.NewReplacer("{Fields}", "X-Request-Id: r1\r\n", "{Length}", strconv.Itoa(len(answerBody)), "{Body}", answerBody,
+		"{Chunks}", fmt.Sprintf("%x\r\n%s\r\n0\r\n", len(answerBody), answerBody)).Replace(c.Answer)
+}
+
+func readAnswerCases(t *testing.T) []answerCase {
+	t.Helper()
+	data, err := os.ReadFile("testdata/answers.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var cases []answerCase
+	if err := json.Unmarshal(data, &cases); err != nil {
+		t.Fatal(err)
+	}
+	return cases
+}
+
+// sender sends a request in one of the ways of the package.
+type sender struct {
+	name string
+	send func(req *http.Request) (*http.Response, error)
+}
+
+func senders() []sender {
+	client := connector.New((&net.Dialer{}).DialContext, nil, reserver.Unbounded())
+	open := func(req *http.Request) (*http.Response, error) {
+		resp, _, err := client.Open(req)
+		return resp, err
+	}
+	return []sender{{"Client", open}, {"Transport", connector.NewTransport(&http.Transport{DisableKeepAlives: true}).RoundTrip}}
+}
+
+// listenRaw starts a server that passes its connections to serve and closes them, and
+// returns its URL.
+func listenRaw(t *testing.T, serve func(conn *net.TCPConn)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				serve(conn.(*net.TCPConn))
+			}()
+		}
+	}()
+	return "http://" + ln.Addr().String()
+}
+
+// Guards against a caller of the package that takes bytes for an answer which are none in
+// the protocol, and against sound answers that are rejected.
+func TestAnswers(t *testing.T) {
+	for _, c := range readAnswerCases(t) {
+		url := listenRaw(t, func(conn *net.TCPConn) {
+			if req, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				_, _ = io.Copy(io.Discard, req.Body)
+				_, _ = io.WriteString(conn, c.text())
+			}
+		})
+		for _, s := range senders() {
+			t.Run(c.Name+"/"+s.name, func(t *testing.T) {
+				want := c.Kind == "Sound" || c.TransportAccepts && s.name == "Transport"
+				if body, err := receive(t.Context(), s, url, "x"); (err == nil) != want || c.Kind == "Sound" && body != answerBody {
+					t.Errorf("body %q, error %v, want an answer: %v", body, err, want)
+				}
+			})
+		}
+	}
+}
+
+// receive sends a request and returns the body of its response.
+func receive(ctx context.Context, s sender, url, upload string) (string, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(upload))
+	if err != nil {
+		return "", fmt.Errorf("create request: %w", err)
+	}
+	resp, err := s.send(req)
+	if err != nil {
+		return "", fmt.Errorf("send request: %w", err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return string(body), err
+}
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -1,5 +1,6 @@
-// Package connector sends HTTP requests to backend servers. Open never sends a
-// request twice.
+// Package connector sends HTTP requests to other hosts and reads their responses.
+// Client sends requests of callers to backend servers, each once; Transport is for all
+// other calls. A response that either of them returns is one in the protocol.
 //
 // # Usage
 //
@@ -9,13 +10,17 @@
 //		// no byte was written: the server has not executed the request
 //	}
 //
+//	client := &http.Client{Transport: connector.NewTransport(&http.Transport{})}
+//
 // # Rules
 //
-//  1. Each request has its own connection, so that bytes of another response cannot
+//  1. Each request of Open has its own connection, so that bytes of another response cannot
 //     reach the caller or count as a statement about the request, and no request is
 //     sent twice.
 //  2. A server may respond before it has read the whole body; that response is
 //     returned.
+//  3. What a server sends is no response if net/http rejects it or if its status is none
+//     of HTTP. It is returned as an error after which the request may have run.
 package connector
 
 import (
--- a/connector/open.go
+++ b/connector/open.go
@@ -112,6 +112,9 @@
 		if err != nil {
 			return nil, fmt.Errorf("read header: %w", err)
 		}
+		if err := checkHead(resp); err != nil {
+			return nil, fmt.Errorf("read header: %w", err)
+		}
 		if resp.StatusCode >= http.StatusOK {
 			limited.R, limited.N = conn, math.MaxInt64
 			return resp, nil
--- /dev/null
+++ b/connector/transport.go
@@ -0,0 +1,30 @@
+package connector
+
+import (
+	"fmt"
+	"net/http"
+)
+
+// Transport sends requests over the connections of an http.Transport, which it may keep
+// for later ones, and accepts the same responses as Client. All clients of other hosts use
+// one of the two.
+type Transport struct{ base *http.Transport }
+
+// NewTransport returns a Transport that uses base, which nothing else may use.
+func NewTransport(base *http.Transport) *Transport { return &Transport{base} }
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := t.base.RoundTrip(req)
+	if err != nil {
+		return nil, err //nolint:wrapcheck // http.RoundTripper
+	}
+	if err := checkHead(resp); err != nil {
+		resp.Body.Close()
+		return nil, fmt.Errorf("read header: %w", err)
+	}
+	return resp, nil
+}
+
+// CloseIdleConnections closes the connections that no request uses.
+func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
--- a/gossiper/directory.go
+++ b/gossiper/directory.go
@@ -18,6 +18,7 @@
 
 	"github.com/egretflow/egretflow"
 	"github.com/egretflow/egretflow/configwatcher"
+	"github.com/egretflow/egretflow/connector"
 	"github.com/egretflow/egretflow/internal/rendezvous"
 )
 
@@ -75,7 +76,7 @@
 
 // Directory returns the directory for the registrar of this instance.
 func (g *Gossiper) Directory() egretflow.Directory {
-	transport := &http.Transport{DialContext: g.cfg.Dial, DisableKeepAlives: true, DisableCompression: true}
+	transport := connector.NewTransport(&http.Transport{DialContext: g.cfg.Dial, DisableKeepAlives: true, DisableCompression: true})
 	return &relayDirectory{Gossiper: g, client: &http.Client{Transport: transport}}
 }
 
