connector: fail an attempt whose answer has a blank in the name of a field

What callers saw: a server in trouble sent "Content-Length : 14" and more bytes than that, or fewer; the caller got a 200 with all of them as its body. With "Transfer-Encoding : chunked" the body had the chunk sizes in it. A line that began with a blank changed the field before it: the caller got "X-Response-Stamp: s1 Note: 1". "egretctl explain" printed a part of an answer as the whole. A 503 with such a name counted as the statement that the request had not run, and an order was sent again.

Cause: net/http accepts blanks in the names of fields, ignores those that would say where the body ends, and joins a line that begins with a blank to the one before it. The connector and all other clients took its result. The same holds for informational answers and trailers.

Change: the connector rejects a head or a trailer with an invalid name, for both of its clients. A line that begins with a blank leaves no trace in the result of net/http, so headReader finds it in the bytes as they are read; RFC 9112 section 5.2 lets a proxy discard such an answer. Transport, whose answers are not passed on, accepts these lines, and informational answers with a blank in a name, as before.

The reader also has to fail again after it has failed once, since net/http drops the first error in a folded line (found by reading the answers one byte at a time).

--- a/cmd/egretctl/egretctl_test.go
+++ b/cmd/egretctl/egretctl_test.go
@@ -65,7 +65,7 @@
 			return nil
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"fault": setFault, "backup": backup,
+			"fault": setFault, "backup": backup, "rawinstance": startRawInstance,
 		},
 	})
 }
@@ -82,6 +82,24 @@
 	faults.Add(fault.Fault{Kind: fault.Kind(args[0]), Count: count})
 }
 
+// startRawInstance implements "rawinstance NAME ANSWER": it starts an instance that answers
+// each request with the bytes, written like the text of a Go string, and sets the variable
+// to its URL.
+func startRawInstance(ts *testscript.TestScript, _ bool, args []string) {
+	answer, err := strconv.Unquote(`"` + strings.ReplaceAll(args[1], `"`, `\"`) + `"`)
+	ts.Check(err)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = conn.Write([]byte(answer))
+		_ = conn.Close()
+	}))
+	ts.Defer(srv.Close)
+	ts.Setenv(args[0], srv.URL)
+}
+
 // backup implements "backup take" and "backup restore" of the store's content.
 func backup(ts *testscript.TestScript, _ bool, args []string) {
 	client, saved := ts.Value("store").(*storeclient.Client), ts.Value("backup").(map[string][]byte)
--- a/connector/answers_test.go
+++ b/connector/answers_test.go
@@ -62,9 +62,23 @@
 		resp, _, err := client.Open(req)
 		return resp, err
 	}
-	return []sender{{"Client", open}, {"Transport", connector.NewTransport(&http.Transport{DisableKeepAlives: true}).RoundTrip}}
+	// The bytes of an answer may arrive in any pieces.
+	slow := connector.New(func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		return oneByteConn{conn}, err
+	}, nil, reserver.Unbounded())
+	openSlow := func(req *http.Request) (*http.Response, error) {
+		resp, _, err := slow.Open(req)
+		return resp, err
+	}
+	return []sender{{"Client", open}, {"ClientByByte", openSlow}, {"Transport", connector.NewTransport(&http.Transport{DisableKeepAlives: true}).RoundTrip}}
 }
 
+// oneByteConn is a connection of which each read returns one byte.
+type oneByteConn struct{ net.Conn }
+
+func (c oneByteConn) Read(p []byte) (int, error) { return c.Conn.Read(p[:min(1, len(p))]) }
+
 // listenRaw starts a server that passes its connections to serve and closes them, and
 // returns its URL.
 func listenRaw(t *testing.T, serve func(conn *net.TCPConn)) string {
--- a/connector/check.go
+++ b/connector/check.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 
 	"github.com/pkg/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // maxStatus is the largest status code of HTTP (RFC 9110 section 15).
@@ -17,7 +19,10 @@
 // checkHead returns an error if the head of a response is invalid although net/http
 // accepts it.
 func checkHead(resp *http.Response) error {
-	return checkStatus(resp)
+	if err := checkStatus(resp); err != nil {
+		return err
+	}
+	return checkNames(resp.Header)
 }
 
 // checkStatus returns an error if the status code is none of HTTP, or if it is 101: no
@@ -30,3 +35,33 @@
 	}
 	return nil
 }
+
+// checkNames returns an error if the name of a field is invalid. net/http accepts blanks
+// in names, and ignores a Content-Length or Transfer-Encoding that has one, so that it
+// would read another body than the server sent.
+func checkNames(fields http.Header) error {
+	for name := range fields {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("%w: field name %q", errInvalidResponse, name)
+		}
+	}
+	return nil
+}
+
+// checkedBody is the body of a response. It does not end like a complete one if its
+// trailer is invalid.
+type checkedBody struct {
+	io.ReadCloser
+	resp *http.Response
+}
+
+// Read implements io.Reader.
+func (b *checkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		if invalid := checkNames(b.resp.Trailer); invalid != nil {
+			return n, fmt.Errorf("read trailer: %w", invalid)
+		}
+	}
+	return n, err //nolint:wrapcheck // io.Reader
+}
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -19,8 +19,9 @@
 //     sent twice.
 //  2. A server may respond before it has read the whole body; that response is
 //     returned.
-//  3. What a server sends is no response if net/http rejects it or if its status is none
-//     of HTTP. It is returned as an error after which the request may have run.
+//  3. What a server sends is no response if net/http rejects it, if its status is none of
+//     HTTP, or if the name of a field has a blank, also as its first byte. It is returned
+//     as an error after which the request may have run.
 package connector
 
 import (
--- a/connector/open.go
+++ b/connector/open.go
@@ -5,7 +5,6 @@
 	"context"
 	"crypto/tls"
 	"fmt"
-	"io"
 	"math"
 	"net"
 	"net/http"
@@ -45,7 +44,7 @@
 		}
 		return nil, true, err
 	}
-	resp.Body = &connBody{ReadCloser: resp.Body, conn: conn, stop: stop, head: head}
+	resp.Body = &connBody{checkedBody: checkedBody{resp.Body, resp}, conn: conn, stop: stop, head: head}
 	return resp, true, nil
 }
 
@@ -105,8 +104,8 @@
 	// The response refers to its request. A new one without a body keeps the body
 	// of the sent request from staying in memory.
 	request := &http.Request{Method: method}
-	limited := &io.LimitedReader{R: head.Reader(conn), N: maxResponseHeaderBytes}
-	reader := bufio.NewReaderSize(limited, streamBufferBytes)
+	heads := &headReader{Reader: head.Reader(conn), left: maxResponseHeaderBytes}
+	reader := bufio.NewReaderSize(heads, streamBufferBytes)
 	for {
 		resp, err := http.ReadResponse(reader, request)
 		if err != nil {
@@ -116,7 +115,7 @@
 			return nil, fmt.Errorf("read header: %w", err)
 		}
 		if resp.StatusCode >= http.StatusOK {
-			limited.R, limited.N = conn, math.MaxInt64
+			heads.Reader, heads.left = conn, math.MaxInt64
 			return resp, nil
 		}
 	}
@@ -124,7 +123,7 @@
 
 // connBody is a response body that closes its connection.
 type connBody struct {
-	io.ReadCloser
+	checkedBody
 	conn net.Conn
 	stop func() bool
 	head *reserver.Part
--- a/connector/transport.go
+++ b/connector/transport.go
@@ -23,6 +23,10 @@
 		resp.Body.Close()
 		return nil, fmt.Errorf("read header: %w", err)
 	}
+	if len(resp.TransferEncoding) > 0 {
+		// Only chunks have a trailer.
+		resp.Body = &checkedBody{resp.Body, resp}
+	}
 	return resp, nil
 }
 
