connector: do not take a response that a reset has cut for a complete one

What callers saw: a server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still written. The caller got that part as a complete answer, for calls and for streams.

Cause: the kernel reports a reset once, to the read or to the write that comes first. If the write of the upload gets it, the read returns the end of the file, which is the end of a response without length or chunks. Nothing looked at the result of the write once the head of the response had come. The same holds for http.Transport.

Change: requestConn, which both clients of the package put around their connections, keeps the error of a write that showed that the connection had failed, and returns it to a read in place of the end of the file. The read first waits until the running write has returned, whose deadline it ends, so that the wait is bounded without a time: a write that took the reset is already on its way back. EPIPE is not such an error. The kernel returns it if the server had ended its response before the reset, so that a sound early answer stays one, also if the server closes before it has read the upload.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -22,6 +22,8 @@
 //  3. What a server sends is no response if net/http rejects it, if its status is none of
 //     HTTP, or if the name of a field has a blank, also as its first byte. It is returned
 //     as an error after which the request may have run.
+//  4. A response without a length or chunks is complete if the server has ended it before
+//     the connection fails, no matter how much of the request was written.
 package connector
 
 import (
--- a/connector/open.go
+++ b/connector/open.go
@@ -50,10 +50,11 @@
 
 // connect opens a connection to the host of req, with TLS for https.
 func (c *Client) connect(ctx context.Context, req *http.Request) (net.Conn, error) {
-	conn, err := c.dial(ctx, "tcp", req.URL.Host)
+	dialled, err := c.dial(ctx, "tcp", req.URL.Host)
 	if err != nil {
 		return nil, fmt.Errorf("connect: %w", err)
 	}
+	conn := &requestConn{Conn: dialled}
 	if req.URL.Scheme != "https" {
 		return conn, nil
 	}
@@ -78,23 +79,25 @@
 	// The shallow copy keeps the caller's request unchanged.
 	outgoing := *req
 	outgoing.Close = true
-	written := make(chan error, 1)
+	var writeErr error
+	var written chan error // nil unless the request is written concurrently
 	if req.ContentLength > maxSyncBodyBytes {
+		written = make(chan error, 1)
 		go func() { written <- outgoing.Write(conn) }()
 	} else {
-		written <- outgoing.Write(conn)
+		writeErr = outgoing.Write(conn)
 	}
 	resp, err := readHeader(conn, req.Method, head)
 	if err == nil {
 		return resp, nil
 	}
 	select {
-	case writeErr := <-written:
-		if writeErr != nil {
-			return nil, fmt.Errorf("write request: %w", writeErr)
-		}
+	case writeErr = <-written:
 	default:
 	}
+	if writeErr != nil {
+		return nil, fmt.Errorf("write request: %w", writeErr)
+	}
 	return nil, fmt.Errorf("read response: %w", err)
 }
 
--- a/connector/transport.go
+++ b/connector/transport.go
@@ -1,7 +1,9 @@
 package connector
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"net/http"
 )
 
@@ -11,7 +13,20 @@
 type Transport struct{ base *http.Transport }
 
 // NewTransport returns a Transport that uses base, which nothing else may use.
-func NewTransport(base *http.Transport) *Transport { return &Transport{base} }
+func NewTransport(base *http.Transport) *Transport {
+	dial := base.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &requestConn{Conn: conn}, nil
+	}
+	return &Transport{base}
+}
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
