connector: fail an attempt whose answer is one of HTTP/1.0 in chunks

What callers saw: a server sent "HTTP/1.0 200 OK" with "Transfer-Encoding: chunked"; the caller got a 200 whose body had the sizes of the chunks in it, for calls and for streams.

Cause: net/http ignores Transfer-Encoding in HTTP/1.0 and removes the field. RFC 9112 section 6.1: such a message has faulty framing, even with a length.

Evidence: OldVersionWithChunks and OldVersionWithLengthAndChunks of TestAnswers in cmd/egretflow fail on.

Change: headReader, which sees the bytes of a head, fails at the field.

Result: both cases pass, and HTTP/1.0 without the field stays an answer. Transport is as before: it passes no body on, and no JSON has these sizes.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -20,8 +20,8 @@
 //  2. A server may respond before it has read the whole body; that response is
 //     returned.
 //  3. What a server sends is no response if net/http rejects it, if its status is none of
-//     HTTP, or if the name of a field has a blank, also as its first byte. It is returned
-//     as an error after which the request may have run.
+//     HTTP, if the name of a field has a blank, also as its first byte, or if it is one of
+//     HTTP/1.0 with chunks. It is returned as an error after which the request may have run.
 //  4. A response without a length or chunks is complete if the server has ended it before
 //     the connection fails, no matter how much of the request was written.
 package connector
--- a/connector/head.go
+++ b/connector/head.go
@@ -6,8 +6,7 @@
 )
 
 // headReader reads the heads of the responses on a connection, informational ones too. It
-// fails if a line of them begins with a blank: net/http joins it to the field before it,
-// whose value then is not the one that the server sent.
+// fails if they have what net/http accepts without a trace in its result.
 type headReader struct {
 	io.Reader
 	// left is the number of bytes that may still be read.
@@ -20,69 +19,115 @@
 	if h.left <= 0 {
 		return 0, io.EOF
 	}
-	if h.lines.folded {
-		// net/http reads on after an error.
-		return 0, errFolded
+	// net/http may read on after an error.
+	if h.lines.invalid != nil {
+		return 0, h.lines.invalid
 	}
 	n, err := h.Reader.Read(p[:min(int64(len(p)), h.left)])
 	h.left -= int64(n)
 	h.lines.check(p[:n])
-	if h.lines.folded {
-		// No head that has the line becomes complete.
-		return 0, errFolded
+	if h.lines.invalid != nil {
+		// Without these bytes the invalid head does not become complete.
+		return 0, h.lines.invalid
 	}
 	return n, err
 }
 
-var errFolded = fmt.Errorf("%w: a line begins with a blank", errInvalidResponse)
+// What net/http accepts without a trace.
+var (
+	// errFolded: net/http joins the line to the field before it, whose value then is not
+	// the one that the server sent.
+	errFolded = fmt.Errorf("%w: a line begins with a blank", errInvalidResponse)
+	// errOldChunks: net/http ignores the field, so that the body would have the sizes of the
+	// chunks in it. RFC 9112 section 6.1 calls such a body faulty.
+	errOldChunks = fmt.Errorf("%w: Transfer-Encoding in HTTP/1.0", errInvalidResponse)
+)
+
+const (
+	// minorColumn and statusColumn are where the minor version and the status code stand in
+	// the first line of a head.
+	minorColumn  = len("HTTP/1.")
+	statusColumn = len("HTTP/1.1 ")
 
-// statusColumn is where the status code begins in the first line of a head, behind the
-// version.
-const statusColumn = len("HTTP/1.1 ")
+	transferEncoding = "transfer-encoding:"
+)
 
-// lineChecker checks the beginnings of the lines of heads. It takes their bytes as they
-// arrive.
+// lineChecker checks the lines of heads. It takes their bytes as they arrive.
 type lineChecker struct {
-	// column is the number of bytes of the current line before its end.
-	column int
+	// column is the number of bytes of the current line before its end. The first matched
+	// of them are those of transferEncoding.
+	column, matched int
 	// inFields reports whether the current line is not the first one of its head.
 	inFields bool
-	// informational reports whether another head follows the current one.
-	informational bool
-	// folded reports whether a line begins with a blank.
-	folded bool
+	// old reports whether the head is one of HTTP/1.0, informational whether another head
+	// follows it.
+	old, informational bool
 	// ended reports whether the head of the final response has ended.
 	ended bool
+	// invalid is the first thing found that a head must not have.
+	invalid error
 }
 
 // check checks the next bytes.
 func (l *lineChecker) check(p []byte) {
 	for _, c := range p {
 		switch {
-		case l.ended:
+		case l.ended || l.invalid != nil:
 			return
 		case c == '\n':
 			l.endLine()
-		case c == '\r', c == ' ' && !l.inFields && l.column == statusColumn:
-			// net/http accepts several blanks before the status code.
-		case l.inFields && l.column == 0 && (c == ' ' || c == '\t'):
-			l.folded = true
-			return
+		case c == '\r':
+		case l.inFields:
+			l.checkField(c)
 		default:
-			if !l.inFields && l.column == statusColumn {
-				l.informational = c == '1'
-			}
-			l.column++
+			l.readStatusLine(c)
+		}
+	}
+}
+
+// readStatusLine takes a byte of the first line of a head. net/http accepts several blanks
+// before the status code.
+func (l *lineChecker) readStatusLine(c byte) {
+	switch l.column {
+	case minorColumn:
+		l.old = c == '0'
+	case statusColumn:
+		if c == ' ' {
+			return
 		}
+		l.informational = c == '1'
 	}
+	l.column++
+}
+
+// checkField checks a byte of a line with a field.
+func (l *lineChecker) checkField(c byte) {
+	if l.column == 0 && (c == ' ' || c == '\t') {
+		l.invalid = errFolded
+	}
+	if l.matched == l.column && l.matched < len(transferEncoding) && lower(c) == transferEncoding[l.matched] {
+		l.matched++
+	}
+	if l.old && l.matched == len(transferEncoding) {
+		l.invalid = errOldChunks
+	}
+	l.column++
 }
 
 func (l *lineChecker) endLine() {
 	isEmpty := l.column == 0
-	l.column = 0
+	l.column, l.matched = 0, 0
 	if !l.inFields {
 		l.inFields = true
 	} else if isEmpty {
 		l.inFields, l.ended = false, !l.informational
 	}
 }
+
+// lower returns the lower-case letter of an ASCII letter, and other bytes as they are.
+func lower(c byte) byte {
+	if 'A' <= c && c <= 'Z' {
+		return c + 'a' - 'A'
+	}
+	return c
+}
