--- a/cmd/egretflow/answers_test.go
+++ b/cmd/egretflow/answers_test.go
@@ -156,9 +156,28 @@
 	if err := writeFile(path, string(settings)); err != nil {
 		t.Fatal(err)
 	}
+	startProgram(t, "platform", "--config", path)
+	w.front = at(0)
+	for end := time.Now().Add(eventuallyTimeout); ; time.Sleep(50 * time.Millisecond) {
+		if resp, err := http.Get("http://" + at(1) + "/ready"); err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return
+			}
+		}
+		if time.Now().After(end) {
+			t.Fatal("the process does not become ready")
+		}
+	}
+}
+
+// startProgram starts the program as a process that ends with the test, whose log is printed
+// if the test fails.
+func startProgram(t *testing.T, args ...string) {
+	t.Helper()
 	var log bytes.Buffer
 	// TestMain runs the program under this name.
-	cmd := exec.Command(os.Args[0], "platform", "--config", path)
+	cmd := exec.Command(os.Args[0], args...)
 	cmd.Args[0] = "egretflow"
 	cmd.Stdout, cmd.Stderr = &log, &log
 	if err := cmd.Start(); err != nil {
@@ -171,18 +190,6 @@
 			t.Logf("log of the process:\n%s", log.String())
 		}
 	})
-	w.front = at(0)
-	for end := time.Now().Add(eventuallyTimeout); ; time.Sleep(50 * time.Millisecond) {
-		if resp, err := http.Get("http://" + at(1) + "/ready"); err == nil {
-			_ = resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
-				return
-			}
-		}
-		if time.Now().After(end) {
-			t.Fatal("the process does not become ready")
-		}
-	}
 }
 
 // serve starts a backend server. It answers requests of callers on raw connections;
@@ -327,17 +334,25 @@
 	return resp, body, err
 }
 
-// Guards against bytes of a faulty server that are no answer in the protocol and reach
-// callers as one, and against sound answers that are rejected.
-func TestAnswers(t *testing.T) {
-	var cases []struct {
-		Name, Answer string
-		Kind         answerKind
-	}
+// answerCase is a case of testdata/answers.json of package connector.
+type answerCase struct {
+	Name, Answer string
+	Kind         answerKind
+}
+
+func readAnswerCases(t *testing.T) []answerCase {
+	t.Helper()
+	var cases []answerCase
 	if err := json.Unmarshal([]byte(readFile(t, "../../connector/testdata/answers.json")), &cases); err != nil {
 		t.Fatal(err)
 	}
-	for _, c := range cases {
+	return cases
+}
+
+// Guards against bytes of a faulty server that are no answer in the protocol and reach
+// callers as one, and against sound answers that are rejected.
+func TestAnswers(t *testing.T) {
+	for _, c := range readAnswerCases(t) {
 		t.Run(c.Name, func(t *testing.T) {
 			t.Parallel()
 			w := startAnswerWorld(t, writeAnswer(c.Answer))
