--- a/connector/check.go
+++ b/connector/check.go
@@ -4,9 +4,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 
 	"github.com/pkg/errors"
-	"golang.org/x/net/http/httpguts"
 )
 
 // maxStatus is the largest status code of HTTP (RFC 9110 section 15).
@@ -36,12 +36,12 @@
 	return nil
 }
 
-// checkNames returns an error if the name of a field is invalid. net/http accepts blanks
-// in names, and ignores a Content-Length or Transfer-Encoding that has one, so that it
+// checkNames returns an error if the name of a field has a blank. net/http rejects all other
+// invalid names, but ignores a Content-Length or Transfer-Encoding with a blank, so that it
 // would read another body than the server sent.
 func checkNames(fields http.Header) error {
 	for name := range fields {
-		if !httpguts.ValidHeaderFieldName(name) {
+		if strings.Contains(name, " ") {
 			return fmt.Errorf("%w: field name %q", errInvalidResponse, name)
 		}
 	}
--- a/connector/conn.go
+++ b/connector/conn.go
@@ -59,6 +59,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n, err := c.Conn.Write(p)
+	if err == nil {
+		return n, nil
+	}
 	if c.ended.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
 		err = errEnded
 	}
--- a/connector/early_test.go
+++ b/connector/early_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"syscall"
@@ -62,6 +64,45 @@
 	}
 }
 
+// Guards against the same over TLS, which reports the end of the connection below it as
+// that of the response.
+func TestEarlyAnswersOverTLS(t *testing.T) {
+	for name, end := range map[string]func(conn *tls.Conn){
+		"Reset": func(conn *tls.Conn) { _ = conn.NetConn().(*net.TCPConn).SetLinger(0) },
+		"ResetReading": func(conn *tls.Conn) {
+			_, _ = io.CopyN(io.Discard, conn, uploadBytes/6)
+			_ = conn.NetConn().(*net.TCPConn).SetLinger(0)
+		},
+		"Ended": func(conn *tls.Conn) {
+			_ = conn.CloseWrite()
+			_, _ = io.Copy(io.Discard, conn)
+		},
+	} {
+		server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			_, _ = io.WriteString(conn, unframedHead+answerBody)
+			end(conn.(*tls.Conn))
+			_ = conn.(*tls.Conn).NetConn().Close()
+		}))
+		t.Cleanup(server.Close)
+		settings := server.Client().Transport.(*http.Transport).TLSClientConfig.Clone()
+		settings.NextProtos = nil
+		client := connector.New((&net.Dialer{}).DialContext, settings, reserver.Unbounded())
+		open := func(req *http.Request) (*http.Response, error) {
+			resp, _, err := client.Open(req)
+			return resp, err
+		}
+		transport := connector.NewTransport(&http.Transport{DisableKeepAlives: true, TLSClientConfig: settings.Clone()})
+		for _, s := range []sender{{"Client", open}, {"Transport", transport.RoundTrip}} {
+			t.Run(name+"/"+s.name, func(t *testing.T) { checkEarlyAnswers(t, s, server.URL, name == "Ended") })
+		}
+	}
+}
+
 // checkEarlyAnswers sends many uploads to a server and checks whether they get its answer.
 func checkEarlyAnswers(t *testing.T, s sender, url string, sound bool) {
 	t.Helper()
--- a/connector/head.go
+++ b/connector/head.go
@@ -1,8 +1,10 @@
 package connector
 
 import (
+	"bytes"
 	"fmt"
 	"io"
+	"strings"
 )
 
 // headReader reads the heads of the responses on a connection, informational ones too. It
@@ -52,6 +54,11 @@
 	transferEncoding = "transfer-encoding:"
 )
 
+var (
+	lineEnd        = []byte("\n")
+	carriageReturn = []byte("\r")
+)
+
 // lineChecker checks the lines of heads. It takes their bytes as they arrive.
 type lineChecker struct {
 	// column is the number of bytes of the current line before its end. The first matched
@@ -70,48 +77,60 @@
 
 // check checks the next bytes.
 func (l *lineChecker) check(p []byte) {
-	for _, c := range p {
-		switch {
-		case l.ended || l.invalid != nil:
-			return
-		case c == '\n':
+	for len(p) > 0 && !l.ended && l.invalid == nil {
+		part, rest, isWhole := bytes.Cut(p, lineEnd)
+		if part = bytes.TrimSuffix(part, carriageReturn); l.inFields {
+			l.checkField(part)
+		} else {
+			l.readStatusLine(part)
+		}
+		if isWhole {
 			l.endLine()
-		case c == '\r':
-		case l.inFields:
-			l.checkField(c)
-		default:
-			l.readStatusLine(c)
 		}
+		p = rest
 	}
 }
 
-// readStatusLine takes a byte of the first line of a head. net/http accepts several blanks
-// before the status code.
-func (l *lineChecker) readStatusLine(c byte) {
-	switch l.column {
-	case minorColumn:
-		l.old = c == '0'
-	case statusColumn:
-		if c == ' ' {
-			return
+// readStatusLine takes the next bytes of the first line of a head. net/http accepts several
+// blanks before the status code.
+func (l *lineChecker) readStatusLine(part []byte) {
+	for _, c := range part {
+		switch l.column {
+		case minorColumn:
+			l.old = c == '0'
+		case statusColumn:
+			if c == ' ' {
+				continue
+			}
+			l.informational = c == '1'
 		}
-		l.informational = c == '1'
+		l.column++
 	}
-	l.column++
 }
 
-// checkField checks a byte of a line with a field.
-func (l *lineChecker) checkField(c byte) {
-	if l.column == 0 && (c == ' ' || c == '\t') {
+// checkField checks the next bytes of a line with a field.
+func (l *lineChecker) checkField(part []byte) {
+	if l.column == 0 && len(part) > 0 && (part[0] == ' ' || part[0] == '\t') {
 		l.invalid = errFolded
 	}
-	if l.matched == l.column && l.matched < len(transferEncoding) && lower(c) == transferEncoding[l.matched] {
-		l.matched++
-	}
-	if l.old && l.matched == len(transferEncoding) {
+	if l.old && l.matchesTransferEncoding(part) {
 		l.invalid = errOldChunks
 	}
-	l.column++
+	l.column += len(part)
+}
+
+// matchesTransferEncoding reports whether the current line, of which part are the next
+// bytes, begins with transferEncoding.
+func (l *lineChecker) matchesTransferEncoding(part []byte) bool {
+	if l.matched < l.column {
+		return false
+	}
+	want := transferEncoding[l.matched:min(l.matched+len(part), len(transferEncoding))]
+	if !strings.EqualFold(string(part[:len(want)]), want) {
+		return false
+	}
+	l.matched += len(want)
+	return l.matched == len(transferEncoding)
 }
 
 func (l *lineChecker) endLine() {
@@ -123,11 +142,3 @@
 		l.inFields, l.ended = false, !l.informational
 	}
 }
-
-// lower returns the lower-case letter of an ASCII letter, and other bytes as they are.
-func lower(c byte) byte {
-	if 'A' <= c && c <= 'Z' {
-		return c + 'a' - 'A'
-	}
-	return c
-}
