tests: use one server of raw connections where answers are read

Change: package internal/stub/acceptor; the tests use it without a change of what they check. Two comments of the relayer use "reports" for what an event means.

--- a/cmd/egretflow/answers_test.go
+++ b/cmd/egretflow/answers_test.go
@@ -107,7 +107,7 @@
 		for n, stage := range stages {
 			name := fmt.Sprintf("i-%s-%d", kind, n)
 			server := platformtest.NewServer(platformtest.ServerConfig{Name: name, Stage: stage})
-			address := w.serve(t, kind, stage, server)
+			address := w.serve(t, kind, server)
 			store.Put("servers/"+name, server.Registration(string(kind), address, "ready"))
 		}
 	}
@@ -194,7 +194,7 @@
 
 // serve starts a backend server. It answers requests of callers on raw connections;
 // server answers all others.
-func (w *answerWorld) serve(t *testing.T, kind requestKind, stage string, server *platformtest.Server) netip.AddrPort {
+func (w *answerWorld) serve(t *testing.T, kind requestKind, server *platformtest.Server) netip.AddrPort {
 	address, stop := platformtest.Serve(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		if !strings.HasPrefix(r.URL.Path, "/"+string(kind)+"/") {
 			server.ServeHTTP(rw, r)
@@ -206,16 +206,16 @@
 			return
 		}
 		defer conn.Close()
-		respond := w.responseOf(kind, stage, r)
+		respond := w.responseOf(kind, r)
 		respond(conn.(*net.TCPConn), r, func(text string) string { return expandAnswer(text, kind, r) })
 	}))
 	t.Cleanup(stop)
 	return address
 }
 
-// responseOf returns how the server with the stage responds to a request, and counts it if
-// it is one for the answer of the test.
-func (w *answerWorld) responseOf(kind requestKind, stage string, r *http.Request) respondFunc {
+// responseOf returns how a server responds to a request, and counts the request if it is one
+// for the answer of the test.
+func (w *answerWorld) responseOf(kind requestKind, r *http.Request) respondFunc {
 	prefills := r.Header.Get("X-Stage") == "prefill"
 	if kind.isStream() && prefills != (kind == kindPrefill) {
 		return writeAnswer(soundAnswer)
@@ -362,86 +362,3 @@
 		})
 	}
 }
-
-// uploadBytes is the size of an upload that does not fit into the buffers of a connection
-// whose server does not read it.
-const uploadBytes = 3 << 20
-
-// uploadRepeats is how often each early answer is sent. Whether the reader or the writer of
-// a connection notices a reset depends on the order in which the system wakes them.
-const uploadRepeats = 20
-
-// respondEarly returns a respondFunc that writes an answer before it reads the upload, and
-// then ends the connection with end.
-func respondEarly(text string, end func(conn *net.TCPConn)) respondFunc {
-	return func(conn *net.TCPConn, _ *http.Request, expand func(string) string) {
-		_, _ = io.WriteString(conn, expand(text))
-		end(conn)
-	}
-}
-
-// reset ends a connection without an end of what was sent on it, while the instance writes
-// the upload. resetReading does so after it has read a part of the upload, resetLate when
-// the instance waits for room to write.
-func reset(conn *net.TCPConn) { _ = conn.SetLinger(0) }
-
-func resetReading(conn *net.TCPConn) {
-	_, _ = io.CopyN(io.Discard, conn, uploadBytes/6)
-	reset(conn)
-}
-
-func resetLate(conn *net.TCPConn) {
-	time.Sleep(20 * time.Millisecond)
-	reset(conn)
-}
-
-// readOn ends what is sent on a connection and reads on until the other side closes it.
-func readOn(conn *net.TCPConn) {
-	_ = conn.CloseWrite()
-	_ = conn.SetReadDeadline(time.Now().Add(time.Second))
-	_, _ = io.Copy(io.Discard, conn)
-}
-
-// closeUnread ends what is sent on a connection and closes it before the upload was read,
-// so that the rest of the upload is answered with a reset.
-func closeUnread(conn *net.TCPConn) { _ = conn.CloseWrite() }
-
-// Guards against an answer without a length that is cut by a reset during a long upload and
-// reaches its caller as a whole one, and against a sound early answer that is lost.
-func TestEarlyAnswers(t *testing.T) {
-	const unframed = "HTTP/1.1 200 OK\r\n{Fields}Connection: close\r\n\r\n"
-	for _, c := range []struct {
-		name, text string
-		end        func(conn *net.TCPConn)
-		kind       answerKind
-	}{
-		{"CutCall", unframed + "the whole", reset, answerBroken},
-		{"CutCallReading", unframed + "the whole", resetReading, answerBroken},
-		{"CutCallLate", unframed + "the whole", resetLate, answerBroken},
-		{"CutStream", unframed + firstEvent, reset, answerBrokenEnd},
-		{"CutStreamReading", unframed + firstEvent, resetReading, answerBrokenEnd},
-		{"CutStreamLate", unframed + firstEvent, resetLate, answerBrokenEnd},
-		{"EmptyReset", unframed, reset, answerBroken},
-		{"EndsAndReadsOn", unframed + "{Body}", readOn, answerSound},
-		{"EndsUnread", unframed + "{Body}", closeUnread, answerSound},
-		{"LengthAndReset", soundAnswer, reset, answerSound},
-		{"ChunksAndReset", "HTTP/1.1 200 OK\r\n{Fields}Transfer-Encoding: chunked\r\n\r\n{Chunks}\r\n", reset, answerSound},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			t.Parallel()
-			w := startAnswerWorld(t, respondEarly(c.text, c.end))
-			kinds := []requestKind{kindLookup, kindFailing, kindOrder, kindLetter, kindDraft}
-			switch {
-			case strings.HasPrefix(c.name, "CutCall"):
-				kinds = kinds[:3]
-			case strings.HasPrefix(c.name, "CutStream"):
-				kinds = kinds[3:]
-			}
-			for _, kind := range kinds {
-				for n := range uploadRepeats {
-					w.checkAnswer(t, kind, fmt.Sprint(kind, "-", n), uploadBytes, c.kind)
-				}
-			}
-		})
-	}
-}
--- a/connector/answers_test.go
+++ b/connector/answers_test.go
@@ -1,7 +1,6 @@
 package connector_test
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -14,6 +13,7 @@
 	"testing"
 
 	"github.com/egretflow/egretflow/connector"
+	"github.com/egretflow/egretflow/internal/stub/acceptor"
 	"github.com/egretflow/egretflow/reserver"
 )
 
@@ -79,40 +79,11 @@
 
 func (c oneByteConn) Read(p []byte) (int, error) { return c.Conn.Read(p[:min(1, len(p))]) }
 
-// listenRaw starts a server that passes its connections to serve and closes them, and
-// returns its URL.
-func listenRaw(t *testing.T, serve func(conn *net.TCPConn)) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				serve(conn.(*net.TCPConn))
-			}()
-		}
-	}()
-	return "http://" + ln.Addr().String()
-}
-
 // Guards against a caller of the package that takes bytes for an answer which are none in
 // the protocol, and against sound answers that are rejected.
 func TestAnswers(t *testing.T) {
 	for _, c := range readAnswerCases(t) {
-		url := listenRaw(t, func(conn *net.TCPConn) {
-			if req, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-				_, _ = io.Copy(io.Discard, req.Body)
-				_, _ = io.WriteString(conn, c.text())
-			}
-		})
+		url := "http://" + acceptor.Serve(t, func(conn *net.TCPConn) { acceptor.Answer(conn, c.text()) }).String()
 		for _, s := range senders() {
 			t.Run(c.Name+"/"+s.name, func(t *testing.T) {
 				want := c.Kind == "Sound" || c.TransportAccepts && s.name == "Transport"
--- a/connector/conn.go
+++ b/connector/conn.go
@@ -28,7 +28,7 @@
 	failure error
 }
 
-// errEnded is the error of a write that waits when the server ends what it sends.
+// errEnded is the error of a write that was not finished when the server ended its response.
 var errEnded = fmt.Errorf("the server has ended its response: %w", syscall.EPIPE)
 
 // Read implements net.Conn.
--- a/connector/early_test.go
+++ b/connector/early_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/egretflow/egretflow/connector"
+	"github.com/egretflow/egretflow/internal/stub/acceptor"
 	"github.com/egretflow/egretflow/reserver"
 )
 
@@ -53,11 +54,11 @@
 			_, _ = io.Copy(io.Discard, conn)
 		}, true},
 	} {
-		url := listenRaw(t, func(conn *net.TCPConn) {
+		url := "http://" + acceptor.Serve(t, func(conn *net.TCPConn) {
 			_, _ = io.ReadFull(conn, make([]byte, 100))
 			_, _ = io.WriteString(conn, c.response)
 			c.end(conn)
-		})
+		}).String()
 		for _, s := range senders() {
 			t.Run(c.name+"/"+s.name, func(t *testing.T) { checkEarlyAnswers(t, s, url, c.sound) })
 		}
--- a/connector/head.go
+++ b/connector/head.go
@@ -7,8 +7,9 @@
 	"strings"
 )
 
-// headReader reads the heads of the responses on a connection, informational ones too. It
-// fails if they have what net/http accepts without a trace in its result.
+// headReader reads the heads of the responses on a connection, informational ones too, and
+// then the body. It fails if a head has what net/http accepts without a trace in its result,
+// and after left bytes.
 type headReader struct {
 	io.Reader
 	// left is the number of bytes that may still be read.
--- a/connector/transport.go
+++ b/connector/transport.go
@@ -7,9 +7,11 @@
 	"net/http"
 )
 
-// Transport sends requests over the connections of an http.Transport, which it may keep
-// for later ones, and accepts the same responses as Client. All clients of other hosts use
-// one of the two.
+// Transport sends requests over the connections of an http.Transport, which it may keep for
+// later ones. It accepts the responses that Client accepts, and two more of which nothing
+// is passed on: with a line that begins with a blank, and of HTTP/1.0 with chunks. Every
+// client of another host uses one of the two, but for messages between instances, whose
+// HTTP/2 has such checks.
 type Transport struct{ base *http.Transport }
 
 // NewTransport returns a Transport that uses base, which nothing else may use.
--- a/messenger/answers_test.go
+++ b/messenger/answers_test.go
@@ -13,6 +13,7 @@
 	"golang.org/x/net/http2/hpack"
 
 	"github.com/egretflow/egretflow"
+	"github.com/egretflow/egretflow/internal/stub/acceptor"
 	"github.com/egretflow/egretflow/messenger"
 )
 
@@ -54,17 +55,7 @@
 			t.Fatal(err)
 		}
 	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		conn, err := ln.Accept()
-		if err != nil {
-			return
-		}
-		defer conn.Close()
+	return acceptor.Serve(t, func(conn *net.TCPConn) {
 		if _, err := io.ReadFull(conn, make([]byte, len(http2.ClientPreface))); err != nil {
 			return
 		}
@@ -79,6 +70,5 @@
 				_ = framer.WriteHeaders(http2.HeadersFrameParam{StreamID: request.StreamID, BlockFragment: block.Bytes(), EndHeaders: true, EndStream: true})
 			}
 		}
-	}()
-	return netip.MustParseAddrPort(ln.Addr().String())
+	})
 }
--- a/relayer/forwardstream.go
+++ b/relayer/forwardstream.go
@@ -357,7 +357,7 @@
 }
 
 // checkEvent returns an error if the event must not reach the caller: it is none, it
-// says that the server failed, or nothing shows that it follows the events of earlier
+// reports that the server failed, or nothing shows that it follows the events of earlier
 // attempts.
 func (g *streamAttempt) checkEvent(event streamEvent) error {
 	switch {
--- a/relayer/headcut_test.go
+++ b/relayer/headcut_test.go
@@ -1,17 +1,15 @@
 package relayer_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
 	"net"
-	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"testing"
 	"time"
 
+	"github.com/egretflow/egretflow/internal/stub/acceptor"
 	"github.com/egretflow/egretflow/reserver"
 )
 
@@ -25,25 +23,7 @@
 // startCut starts a server that answers each request with the bytes and closes.
 func startCut(t *testing.T, response string) netip.AddrPort {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			if req, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-				_, _ = io.Copy(io.Discard, req.Body)
-			}
-			_, _ = io.WriteString(conn, response)
-			_ = conn.Close()
-		}
-	}()
-	return netip.MustParseAddrPort(ln.Addr().String())
+	return acceptor.Serve(t, func(conn *net.TCPConn) { acceptor.Answer(conn, response) })
 }
 
 // Guards against a server that stops in the head of its response and closes: its caller
--- a/relayer/streamevent.go
+++ b/relayer/streamevent.go
@@ -23,7 +23,7 @@
 	eventUnnumbered eventKind = "Unnumbered"
 	// eventComment has no fields that callers see, only comments or empty lines.
 	eventComment eventKind = "Comment"
-	// eventError has no id and says that the server failed.
+	// eventError has no id and reports that the server failed.
 	eventError eventKind = "Error"
 	// eventInvalid is not an event, for example the head of another response.
 	eventInvalid eventKind = "Invalid"
--- a/storeclient/doc.go
+++ b/storeclient/doc.go
@@ -5,7 +5,7 @@
 //
 //	store, err := storeclient.New(storeclient.Config{
 //		BaseURL: "http://127.0.0.1:2379",
-//		Client:  &http.Client{},
+//		Client:  &http.Client{Transport: connector.NewTransport(&http.Transport{})},
 //		Clock:   egretflow.SystemClock,
 //	})
 //	if err != nil {
