connector: check the bytes of heads for plain calls on a connection each

What callers saw: "egretctl explain" printed the chunk sizes of an answer of HTTP/1.0 with Transfer-Encoding as part of it, and the whole of a body whose length stood in a line that began with a blank.

Cause: only Client saw the bytes of a head; what net/http accepts without a trace in its result was left to the users of Transport.

Evidence: the two new cases of the script answers of cmd/egretctl.

Change: a Transport that has a connection for each request reads through headReader, as Client does; that are the clients of engines, of other instances, of streams of events, and now egretctl. Bytes that do not begin like a version, such as those of TLS, are left alone. A Transport that keeps connections or uses TLS is as before; the documents say so.

Result: the script passes, and TestAnswers of the connector tells the two kinds of Transport apart.

--- a/cmd/egretctl/clients.go
+++ b/cmd/egretctl/clients.go
@@ -40,7 +40,8 @@
 		}
 		settings.Certificates = []tls.Certificate{cert}
 	}
-	transport := &http.Transport{TLSClientConfig: settings, TLSHandshakeTimeout: tlsHandshakeTimeout}
+	// With a connection for each request, Transport checks the bytes of each head.
+	transport := &http.Transport{TLSClientConfig: settings, TLSHandshakeTimeout: tlsHandshakeTimeout, DisableKeepAlives: true}
 	return &http.Client{Transport: connector.NewTransport(transport)}, nil
 }
 
--- a/connector/answers_test.go
+++ b/connector/answers_test.go
@@ -25,9 +25,9 @@
 	// Kind is Sound for a valid answer, Broken for an invalid one and BrokenEnd for one that
 	// shows only at its end that it is invalid.
 	Kind string
-	// TransportAccepts reports whether Transport accepts the broken answer, because
-	// net/http shows nothing of what is broken and passes nothing of it on.
-	TransportAccepts bool
+	// TransportAccepts reports whether Transport accepts the broken answer, and KeptAccepts
+	// whether it does so if it keeps connections: net/http shows nothing of what is broken.
+	TransportAccepts, KeptAccepts bool
 }
 
 const answerBody = "the whole body"
@@ -84,9 +84,10 @@
 func TestAnswers(t *testing.T) {
 	for _, c := range readAnswerCases(t) {
 		url := "http://" + acceptor.Serve(t, func(conn *net.TCPConn) { acceptor.Answer(conn, c.text()) }).String()
-		for _, s := range senders() {
+		kept := sender{"KeptTransport", connector.NewTransport(&http.Transport{}).RoundTrip}
+		for _, s := range append(senders(), kept) {
 			t.Run(c.Name+"/"+s.name, func(t *testing.T) {
-				want := c.Kind == "Sound" || c.TransportAccepts && s.name == "Transport"
+				want := c.Kind == "Sound" || c.TransportAccepts && s.name == "Transport" || c.KeptAccepts && s.name == "KeptTransport"
 				if body, err := receive(t.Context(), s, url, "x"); (err == nil) != want || c.Kind == "Sound" && body != answerBody {
 					t.Errorf("body %q, error %v, want an answer: %v", body, err, want)
 				}
--- a/connector/head.go
+++ b/connector/head.go
@@ -93,10 +93,13 @@
 }
 
 // readStatusLine takes the next bytes of the first line of a head. net/http accepts several
-// blanks before the status code.
+// blanks before the status code. What does not begin like a version is no head, and net/http
+// rejects it unless it is TLS.
 func (l *lineChecker) readStatusLine(part []byte) {
 	for _, c := range part {
 		switch l.column {
+		case 0:
+			l.ended = c != 'H'
 		case minorColumn:
 			l.old = c == '0'
 		case statusColumn:
