crashdetector: do not block one of several parts that nothing tells apart

Cause: the second loss convicted the last of the equally charged parts that was not known to be sound, and after a start none is known to be. No request with a blocked part ran until the losses expired, so nothing could show the mistake.

Evidence: the script three-of-which-one in crashdetector/testdata/parts shows it with one instance and no network: before this change a request with parts f and d is rejected after two crashes of requests with f, dead and d.

Change: the parts with the same evidence make a suspect set. Only requests with all members are rejected. Those with some run one at a time: an answer removes its parts from the set, a crash the others. 2 s after its last loss, and 1 min after a failed trial, one request with all members runs as a trial, so that a wrong verdict ends by itself. What the set explained counts again if it ends.

Why it works: no request is rejected unless it has everything that may be the cause, so a sound request always differs in a part and can run, and its answer names the part.

In shared-counts-once and sound-becomes-deadly-beside-new the losses stay with both members of the set. peer-learns-block tells the parts apart first; what a peer learns of those that nothing tells apart is in peer-isolates-combination. The verdict in TestPartMemoryIsBounded is read before the trial is due, and its losses too. TestCrashingPartIsRefused checks the time to come back after each crash: the next trial, and the end of the losses after the fourth.

--- a/crashdetector/crashdetector.go
+++ b/crashdetector/crashdetector.go
@@ -5,17 +5,18 @@
 //
 //	d := crashdetector.New()
 //	// for each request on the lost server
-//	d.RecordLoss(work.Fingerprint, crashdetector.Loss{Server: "decode-3"}, now)
-//	// if the server had sent none of the answer
-//	d.RecordPartLoss(work.Parts, crashdetector.Loss{Server: "decode-3", Early: true}, startedAt, now)
+//	loss := crashdetector.Loss{Server: "decode-3", Progress: tokens}
+//	d.RecordLoss(work.Fingerprint, loss, now)
+//	d.RecordPartLoss(work.Parts, loss, startedAt, now)
 //	switch d.Verdict(work.Fingerprint, now) {
 //	case crashdetector.Reject: // refuse it
 //	case crashdetector.Separate: // run it on a server without other suspects, if there is one
 //	case crashdetector.Isolate: // only run it on a server without other suspects
 //	}
 //	d.PartVerdict(work.Parts, now) // the same for the parts of its prompt
-//	d.AnswerBegan(work.Fingerprint, work.Parts, now)
+//	d.AnswerAdvanced(work.Fingerprint, work.Parts, before, tokens, now)
 //	d.Clear(work.Fingerprint) // it completed
+//	d.Record(now)             // the verdicts that must outlast this process
 //
 // # Rules
 //
@@ -31,21 +32,30 @@
 //  4. When a request completes, its losses so far no longer count. Reports of
 //     peers about the same losses do not make them count again. Losses that all came
 //     before an answer had begun no longer count once one begins.
-//  5. A server that is lost before it sent any of an answer is also charged to the
-//     parts of the prompt. A part with which an answer has begun is sound. It is
-//     charged too, because a part may begin to crash servers later.
-//  6. A part counts one loss for the attempts that ran at the same time: servers that
+//  5. A loss is also charged to the parts of the prompt, with the progress of the
+//     answer, which is the depth of the loss. Parts that were sound before are charged
+//     too, because a part may begin to crash servers later.
+//  6. A loss no longer counts against a part once another answer with the part gets
+//     beyond its depth. An answer that gets less far shows nothing.
+//  7. A part counts one loss for the attempts that ran at the same time: servers that
 //     fail together for another reason are no evidence of a second crash. If another
 //     request on the lost server explains the loss (Suspicion), it counts only for
 //     parts that have none.
-//  7. A part with one loss is a suspect unless it is sound. Of the parts charged with
-//     a loss, the one with the most losses is blocked once it has MaxLosses; of equal
-//     ones, one that is not sound, and then the last, because the first parts are
-//     shared by most other requests. A blocked part explains the losses of the others.
-//  8. When an answer begins, the losses of its parts so far no longer count, and a
-//     report of a peer about an earlier loss is ignored.
-//  9. Reports to peers list blocked parts with MaxLosses servers or more, and suspects
-//     with one. The report of a suspect only makes a part a suspect.
+//  8. A part with one loss is a suspect unless an earlier answer with it got beyond the
+//     depth. Its requests run one at a time, until one of them gets beyond the depth.
+//  9. The parts of a request that have the most losses, MaxLosses or more, make a
+//     suspect set. Parts that were sound before are left out if others were not. Only
+//     requests with all members are rejected. Those with some of them run as in rule 8:
+//     one that gets beyond the depth removes its parts from the set, and one that loses
+//     its server removes the others. The set explains the losses of other parts.
+//  10. firstTrialAfter the last loss, one request with all members runs as a trial. If
+//     it gets beyond the depth, the verdict ends. If it crashes a server, the next trial
+//     is secondTrialAfter later, and after maxTrials there is none until the losses
+//     expire.
+//  11. Reports to peers list sets of one member with all losses, and suspects with one.
+//     The report of a suspect only makes a part a suspect.
+//  12. Record returns the verdicts, and Restore adds those of a record. Which parts are
+//     sound, and single losses, are kept in memory alone.
 package crashdetector
 
 import (
@@ -57,7 +67,7 @@
 
 const (
 	// MaxLosses is the number of losses from which on a request is rejected, unless
-	// another suspect may explain the last of them.
+	// another suspect may explain the last of them, and parts are in a suspect set.
 	MaxLosses = 2
 	// RejectFor is how long the losses of a request are kept after the last one.
 	RejectFor = 10 * time.Minute
@@ -71,9 +81,6 @@
 	maxReports = 64
 	// maxServers bounds the losses kept per request.
 	maxServers = 4
-	// maxSoundParts bounds the sound parts that are remembered, in each of the two
-	// generations.
-	maxSoundParts = 2048
 )
 
 // Verdict says how a request may run.
@@ -91,11 +98,15 @@
 // Loss is the loss of a server that was running a request.
 type Loss struct {
 	Server egretflow.ServerName
-	// Early reports whether the server had sent none of the answer.
-	Early bool
+	// Progress is how much of the answer the server had sent, in tokens; 0 if it had
+	// sent none.
+	Progress int
 	// Shared reports whether other suspects may have been running on the server. For
 	// parts, whether another request that was running there explains the loss.
 	Shared bool
+	// Caused reports whether another request that was running there has all members of
+	// a suspect set. The loss then says nothing of the parts.
+	Caused bool
 }
 
 // entry holds the losses of one request.
@@ -109,45 +120,50 @@
 	lostAt    map[egretflow.ServerName]time.Time
 	expiresAt time.Time
 	// afterStart reports whether a loss that counts came after an answer had begun.
-	// It is not used for parts.
 	afterStart bool
 	// shared reports whether another suspect may explain the second loss.
 	shared bool
-	// lastLossAt is when the newest loss was recorded. It is used for parts only, as
-	// is blocked.
-	lastLossAt time.Time
-	blocked    bool
 }
 
 // losses returns the number of losses that count.
 func (e *entry) losses() int { return len(e.servers) - e.cleared }
 
-// table holds the losses of requests by fingerprint, or of parts by hash.
+// table holds the losses of requests by fingerprint.
 type table map[uint64]*entry
 
 // Detector holds the losses of requests and of parts. It is not safe for concurrent
 // use.
 type Detector struct {
 	entries table
-	parts   table
-	// sound holds when an answer with a part last began, and formerSound the
-	// generation before.
-	sound       map[egretflow.PartHash]time.Time
-	formerSound map[egretflow.PartHash]time.Time
+	parts   map[egretflow.PartHash]*partEntry
+	// sets holds the verdicts on parts, oldest first.
+	sets []*suspectSet
+	// sound holds the newest answers with each part, and formerSound the generation
+	// before.
+	sound       map[egretflow.PartHash]soundPart
+	formerSound map[egretflow.PartHash]soundPart
+	// verdicts counts the changes of verdicts that this Detector made itself.
+	verdicts uint64
 }
 
 // New returns an empty Detector.
 func New() *Detector {
-	return &Detector{entries: table{}, parts: table{}, sound: map[egretflow.PartHash]time.Time{}}
+	return &Detector{entries: table{}, parts: map[egretflow.PartHash]*partEntry{}, sound: map[egretflow.PartHash]soundPart{}}
 }
 
 // RecordLoss records that a server was lost while it ran the request.
 func (d *Detector) RecordLoss(fingerprint uint64, l Loss, now time.Time) {
 	e := d.entries.entryFor(fingerprint, now)
-	e.afterStart = e.afterStart || !l.Early
-	if e.recordLoss(l.Server, now) && e.losses() == MaxLosses {
+	e.afterStart = e.afterStart || l.Progress > 0
+	if !e.recordLoss(l.Server, now) {
+		return
+	}
+	if e.losses() == MaxLosses {
 		e.shared = l.Shared
 	}
+	if e.losses() >= MaxLosses {
+		d.verdicts++
+	}
 }
 
 // recordLoss adds a loss unless it is the same as an earlier one, and reports whether
@@ -157,7 +173,7 @@
 		return false
 	}
 	e.addLoss(server, now)
-	e.lastLossAt, e.expiresAt = now, now.Add(RejectFor)
+	e.expiresAt = now.Add(RejectFor)
 	return true
 }
 
@@ -252,7 +268,7 @@
 
 // clear makes the losses so far no longer count.
 func (e *entry) clear() {
-	e.cleared, e.afterStart, e.shared, e.blocked = len(e.servers), false, false, false
+	e.cleared, e.afterStart, e.shared = len(e.servers), false, false
 }
 
 // Reports returns the losses to send to peers, at most maxReports requests and parts,
@@ -306,11 +322,16 @@
 			d.mergePart(&r, now)
 			continue
 		}
-		e := d.entries.entryFor(r.Fingerprint, now)
-		e.merge(&r, now)
-		if r.ExpiresAt.After(e.expiresAt) {
-			e.expiresAt = r.ExpiresAt
-		}
+		d.mergeRequest(&r, now)
+	}
+}
+
+// mergeRequest applies a valid report about a request.
+func (d *Detector) mergeRequest(r *egretflow.CrashReport, now time.Time) {
+	e := d.entries.entryFor(r.Fingerprint, now)
+	e.merge(r, now)
+	if r.ExpiresAt.After(e.expiresAt) {
+		e.expiresAt = r.ExpiresAt
 	}
 }
 
--- a/crashdetector/parts.go
+++ b/crashdetector/parts.go
@@ -1,178 +1,418 @@
 package crashdetector
 
 import (
+	"cmp"
+	"math"
+	"slices"
 	"time"
 
 	"github.com/egretflow/egretflow"
 )
 
+const (
+	// WholeAnswer is the progress of an answer that ended complete.
+	WholeAnswer = math.MaxInt
+	// maxParts bounds the parts with losses that are kept.
+	maxParts = 8192
+	// evictedParts is the number of parts that are evicted at a time.
+	evictedParts = maxParts / 16
+	// maxSoundParts bounds the sound parts that are remembered, in each of the two
+	// generations.
+	maxSoundParts = 8192
+	// crossingShare is the share of a depth by which an answer must exceed it. Of an
+	// answer that breaks off, some of the last output may be lost.
+	crossingShare = 0.25
+	// isolationDepth is the depth in tokens up to which other requests with a suspect
+	// wait for the answer to get beyond it. Deeper ones take too long.
+	isolationDepth = 32
+	// unknownDepth stands for that of an answer that had begun. Only a complete answer
+	// gets beyond it.
+	unknownDepth = WholeAnswer / 2
+)
+
+// partLoss is a loss that counts against a part.
+type partLoss struct {
+	server egretflow.ServerName
+	at     time.Time
+	// depth is the progress of the answer, in tokens, when the server was lost. Of
+	// several answers on one server it is the largest.
+	depth int
+}
+
+// crossed reports whether an answer that got from one progress to another got beyond
+// a depth on the way.
+func crossed(depth, from, to int) bool {
+	limit := depth + int(crossingShare*float64(depth))
+	return from <= limit && limit < to
+}
+
+// IsBeyond reports whether an answer with the given progress got beyond a depth.
+func IsBeyond(progress, depth int) bool { return crossed(depth, 0, progress) }
+
+// partEntry holds what is known of one part.
+type partEntry struct {
+	// losses holds the losses that count, oldest first.
+	losses []partLoss
+	// lastLossAt is when the newest loss was recorded, whether it counts or not.
+	lastLossAt time.Time
+	expiresAt  time.Time
+	// sets holds the suspect sets that the part is a member of.
+	sets []*suspectSet
+	// explainedBy is a suspect set whose members explain the losses of the part.
+	explainedBy *suspectSet
+}
+
+// count returns the number of losses that count.
+func (e *partEntry) count(now time.Time) int {
+	if e == nil || !now.Before(e.expiresAt) || e.explainedBy.holds(now) {
+		return 0
+	}
+	return len(e.losses)
+}
+
+// depth returns the largest depth of the losses.
+func (e *partEntry) depth() int {
+	depth := 0
+	for _, l := range e.losses {
+		depth = max(depth, l.depth)
+	}
+	return depth
+}
+
+// record adds a loss unless it is the same as an earlier one.
+func (e *partEntry) record(l partLoss) {
+	for n := range e.losses {
+		if known := &e.losses[n]; known.server == l.server && l.at.Sub(known.at) < sameLossWindow {
+			known.depth = max(known.depth, l.depth)
+			return
+		}
+	}
+	e.lastLossAt, e.expiresAt = l.at, l.at.Add(RejectFor)
+	if len(e.losses) == maxServers {
+		e.losses = slices.Delete(e.losses, 0, 1)
+	}
+	e.losses = append(e.losses, l)
+}
+
+// soundPart is how far answers with a part got, and when one last did.
+type soundPart struct {
+	at       time.Time
+	progress int
+}
+
+// partEntryFor returns the entry of a part. If there is none, or if it has expired, it
+// adds a new one and evicts others if necessary.
+func (d *Detector) partEntryFor(part egretflow.PartHash, now time.Time) *partEntry {
+	if e, ok := d.parts[part]; ok && (now.Before(e.expiresAt) || e.inSet(now)) {
+		return e
+	}
+	if len(d.parts) >= maxParts {
+		d.evictParts(now)
+	}
+	e := &partEntry{}
+	d.parts[part] = e
+	return e
+}
+
+// inSet reports whether the part is a member of a suspect set.
+func (e *partEntry) inSet(now time.Time) bool {
+	return slices.ContainsFunc(e.sets, func(s *suspectSet) bool { return s.holds(now) })
+}
+
+// evictParts removes the expired entries and, if that frees too few, those that matter
+// least, evictedParts at a time because each call orders all of them.
+func (d *Detector) evictParts(now time.Time) {
+	kept := make([]egretflow.PartHash, 0, len(d.parts))
+	for part, e := range d.parts {
+		if now.Before(e.expiresAt) || e.inSet(now) {
+			kept = append(kept, part)
+		} else {
+			delete(d.parts, part)
+		}
+	}
+	if len(kept) < maxParts {
+		return
+	}
+	slices.SortFunc(kept, func(a, b egretflow.PartHash) int {
+		if n := d.parts[a].compare(d.parts[b], now); n != 0 {
+			return n
+		}
+		return cmp.Compare(a, b)
+	})
+	for _, part := range kept[:evictedParts] {
+		d.dropPart(part)
+	}
+}
+
+// compare orders entries by how much they matter: those with the fewest losses first, then
+// those that expire first. Members of suspect sets come last.
+func (e *partEntry) compare(other *partEntry, now time.Time) int {
+	if member, otherMember := e.inSet(now), other.inSet(now); member != otherMember {
+		if otherMember {
+			return -1
+		}
+		return 1
+	}
+	if n := cmp.Compare(e.count(now), other.count(now)); n != 0 {
+		return n
+	}
+	return e.expiresAt.Compare(other.expiresAt)
+}
+
+// dropPart forgets a part, and with it the suspect sets that it is a member of: without
+// it they would stand for other requests.
+func (d *Detector) dropPart(part egretflow.PartHash) {
+	for _, s := range slices.Clone(d.parts[part].sets) {
+		d.removeSet(s)
+	}
+	delete(d.parts, part)
+}
+
 // RecordPartLoss records that a server was lost while it ran an attempt with the given
-// parts, before it sent any of the answer. startedAt is when the attempt started, or
-// zero if that is not known. A shared loss only counts for parts that have none. It
-// returns the part that is most suspected, and whether there is one.
+// parts, whose answer had the given progress. startedAt is when the attempt started, or
+// zero if that is not known. A shared loss only counts for parts that have none and were
+// not sound beyond its depth. It returns the part that is most suspected, and whether there is one.
 func (d *Detector) RecordPartLoss(parts []egretflow.PartHash, l Loss, startedAt, now time.Time) (egretflow.PartHash, bool) {
-	if part, v := d.PartVerdict(parts, now); v == Reject {
-		return part, true
+	if len(parts) == 0 {
+		return 0, false
 	}
-	var suspect egretflow.PartHash
-	var worst *entry
+	loss := partLoss{server: l.Server, at: now, depth: l.Progress}
+	set, member, involved := d.accuse(parts, loss, l.Shared, startedAt)
+	if set != nil {
+		return member, true
+	}
+	if l.Caused {
+		return 0, false
+	}
+	shared := l.Shared || involved
+	suspect := parts[0]
 	for _, part := range parts {
-		e := d.parts.entryFor(uint64(part), now)
-		ranApart := e.lastLossAt.IsZero() || startedAt.After(e.lastLossAt)
-		if ranApart && (!l.Shared || e.losses() == 0) {
-			e.recordLoss(l.Server, now)
+		e := d.partEntryFor(part, now)
+		ranApart := e.lastLossAt.IsZero() || startedAt.After(e.lastLossAt) || now.Sub(e.lastLossAt) >= sameLossWindow
+		if ranApart && (!shared || e.count(now) == 0 && !d.soundBeyond(part, l.Progress)) {
+			if e.count(now) == 0 {
+				e.losses, e.explainedBy = nil, nil
+			}
+			e.record(loss)
+		} else if e.recorded(loss) {
+			e.record(loss)
 		}
-		if worst == nil || d.moreSuspect(part, e, suspect, worst) {
-			suspect, worst = part, e
+		if d.moreSuspect(part, suspect, l.Progress, now) {
+			suspect = part
 		}
 	}
-	if worst == nil {
-		return 0, false
-	}
-	if !l.Shared && worst.lastLossAt.Equal(now) && worst.losses() >= MaxLosses {
-		d.block(worst, parts)
+	e := d.parts[suspect]
+	if !shared && e.lastLossAt.Equal(now) && e.count(now) >= MaxLosses {
+		d.suspectTogether(parts, e.count(now), now)
 	}
 	return suspect, true
 }
 
-// moreSuspect reports whether a part is more likely the cause of a loss than one that
-// is listed before it.
-func (d *Detector) moreSuspect(part egretflow.PartHash, e *entry, earlier egretflow.PartHash, other *entry) bool {
-	if e.losses() != other.losses() {
-		return e.losses() > other.losses()
+// recorded reports whether the newest loss is the same as l.
+func (e *partEntry) recorded(l partLoss) bool {
+	if len(e.losses) == 0 {
+		return false
 	}
-	return d.soundAt(part).IsZero() || !d.soundAt(earlier).IsZero()
+	newest := &e.losses[len(e.losses)-1]
+	return newest.server == l.server && l.at.Sub(newest.at) < sameLossWindow
 }
 
-// block blocks one of the parts that a loss was charged to. It explains the losses of
-// the others.
-func (d *Detector) block(blocked *entry, parts []egretflow.PartHash) {
-	for _, part := range parts {
-		if e, ok := d.parts[uint64(part)]; ok && e != blocked {
-			e.clear()
-		}
+// moreSuspect reports whether a part is more likely the cause of a loss at a depth than
+// one that is listed before it.
+func (d *Detector) moreSuspect(part, earlier egretflow.PartHash, depth int, now time.Time) bool {
+	if n, m := d.parts[part].count(now), d.parts[earlier].count(now); n != m {
+		return n > m
 	}
-	blocked.blocked = true
+	return !d.soundBeyond(part, depth) || d.soundBeyond(earlier, depth)
 }
 
 // PartVerdict returns how a request with the given parts may run, and the part that
 // decides it unless the verdict is Allow.
 func (d *Detector) PartVerdict(parts []egretflow.PartHash, now time.Time) (egretflow.PartHash, Verdict) {
+	if len(d.parts) == 0 {
+		return 0, Allow
+	}
+	if s, member := d.containedSet(parts, now); s != nil {
+		return member, s.verdict(now)
+	}
 	var suspect egretflow.PartHash
 	verdict := Allow
 	for _, part := range parts {
-		switch d.partVerdict(part, now) {
-		case Reject:
-			return part, Reject
-		case Isolate:
-			suspect, verdict = part, Isolate
+		if v := d.partVerdict(part, now); v == Isolate || v == Separate && verdict == Allow {
+			suspect, verdict = part, v
 		}
 	}
 	return suspect, verdict
 }
 
+// partVerdict returns the verdict on a part without regard to others. One that was sound
+// beyond the depth of its losses is not held back.
 func (d *Detector) partVerdict(part egretflow.PartHash, now time.Time) Verdict {
-	e, ok := d.parts[uint64(part)]
-	switch {
-	case !ok || !now.Before(e.expiresAt) || e.losses() <= 0:
+	e, ok := d.parts[part]
+	if !ok {
 		return Allow
-	case e.blocked:
-		return Reject
-	case !d.soundAt(part).IsZero():
+	}
+	depth, suspected := e.depth(), e.count(now) > 0
+	for _, s := range e.sets {
+		if s.holds(now) {
+			depth, suspected = max(depth, s.depth), true
+		}
+	}
+	switch {
+	case !suspected || d.soundBeyond(part, depth):
 		return Allow
+	case depth > isolationDepth && depth != unknownDepth:
+		return Separate
 	}
 	return Isolate
 }
 
 // SuspectParts returns the parts of which only one request may run at a time.
 func (d *Detector) SuspectParts(parts []egretflow.PartHash, now time.Time) []egretflow.PartHash {
+	if len(d.parts) == 0 {
+		return nil
+	}
+	set, _ := d.containedSet(parts, now)
 	var suspects []egretflow.PartHash
 	for _, part := range parts {
-		if d.partVerdict(part, now) == Isolate {
+		if set != nil && set.members[part] || d.partVerdict(part, now) == Isolate {
 			suspects = append(suspects, part)
 		}
 	}
 	return suspects
 }
 
-// PartLosses returns the number of losses that count against a part.
-func (d *Detector) PartLosses(part egretflow.PartHash) int {
-	if e, ok := d.parts[uint64(part)]; ok {
-		return e.losses()
+// PartLosses returns the number of losses that count against a part, or against the
+// suspect set that it is a member of.
+func (d *Detector) PartLosses(part egretflow.PartHash, now time.Time) int {
+	e, ok := d.parts[part]
+	if !ok {
+		return 0
 	}
-	return 0
+	losses := e.count(now)
+	for _, s := range e.sets {
+		if s.holds(now) {
+			losses = max(losses, len(s.servers))
+		}
+	}
+	return losses
 }
 
-// PartExpiresAt returns when the losses of a part expire, or the zero time if it has
-// none.
-func (d *Detector) PartExpiresAt(part egretflow.PartHash) time.Time {
-	if e, ok := d.parts[uint64(part)]; ok {
-		return e.expiresAt
+// RetryAt returns when a request with the given parts that was rejected may come back:
+// when the next trial is due, or when the losses expire. It returns the zero time if the
+// parts do not reject it.
+func (d *Detector) RetryAt(parts []egretflow.PartHash, now time.Time) time.Time {
+	s, _ := d.containedSet(parts, now)
+	switch {
+	case s == nil || s.verdict(now) != Reject:
+		return time.Time{}
+	case s.mayTry():
+		return s.trialAt
 	}
-	return time.Time{}
+	return s.expiresAt
 }
 
-// AnswerBegan records that a server has sent the first part of an answer.
-func (d *Detector) AnswerBegan(fingerprint uint64, parts []egretflow.PartHash, now time.Time) {
-	if e, ok := d.entries[fingerprint]; ok && !e.afterStart {
+// AnswerAdvanced records that an answer with the given parts got from one progress to
+// another, in tokens; 0 is that of an answer that has not begun, and WholeAnswer that of a
+// complete one. Losses at the depths in between no longer count against the parts.
+func (d *Detector) AnswerAdvanced(fingerprint uint64, parts []egretflow.PartHash, from, to int, now time.Time) {
+	if e, ok := d.entries[fingerprint]; ok && from == 0 && !e.afterStart {
 		e.clear()
 	}
+	if to <= from {
+		return
+	}
+	if from == 0 || to == WholeAnswer || len(d.parts) > 0 {
+		d.noteSound(parts, to, now)
+	}
+	if len(d.parts) == 0 {
+		return
+	}
+	d.acquit(parts, from, to, now)
 	for _, part := range parts {
-		if e, ok := d.parts[uint64(part)]; ok {
-			e.clear()
+		if e, ok := d.parts[part]; ok {
+			e.losses = slices.DeleteFunc(e.losses, func(l partLoss) bool { return crossed(l.depth, from, to) })
 		}
+	}
+}
+
+// noteSound remembers how far an answer with the parts got.
+func (d *Detector) noteSound(parts []egretflow.PartHash, progress int, now time.Time) {
+	for _, part := range parts {
+		known := d.soundPart(part)
 		if len(d.sound) >= maxSoundParts {
-			d.formerSound, d.sound = d.sound, map[egretflow.PartHash]time.Time{}
+			d.formerSound, d.sound = d.sound, map[egretflow.PartHash]soundPart{}
 		}
-		d.sound[part] = now
+		d.sound[part] = soundPart{at: now, progress: max(progress, known.progress)}
 	}
 }
 
-// soundAt returns when an answer with the part last began, or the zero time if that
-// is not known.
-func (d *Detector) soundAt(part egretflow.PartHash) time.Time {
-	if at, ok := d.sound[part]; ok {
-		return at
+func (d *Detector) soundPart(part egretflow.PartHash) soundPart {
+	if s, ok := d.sound[part]; ok {
+		return s
 	}
 	return d.formerSound[part]
 }
 
-// partReports returns the reports of all blocked and suspected parts.
+// soundBeyond reports whether an answer with the part once got beyond a depth.
+func (d *Detector) soundBeyond(part egretflow.PartHash, depth int) bool {
+	return IsBeyond(d.soundPart(part).progress, depth)
+}
+
+// partReports returns the reports of all suspected parts. Of a suspect set with several
+// members each is only a suspect.
 func (d *Detector) partReports(now time.Time) []egretflow.CrashReport {
 	var reports []egretflow.CrashReport
-	for _, r := range d.parts.reports(now) {
-		r.Part = true
-		switch d.partVerdict(egretflow.PartHash(r.Fingerprint), now) {
-		case Reject:
-			reports = append(reports, r)
-		case Isolate:
-			r.Servers = r.Servers[:1]
-			reports = append(reports, r)
+	reported := map[egretflow.PartHash]bool{}
+	add := func(part egretflow.PartHash, servers []egretflow.ServerName, depth int, expiresAt time.Time) {
+		reported[part] = true
+		reports = append(reports, egretflow.CrashReport{Fingerprint: uint64(part), Servers: slices.Clone(servers), ExpiresAt: expiresAt, Part: true, Shared: depth > 0})
+	}
+	d.dropExpiredSets(now)
+	for _, s := range d.sets {
+		for part := range s.members {
+			if len(s.members) == 1 {
+				add(part, s.servers, s.depth, s.expiresAt)
+			} else if !d.soundBeyond(part, s.depth) {
+				add(part, s.servers[:1], s.depth, s.expiresAt)
+			}
+		}
+	}
+	for part, e := range d.parts {
+		switch {
+		case !now.Before(e.expiresAt) && !e.inSet(now):
+			delete(d.parts, part)
+		case !reported[part] && e.count(now) > 0 && !d.soundBeyond(part, e.depth()):
+			add(part, []egretflow.ServerName{e.losses[0].server}, e.depth(), e.expiresAt)
 		}
 	}
 	return reports
 }
 
-// mergePart applies a valid report of a peer about a part.
+// mergePart applies a valid report of a peer about a part. The report does not say how
+// far answers had come: if they had begun, only a whole one shows that the part is sound.
 func (d *Detector) mergePart(r *egretflow.CrashReport, now time.Time) {
 	part, lostAt := egretflow.PartHash(r.Fingerprint), r.ExpiresAt.Add(-RejectFor)
-	soundAt, blocks := d.soundAt(part), len(r.Servers) >= MaxLosses
-	if soundAt.After(lostAt) || !blocks && !soundAt.IsZero() {
+	depth := 0
+	if r.Shared {
+		depth = unknownDepth
+	}
+	if len(r.Servers) == 0 {
 		return
 	}
-	e := d.parts.entryFor(r.Fingerprint, now)
-	if !blocks && e.losses() > 0 {
+	sound := d.soundPart(part)
+	blocks := len(r.Servers) >= MaxLosses
+	if sound.at.After(lostAt) && IsBeyond(sound.progress, depth) || !blocks && sound.progress > 0 {
 		return
 	}
-	for n, server := range r.Servers {
-		if count(e.servers[e.cleared:], server) < count(r.Servers[:n+1], server) {
-			e.addLoss(server, now)
-		}
+	if blocks {
+		d.mergeSet([]egretflow.PartHash{part}, r.Servers, depth, lostAt, r.ExpiresAt, now)
+		return
 	}
-	e.blocked = e.blocked || blocks
-	if r.ExpiresAt.Sub(e.expiresAt) > sameLossWindow {
-		// Smaller differences come from the time that reports travel, and would add
-		// up with each instance that passes them on.
-		e.lastLossAt, e.expiresAt = lostAt, r.ExpiresAt
+	e := d.partEntryFor(part, now)
+	if e.count(now) > 0 || e.inSet(now) {
+		return
 	}
+	e.losses, e.explainedBy = nil, nil
+	e.record(partLoss{server: r.Servers[0], at: lostAt, depth: depth})
 }
--- a/crashdetector/parts_test.go
+++ b/crashdetector/parts_test.go
@@ -15,8 +15,10 @@
 // are applied to the first detector, or to the second one after "peer":
 //
 //	# why: the failure that the script guards against
-//	T [peer] crash server=NAME [started=T] [shared=true] parts=H,...  a server was lost before its answer began
+//	T [peer] crash server=NAME [started=T] [progress=N] [shared=true] parts=H,...  a server was lost
 //	T [peer] begun parts=H,...                            an answer has begun
+//	T [peer] advanced from=N to=N parts=H,...             an answer went on
+//	T [peer] ended from=N parts=H,...                     an answer went on to its end
 //	T [peer] want parts=H,... verdict=V [part=H] [losses=N]
 //	T report | T peer-report                              the reports of one reach the other
 type scriptRun struct {
@@ -61,9 +63,13 @@
 	parts := r.parts(values["parts"])
 	switch words[1] {
 	case "crash":
-		d.RecordPartLoss(parts, Loss{Server: egretflow.ServerName(values["server"]), Early: true, Shared: values["shared"] == "true"}, r.time(values["started"]), now)
+		d.RecordPartLoss(parts, Loss{Server: egretflow.ServerName(values["server"]), Progress: r.number(values["progress"]), Shared: values["shared"] == "true"}, r.time(values["started"]), now)
 	case "begun":
-		d.AnswerBegan(0, parts, now)
+		d.AnswerAdvanced(0, parts, 0, 1, now)
+	case "advanced":
+		d.AnswerAdvanced(0, parts, r.number(values["from"]), r.number(values["to"]), now)
+	case "ended":
+		d.AnswerAdvanced(0, parts, r.number(values["from"]), WholeAnswer, now)
 	case "report":
 		r.peer.Merge(r.own.Reports(now), now)
 	case "peer-report":
@@ -83,8 +89,8 @@
 	if want := values["part"]; want != "" && part.String() != want {
 		r.Errorf("%s: part %v", line, part)
 	}
-	if want := values["losses"]; want != "" && strconv.Itoa(d.PartLosses(parts[len(parts)-1])) != want {
-		r.Errorf("%s: %d losses", line, d.PartLosses(parts[len(parts)-1]))
+	if want := values["losses"]; want != "" && strconv.Itoa(d.PartLosses(parts[len(parts)-1], now)) != want {
+		r.Errorf("%s: %d losses", line, d.PartLosses(parts[len(parts)-1], now))
 	}
 }
 
@@ -100,6 +106,18 @@
 	return start.Add(time.Duration(seconds * float64(time.Second)))
 }
 
+// number returns the value of text, or zero for an empty one.
+func (r *scriptRun) number(text string) int {
+	if text == "" {
+		return 0
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		r.Fatal(err)
+	}
+	return n
+}
+
 func (r *scriptRun) parts(list string) []egretflow.PartHash {
 	var parts []egretflow.PartHash
 	for text := range strings.SplitSeq(list, ",") {
@@ -119,17 +137,17 @@
 // blocked part that is forgotten because many others have losses.
 func TestPartMemoryIsBounded(t *testing.T) {
 	d := New()
-	d.RecordPartLoss([]egretflow.PartHash{1}, Loss{Server: "a", Early: true}, at(0), at(1))
-	d.RecordPartLoss([]egretflow.PartHash{1}, Loss{Server: "b", Early: true}, at(2), at(3))
+	d.RecordPartLoss([]egretflow.PartHash{1}, Loss{Server: "a"}, at(0), at(1))
+	d.RecordPartLoss([]egretflow.PartHash{1}, Loss{Server: "b"}, at(2), at(3))
 	for n := range egretflow.PartHash(5 * maxSoundParts) {
-		d.RecordPartLoss([]egretflow.PartHash{2 * n}, Loss{Server: "c", Early: true}, at(4), at(5))
-		d.AnswerBegan(0, []egretflow.PartHash{2*n + 3}, at(5))
+		d.RecordPartLoss([]egretflow.PartHash{2 * n}, Loss{Server: "c"}, at(4), at(5))
+		d.AnswerAdvanced(0, []egretflow.PartHash{2*n + 3}, 0, 1, at(5))
 	}
-	if len(d.parts) > maxEntries || len(d.sound)+len(d.formerSound) > 2*maxSoundParts {
+	if len(d.parts) > maxParts || len(d.sound)+len(d.formerSound) > 2*maxSoundParts {
 		t.Errorf("%d parts with losses and %d+%d sound parts are kept", len(d.parts), len(d.sound), len(d.formerSound))
 	}
-	if _, v := d.PartVerdict([]egretflow.PartHash{1}, at(6)); v != Reject {
-		t.Errorf("verdict on the blocked part is %s", v)
+	if _, v := d.PartVerdict([]egretflow.PartHash{1}, at(4)); v != Reject || d.PartLosses(1, at(4)) != 2 {
+		t.Errorf("verdict on the blocked part is %s, with %d losses", v, d.PartLosses(1, at(4)))
 	}
 }
 
@@ -138,10 +156,10 @@
 // they answer and is cleared each time that an answer begins.
 func TestBegunAnswerClearsEarlyLossesOnly(t *testing.T) {
 	d := New()
-	d.RecordLoss(1, Loss{Server: "a", Early: true}, at(0))
-	d.RecordLoss(2, Loss{Server: "a"}, at(0))
-	d.AnswerBegan(1, nil, at(1))
-	d.AnswerBegan(2, nil, at(1))
+	d.RecordLoss(1, Loss{Server: "a"}, at(0))
+	d.RecordLoss(2, Loss{Server: "a", Progress: 1}, at(0))
+	d.AnswerAdvanced(1, nil, 0, 1, at(1))
+	d.AnswerAdvanced(2, nil, 0, 1, at(1))
 	if v := d.Verdict(1, at(2)); v != Allow {
 		t.Errorf("verdict %s after an early loss", v)
 	}
--- a/scheduler/adopt.go
+++ b/scheduler/adopt.go
@@ -38,7 +38,7 @@
 		return false
 	}
 	a := &attempt{
-		placement: pl, pool: p, startedAt: t.now, began: ad.Generated > 0, produced: ad.Generated > 0, adopted: true,
+		placement: pl, pool: p, startedAt: t.now, progress: ad.Generated, produced: ad.Generated > 0, adopted: true,
 		firstAssignment: egretflow.Assignment{Attempt: ad.Attempt, Work: ad.Work, Decode: pl.Decode.Spec, Slots: pl.Slots},
 	}
 	a.assignment = &a.firstAssignment
--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -29,8 +29,10 @@
 	mustIsolate bool
 	// isolationKeys holds what keeps other isolated requests from running.
 	isolationKeys []uint64
-	// began reports whether an answer began, which a prefill alone does not show.
-	began bool
+	// progress is how far the answer has come, in tokens; 0 before it began, which a
+	// prefill alone does not show. tokens counts those that were observed one by one.
+	progress int
+	tokens   int
 	// produced reports whether a server sent output for the attempt.
 	produced bool
 	// crashed reports whether a server crashed while it ran the attempt.
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -13,6 +13,9 @@
 	"github.com/egretflow/egretflow/picker"
 )
 
+// trialJitter spreads the callers that come back when a trial of their parts is due.
+const trialJitter = time.Second
+
 // verdict returns whether work may run, and whether it must run apart from other
 // crash suspects. Requests without a fingerprint are judged by their parts alone.
 func (t *task) verdict(work *egretflow.Work) crashdetector.Verdict {
@@ -20,7 +23,7 @@
 	if v == crashdetector.Reject || len(work.Parts) == 0 {
 		return v
 	}
-	if _, byPart := t.crashes.PartVerdict(work.Parts, t.now); byPart != crashdetector.Allow {
+	if _, byPart := t.crashes.PartVerdict(work.Parts, t.now); byPart != crashdetector.Allow && v != crashdetector.Isolate || byPart == crashdetector.Reject {
 		return byPart
 	}
 	return v
@@ -45,15 +48,16 @@
 	t.refuse(w, http.StatusServiceUnavailable, egretflow.RefusalCrashSuspect, message, admitter.Verdict{})
 }
 
-// postponeRetry asks the caller of rejected work not to return before the losses
-// expire. One that is no longer rejected may return as after any other refusal.
+// postponeRetry asks the caller of rejected work not to return before the next trial of
+// its parts, or before the losses expire. One that is no longer rejected may return as
+// after any other refusal.
 func (t *task) postponeRetry(refusal *egretflow.Refusal, work *egretflow.Work) {
 	if t.requestVerdict(work) == crashdetector.Reject {
 		refusal.RetryAt = t.crashes.ExpiresAt(work.Fingerprint)
 		return
 	}
-	if part, v := t.crashes.PartVerdict(work.Parts, t.now); v == crashdetector.Reject {
-		refusal.RetryAt = t.crashes.PartExpiresAt(part)
+	if at := t.crashes.RetryAt(work.Parts, t.now); !at.IsZero() {
+		refusal.RetryAt = at.Add(time.Duration(t.cfg.Rand.Int64N(int64(trialJitter))))
 	}
 }
 
@@ -87,22 +91,30 @@
 	a.pool.picker.EndIsolation(&a.placement)
 }
 
-// answerBegan processes the first output of a. If that clears the request of what it
-// was suspected of, or if it only prefers to be apart, others need not wait until its
-// answer ends.
-func (t *task) answerBegan(a *attempt) {
-	if a.began {
+// answerAdvanced processes output of a, whose answer has come to the given progress. If
+// that clears the request of what it was suspected of, or if it only prefers to be apart,
+// others need not wait until its answer ends.
+func (t *task) answerAdvanced(a *attempt, progress int) {
+	if progress <= a.progress {
 		return
 	}
-	a.began = true
-	work := a.assignment.Work
-	t.crashes.AnswerBegan(work.Fingerprint, work.Parts, t.now)
-	if a.isolated && (!a.mustIsolate || t.verdict(work) == crashdetector.Allow) {
+	work, before := a.assignment.Work, a.progress
+	a.progress = progress
+	t.crashes.AnswerAdvanced(work.Fingerprint, work.Parts, before, progress, t.now)
+	if a.isolated && (!a.mustIsolate || t.verdict(work) != crashdetector.Isolate) {
 		t.endIsolation(a)
 		t.dispatch(a.pool)
 	}
 }
 
+// callServed processes the response of a, which is a call. If it has the parts of a
+// prompt, the response is complete.
+func (t *task) callServed(a *attempt) {
+	if len(a.assignment.Work.Parts) > 0 {
+		t.answerAdvanced(a, crashdetector.WholeAnswer)
+	}
+}
+
 // queueSuspect queues a crash suspect apart from other requests, so that they are
 // not blocked while it waits for servers without another suspect (5.6).
 func (t *task) queueSuspect(w *waiter) {
@@ -198,8 +210,8 @@
 	return ids
 }
 
-// charge counts the crash of s against the request of a, and against the parts of its
-// prompt if no answer had begun, and records the verdict. Requests without a
+// charge counts the crash of s against the request of a and against the parts of its
+// prompt, and records the verdict. Requests without a
 // fingerprint and without parts are not counted.
 func (t *task) charge(a *attempt, s *picker.Server) {
 	work, server := a.assignment.Work, s.Spec.Name
@@ -207,12 +219,13 @@
 	site := t.crashSiteOf(s)
 	if work.Fingerprint != 0 {
 		shared := t.mayShareLoss(a, site)
-		t.crashes.RecordLoss(work.Fingerprint, crashdetector.Loss{Server: server, Early: !a.began, Shared: shared}, t.now)
+		t.crashes.RecordLoss(work.Fingerprint, crashdetector.Loss{Server: server, Progress: a.progress, Shared: shared}, t.now)
 	}
 	fields := []egretflow.EventField{{Key: "Server", Value: string(server)}}
 	if part, ok := t.chargeParts(a, server, site); ok {
 		fields = append(fields, egretflow.EventField{Key: "Part", Value: part.String()},
-			egretflow.EventField{Key: "Losses", Value: strconv.Itoa(t.crashes.PartLosses(part))})
+			egretflow.EventField{Key: "Losses", Value: strconv.Itoa(t.crashes.PartLosses(part, t.now))},
+			egretflow.EventField{Key: "Progress", Value: strconv.Itoa(a.progress)})
 	}
 	if work.Fingerprint == 0 && len(work.Parts) == 0 {
 		return
@@ -226,13 +239,13 @@
 // chargeParts counts the crash of a server against the parts of a, and returns the
 // part that is most suspected.
 func (t *task) chargeParts(a *attempt, server egretflow.ServerName, site crashSite) (egretflow.PartHash, bool) {
-	if a.began || len(a.assignment.Work.Parts) == 0 {
+	if a.progress > 0 || len(a.assignment.Work.Parts) == 0 {
 		return 0, false
 	}
 	startedAt := a.startedAt
 	if a.adopted {
 		startedAt = time.Time{}
 	}
-	loss := crashdetector.Loss{Server: server, Early: true, Shared: site.explains(a.assignment.Attempt)}
+	loss := crashdetector.Loss{Server: server, Progress: a.progress, Shared: site.explains(a.assignment.Attempt), Caused: site.convicts(a.assignment.Attempt)}
 	return t.crashes.RecordPartLoss(a.assignment.Work.Parts, loss, startedAt, t.now)
 }
--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -38,22 +38,46 @@
 const sharedPart, deadlyPart = egretflow.PartHash(1), egretflow.PartHash(0xdead)
 
 // Guards against a part that crashes one server after the other, because each request
-// with it is another one, and against callers that are asked to come back soon.
+// with it is another one, and against callers that are asked to come back before a trial
+// is due.
 func TestCrashingPartIsRefused(t *testing.T) {
 	d := newDriver(t, 1, 4)
-	for range 2 {
+	d.crash(d.acquire(d.withParts(sharedPart, deadlyPart)))
+	for _, trialAfter := range []time.Duration{2 * time.Second, time.Minute, crashdetector.RejectFor} {
 		d.crash(d.acquire(d.withParts(sharedPart, deadlyPart)))
+		w := d.acquire(d.withParts(sharedPart, deadlyPart))
+		d.wantRefusal(w, egretflow.RefusalCrashSuspect, egretflow.RunStateNotRun)
+		var refusal *egretflow.Refusal
+		if !errors.As(w.err, &refusal) || refusal.Status != http.StatusServiceUnavailable || !strings.Contains(refusal.Message, deadlyPart.String()) {
+			t.Errorf("got %v, want status 503 and the part", w.err)
+		} else if wait := refusal.RetryAt.Sub(d.now); wait < trialAfter-200*time.Millisecond || wait > trialAfter+time.Second {
+			t.Errorf("asked to come back after %v, want %v", wait, trialAfter)
+		}
+		if w := d.acquire(d.withParts(sharedPart)); w.assignment == nil {
+			t.Errorf("a request that shares the other part is refused: %v", w.err)
+		} else {
+			d.release(w.assignment)
+		}
+		d.pass(trialAfter)
 	}
-	w := d.acquire(d.withParts(sharedPart, deadlyPart))
-	d.wantRefusal(w, egretflow.RefusalCrashSuspect, egretflow.RunStateNotRun)
-	var refusal *egretflow.Refusal
-	if !errors.As(w.err, &refusal) || refusal.Status != http.StatusServiceUnavailable || !strings.Contains(refusal.Message, deadlyPart.String()) {
-		t.Errorf("got %v, want status 503 and the part", w.err)
-	} else if wait := refusal.RetryAt.Sub(d.now); wait < crashdetector.RejectFor/2 {
-		t.Errorf("asked to come back after %v", wait)
+}
+
+// Guards against a part that stays blocked although nothing but chance spoke against it,
+// and against two requests that try it at the same time.
+func TestTrialFreesPart(t *testing.T) {
+	d := newDriver(t, 3, 4)
+	for range 2 {
+		d.crash(d.acquire(d.withParts(sharedPart)))
 	}
-	if w := d.acquire(d.withParts(sharedPart)); w.assignment == nil {
-		t.Errorf("a request that shares the other part is refused: %v", w.err)
+	d.wantRefusal(d.acquire(d.withParts(sharedPart)), egretflow.RefusalCrashSuspect, egretflow.RunStateNotRun)
+	d.pass(2 * time.Second)
+	first, second := d.acquire(d.withParts(sharedPart)), d.acquire(d.withParts(sharedPart))
+	if first.assignment == nil || second.done {
+		t.Fatalf("first %v, second done: %t", first.err, second.done)
+	}
+	d.observe(egretflow.ObservationTransferDone, first.assignment.Prefill.Name, first.assignment)
+	if second.assignment == nil {
+		t.Error("the second request still waits")
 	}
 }
 
--- a/scheduler/crashsite.go
+++ b/scheduler/crashsite.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"slices"
 	"time"
 
 	"github.com/egretflow/egretflow"
@@ -20,9 +19,8 @@
 	// suspects holds the fingerprints of the requests that were charged with another
 	// loss before.
 	suspects map[uint64]bool
-	// waiting holds the suspicions, before this crash, of the attempts whose answers
-	// had not begun. Parts crash servers only before the answer begins.
-	waiting map[egretflow.AttemptID]crashdetector.Suspicion
+	// running holds the suspicions, before this crash, of the attempts.
+	running map[egretflow.AttemptID]crashdetector.Suspicion
 }
 
 // crashSiteOf returns the present crash of s.
@@ -36,12 +34,18 @@
 			delete(t.crashSites, name)
 		}
 	}
-	site = crashSite{at: t.now, suspects: map[uint64]bool{}, waiting: map[egretflow.AttemptID]crashdetector.Suspicion{}}
+	site = crashSite{at: t.now, suspects: map[uint64]bool{}, running: map[egretflow.AttemptID]crashdetector.Suspicion{}}
+	unreported := t.unreportedParts()
 	for _, id := range t.runningOn(s) {
-		work := t.attempts[id].assignment.Work
-		if !t.attempts[id].began {
-			site.waiting[id] = t.crashes.SuspicionOf(work.Parts, t.hasUnreportedLoss, t.now)
+		work, progress := t.attempts[id].assignment.Work, t.attempts[id].progress
+		if progress > 0 {
+			continue
 		}
+		isUnreported := func(part egretflow.PartHash) bool {
+			depth, ok := unreported[part]
+			return ok && !crashdetector.IsBeyond(progress, depth)
+		}
+		site.running[id] = t.crashes.SuspicionOf(work.Parts, progress, isUnreported, t.now)
 		if work.Fingerprint != 0 && t.crashes.Verdict(work.Fingerprint, t.now) != crashdetector.Allow {
 			site.suspects[work.Fingerprint] = true
 		}
@@ -50,25 +54,40 @@
 	return site
 }
 
-// hasUnreportedLoss reports whether an attempt with a part has yet to report the crash of
-// its server, which others have reported.
-func (t *task) hasUnreportedLoss(part egretflow.PartHash) bool {
+// unreportedParts returns the parts of the attempts that have yet to report the crash of
+// their server, which others have reported, with the largest progress of their answers.
+func (t *task) unreportedParts() map[egretflow.PartHash]int {
+	parts := map[egretflow.PartHash]int{}
 	for _, site := range t.crashSites {
-		for id := range site.waiting {
+		for id := range site.running {
 			a, running := t.attempts[id]
-			if running && !a.began && !a.crashed && slices.Contains(a.assignment.Work.Parts, part) {
-				return true
+			if !running || a.crashed {
+				continue
+			}
+			for _, part := range a.assignment.Work.Parts {
+				parts[part] = max(parts[part], a.progress)
 			}
 		}
 	}
-	return false
+	return parts
 }
 
 // explains reports whether another attempt on the server explains that it crashed while
 // it ran the attempt with the given id.
 func (c crashSite) explains(id egretflow.AttemptID) bool {
-	for other, s := range c.waiting {
-		if other != id && s.Explains(c.waiting[id]) {
+	for other, s := range c.running {
+		if other != id && s.Explains(c.running[id]) {
+			return true
+		}
+	}
+	return false
+}
+
+// convicts reports whether another attempt on the server than the one with the given id is
+// known to crash servers.
+func (c crashSite) convicts(id egretflow.AttemptID) bool {
+	for other, s := range c.running {
+		if other != id && s.Convicts() {
 			return true
 		}
 	}
@@ -85,7 +104,7 @@
 	if suspects[fingerprint] {
 		others--
 	}
-	return others > 0 || a.began || !t.schedulesAllRequests(a.pool)
+	return others > 0 || a.progress > 0 || !t.schedulesAllRequests(a.pool)
 }
 
 // schedulesAllRequests reports whether this instance schedules all requests of p, rather
--- a/scheduler/observe.go
+++ b/scheduler/observe.go
@@ -39,6 +39,7 @@
 	case egretflow.ObservationServed:
 		if a != nil {
 			a.produced = true
+			t.callServed(a)
 		}
 		t.recordServerChange(s, s.Speed.Observe(p.picker.ServiceRatio(o.EndedAt.Sub(o.StartedAt)), t.now))
 	case egretflow.ObservationErrored:
@@ -116,7 +117,7 @@
 	if a == nil {
 		return
 	}
-	t.answerBegan(a)
+	t.answerAdvanced(a, 1)
 	if a.placement.Prefill == nil {
 		return
 	}
@@ -133,7 +134,8 @@
 func (t *task) tokensGenerated(p *pool, s *picker.Server, a *attempt, o *egretflow.Observation) {
 	if a != nil && o.Tokens > 0 {
 		a.produced = true
-		t.answerBegan(a)
+		a.tokens += o.Tokens
+		t.answerAdvanced(a, max(a.tokens, o.Generated))
 		p.picker.FinishTransfer(&a.placement)
 		if o.Generated > 0 {
 			p.picker.UpdateGenerated(&a.placement, a.assignment.Work, o.Generated)
