crashdetector: charge parts with losses after the answer began

What callers saw: a part of prompts that crashes servers after the first event was never found.

Cause: a loss after the first event was charged to no part, and the first event of any answer acquitted all its parts.

Evidence: TestBegunAnswerIsCharged fails before.

Change: a loss is charged with the progress of the answer, its depth. It counts until another answer with the part gets a quarter farther than the depth, having been short of it before; an answer that got less far, or had passed it already, shows nothing. Release.Complete tells the scheduler, and the coordinator in a field that earlier versions do not read, which answers ended complete. Reports of peers say whether answers had begun. A retry that starts while other requests have yet to report the same crash counts as apart: the loss has the time of the crash site. Parts that were sound before make a weak set, which is tried after 100 ms, and neither explains nor is convicted by the losses of others.

Why it works: a part that crashes servers after n events never gets beyond n, so nothing acquits it, while sound parts are acquitted by each answer elsewhere that goes on.

Tests changed: TestBegunAnswerIsNotCharged stated the fault as intended. TestBegunAnswerIsCharged and TestCompleteAnswerAcquits replace it.

--- a/coordinator/link.go
+++ b/coordinator/link.go
@@ -204,7 +204,11 @@
 
 func (e *pendingEvent) event(now time.Time) event {
 	if e.observation == nil {
-		return event{Sequence: e.sequence, Attempt: e.release.Attempt, PrefillOnly: e.release.PrefillOnly, Wasted: e.release.WastedPrefillTokens}
+		x := event{Sequence: e.sequence, Attempt: e.release.Attempt, PrefillOnly: e.release.PrefillOnly, Wasted: e.release.WastedPrefillTokens}
+		if e.release.Complete {
+			x.Tokens = completeRelease
+		}
+		return x
 	}
 	x := observationEvent(e.observation, now)
 	x.Sequence = e.sequence
--- a/coordinator/wire.go
+++ b/coordinator/wire.go
@@ -93,17 +93,22 @@
 	Sequence uint64
 	Attempt  egretflow.AttemptID
 	// Kind is empty for a release.
-	Kind        egretflow.ObservationKind
-	Server      egretflow.ServerName
-	StartedAt   relativeTime
-	EndedAt     relativeTime
-	Unsent      bool
+	Kind      egretflow.ObservationKind
+	Server    egretflow.ServerName
+	StartedAt relativeTime
+	EndedAt   relativeTime
+	Unsent    bool
+	// Tokens is completeRelease for the release of a complete answer.
 	Tokens      int
 	Generated   int
 	PrefillOnly bool
 	Wasted      int
 }
 
+// completeRelease is the Tokens of an event that releases a complete answer. Earlier
+// versions do not read that field of a release.
+const completeRelease = 1
+
 // wireWork is an egretflow.Work without its pool. Instances of earlier versions know the
 // fields of workFields alone, see MarshalCBOR.
 type wireWork struct {
@@ -341,5 +346,5 @@
 }
 
 func (e *event) release() egretflow.Release {
-	return egretflow.Release{Attempt: e.Attempt, PrefillOnly: e.PrefillOnly, WastedPrefillTokens: e.Wasted}
+	return egretflow.Release{Attempt: e.Attempt, PrefillOnly: e.PrefillOnly, WastedPrefillTokens: e.Wasted, Complete: e.Tokens == completeRelease}
 }
--- a/coordinator/wire_test.go
+++ b/coordinator/wire_test.go
@@ -43,3 +43,22 @@
 		t.Error("a request with too many parts is accepted")
 	}
 }
+
+// Guards against a coordinator that does not learn which answers were complete, or takes
+// each released attempt, and each one of an earlier version, for one that was.
+func TestReleaseKeepsCompleteness(t *testing.T) {
+	for _, complete := range []bool{true, false} {
+		e := pendingEvent{sequence: 1, release: egretflow.Release{Attempt: "a", WastedPrefillTokens: 3, Complete: complete}}
+		data, err := encode(&message{Kind: kindRequest, From: "a", Incarnation: 1, Pool: "p", Request: &request{Sequence: 1, Events: []event{e.event(time.Unix(1000, 0))}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		m, _, err := decode(data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := m.Request.Events[0].release(); got != e.release {
+			t.Errorf("received %+v, want %+v", got, e.release)
+		}
+	}
+}
--- a/crashdetector/crashdetector.go
+++ b/crashdetector/crashdetector.go
@@ -48,10 +48,10 @@
 //     requests with all members are rejected. Those with some of them run as in rule 8:
 //     one that gets beyond the depth removes its parts from the set, and one that loses
 //     its server removes the others. The set explains the losses of other parts.
-//  10. firstTrialAfter the last loss, one request with all members runs as a trial. If
-//     it gets beyond the depth, the verdict ends. If it crashes a server, the next trial
-//     is secondTrialAfter later, and after maxTrials there is none until the losses
-//     expire.
+//  10. Some time after the last loss one request with all members runs as a trial:
+//     after firstTrialAfter, or earlyTrialAfter if all members were sound before. If it
+//     gets beyond the depth, the verdict ends. If it crashes a server, the next trial is
+//     later, and after the last of trialDelays there is none until the losses expire.
 //  11. Reports to peers list sets of one member with all losses, and suspects with one.
 //     The report of a suspect only makes a part a suspect.
 //  12. Record returns the verdicts, and Restore adds those of a record. Which parts are
@@ -98,6 +98,9 @@
 // Loss is the loss of a server that was running a request.
 type Loss struct {
 	Server egretflow.ServerName
+	// At is when the loss was first noticed, for whichever request. It is used for parts,
+	// and zero means now.
+	At time.Time
 	// Progress is how much of the answer the server had sent, in tokens; 0 if it had
 	// sent none.
 	Progress int
@@ -105,7 +108,7 @@
 	// parts, whether another request that was running there explains the loss.
 	Shared bool
 	// Caused reports whether another request that was running there has all members of
-	// a suspect set. The loss then says nothing of the parts.
+	// a suspect set that is not weak. The loss then says nothing of the parts.
 	Caused bool
 }
 
--- a/crashdetector/parts.go
+++ b/crashdetector/parts.go
@@ -79,12 +79,12 @@
 	return depth
 }
 
-// record adds a loss unless it is the same as an earlier one.
-func (e *partEntry) record(l partLoss) {
+// record adds a loss unless it is the same as an earlier one, and reports whether it did.
+func (e *partEntry) record(l partLoss) bool {
 	for n := range e.losses {
 		if known := &e.losses[n]; known.server == l.server && l.at.Sub(known.at) < sameLossWindow {
 			known.depth = max(known.depth, l.depth)
-			return
+			return false
 		}
 	}
 	e.lastLossAt, e.expiresAt = l.at, l.at.Add(RejectFor)
@@ -92,6 +92,7 @@
 		e.losses = slices.Delete(e.losses, 0, 1)
 	}
 	e.losses = append(e.losses, l)
+	return true
 }
 
 // soundPart is how far answers with a part got, and when one last did.
@@ -177,6 +178,9 @@
 		return 0, false
 	}
 	loss := partLoss{server: l.Server, at: now, depth: l.Progress}
+	if !l.At.IsZero() {
+		loss.at = l.At
+	}
 	set, member, involved := d.accuse(parts, loss, l.Shared, startedAt)
 	if set != nil {
 		return member, true
@@ -185,15 +189,15 @@
 		return 0, false
 	}
 	shared := l.Shared || involved
-	suspect := parts[0]
+	suspect, counted := parts[0], map[egretflow.PartHash]bool{}
 	for _, part := range parts {
 		e := d.partEntryFor(part, now)
-		ranApart := e.lastLossAt.IsZero() || startedAt.After(e.lastLossAt) || now.Sub(e.lastLossAt) >= sameLossWindow
+		ranApart := e.lastLossAt.IsZero() || !startedAt.Before(e.lastLossAt) || loss.at.Sub(e.lastLossAt) >= sameLossWindow
 		if ranApart && (!shared || e.count(now) == 0 && !d.soundBeyond(part, l.Progress)) {
 			if e.count(now) == 0 {
 				e.losses, e.explainedBy = nil, nil
 			}
-			e.record(loss)
+			counted[part] = e.record(loss) || counted[part]
 		} else if e.recorded(loss) {
 			e.record(loss)
 		}
@@ -201,9 +205,8 @@
 			suspect = part
 		}
 	}
-	e := d.parts[suspect]
-	if !shared && e.lastLossAt.Equal(now) && e.count(now) >= MaxLosses {
-		d.suspectTogether(parts, e.count(now), now)
+	if losses := d.parts[suspect].count(now); !shared && counted[suspect] && losses >= MaxLosses {
+		d.suspectTogether(parts, losses, loss.at, now)
 	}
 	return suspect, true
 }
--- a/crashdetector/suspectset.go
+++ b/crashdetector/suspectset.go
@@ -11,16 +11,12 @@
 const (
 	// maxSets bounds the suspect sets that are kept.
 	maxSets = 32
-	// firstTrialAfter and secondTrialAfter are how long after its last loss a request
-	// with all members of a suspect set runs again, to find out whether the verdict is
-	// right.
+	// earlyTrialAfter, firstTrialAfter and secondTrialAfter are how long after its last
+	// loss a request with all members of a suspect set runs again, to find out whether
+	// the verdict is right. The first of them applies to weak sets alone.
+	earlyTrialAfter  = 100 * time.Millisecond
 	firstTrialAfter  = 2 * time.Second
 	secondTrialAfter = time.Minute
-	// earlyTrialAfter applies to the first trial if all members were sound before and
-	// the last request had a new part that may be the cause instead.
-	earlyTrialAfter = 100 * time.Millisecond
-	// maxTrials is the number of trials that may crash a server.
-	maxTrials = 2
 )
 
 // suspectSet is a verdict: one of its members, or several of them together, crash
@@ -46,11 +42,18 @@
 	return s != nil && len(s.members) > 0 && now.Before(s.expiresAt)
 }
 
-// mayTry reports whether another trial is allowed.
-func (s *suspectSet) mayTry() bool {
-	return s.failedTrials < maxTrials && len(s.servers) < MaxLosses+maxTrials
+// trialDelays returns how long after each loss the next trial is due. After the last one
+// there is none.
+func (s *suspectSet) trialDelays() []time.Duration {
+	if s.weak {
+		return []time.Duration{earlyTrialAfter, firstTrialAfter, secondTrialAfter}
+	}
+	return []time.Duration{firstTrialAfter, secondTrialAfter}
 }
 
+// mayTry reports whether another trial is allowed.
+func (s *suspectSet) mayTry() bool { return s.failedTrials < len(s.trialDelays()) }
+
 // verdict returns the verdict on requests with all members.
 func (s *suspectSet) verdict(now time.Time) Verdict {
 	if s.mayTry() && !now.Before(s.trialAt) {
@@ -72,9 +75,8 @@
 // extend sets the times that follow from the newest loss.
 func (s *suspectSet) extend(lastLossAt time.Time) {
 	s.lastLossAt, s.expiresAt = lastLossAt, lastLossAt.Add(RejectFor)
-	s.trialAt = lastLossAt.Add(firstTrialAfter)
-	if s.failedTrials > 0 && !s.weak {
-		s.trialAt = lastLossAt.Add(secondTrialAfter)
+	if s.mayTry() {
+		s.trialAt = lastLossAt.Add(s.trialDelays()[s.failedTrials])
 	}
 }
 
@@ -105,9 +107,8 @@
 
 // suspectTogether makes a suspect set of those of the parts that have the given number of
 // losses. Parts that were sound beyond the depth of their losses are left out if others
-// were not. If all were sound, and a new part is beside them, the first trial is soon. The
-// set explains the losses of all the parts.
-func (d *Detector) suspectTogether(parts []egretflow.PartHash, losses int, now time.Time) {
+// were not. The set explains the losses of all the parts.
+func (d *Detector) suspectTogether(parts []egretflow.PartHash, losses int, lostAt, now time.Time) {
 	var unsound, all []egretflow.PartHash
 	for _, part := range parts {
 		e := d.parts[part]
@@ -130,10 +131,7 @@
 	for _, part := range all {
 		s.depth = max(s.depth, d.parts[part].depth())
 	}
-	s.extend(now)
-	if s.weak && d.hasUnsoundSuspect(parts, now) {
-		s.trialAt = now.Add(earlyTrialAfter)
-	}
+	s.extend(lostAt)
 	d.addSet(s, all, now)
 	for _, part := range parts {
 		if e := d.parts[part]; !s.members[part] && e.count(now) > 0 {
@@ -142,15 +140,6 @@
 	}
 }
 
-// hasUnsoundSuspect reports whether one of the parts has a loss and was never sound beyond
-// its depth.
-func (d *Detector) hasUnsoundSuspect(parts []egretflow.PartHash, now time.Time) bool {
-	return slices.ContainsFunc(parts, func(part egretflow.PartHash) bool {
-		e := d.parts[part]
-		return e.count(now) > 0 && !d.soundBeyond(part, e.depth())
-	})
-}
-
 // addSet adds a set with the given members. The losses of the members now count for the
 // set.
 func (d *Detector) addSet(s *suspectSet, members []egretflow.PartHash, now time.Time) {
@@ -246,7 +235,7 @@
 // ranApart reports whether an attempt that started at a time was not one of those that ran
 // when the last loss came.
 func (s *suspectSet) ranApart(startedAt, now time.Time) bool {
-	return startedAt.After(s.lastLossAt) || now.Sub(s.lastLossAt) >= sameLossWindow
+	return !startedAt.Before(s.lastLossAt) || now.Sub(s.lastLossAt) >= sameLossWindow
 }
 
 // acquit removes from the suspect sets the parts of an answer that got beyond the depth of
@@ -275,7 +264,7 @@
 func (d *Detector) mergeSet(members []egretflow.PartHash, servers []egretflow.ServerName, depth int, lastLossAt, expiresAt, now time.Time) {
 	known := d.sameSet(members)
 	if known == nil {
-		known = &suspectSet{servers: slices.Clone(servers[:min(len(servers), maxServers)]), depth: depth, failedTrials: len(servers) - MaxLosses}
+		known = &suspectSet{servers: slices.Clone(servers[:min(len(servers), maxServers)]), depth: depth, failedTrials: max(0, len(servers)-MaxLosses)}
 		known.extend(lastLossAt)
 		known.expiresAt = expiresAt
 		d.addSet(known, members, now)
@@ -284,7 +273,7 @@
 	more := len(servers) > len(known.servers)
 	if more {
 		known.servers, known.depth = slices.Clone(servers[:min(len(servers), maxServers)]), max(known.depth, depth)
-		known.failedTrials = len(servers) - MaxLosses
+		known.failedTrials = max(0, len(servers)-MaxLosses)
 	}
 	// Smaller differences come from the time that reports travel, and would add up with
 	// each instance that passes them on.
--- a/crashdetector/suspicion.go
+++ b/crashdetector/suspicion.go
@@ -42,7 +42,7 @@
 		}
 	}
 	if set, _ := d.containedSet(parts, now); set != nil {
-		s.convicted = !IsBeyond(progress, set.depth)
+		s.convicted = !set.weak && !IsBeyond(progress, set.depth)
 	}
 	return s
 }
--- a/decision.go
+++ b/decision.go
@@ -273,6 +273,8 @@
 	// WastedPrefillTokens counts computed prompt tokens whose result was not
 	// used.
 	WastedPrefillTokens int
+	// Complete reports whether the answer was received to its end.
+	Complete bool
 }
 
 // Scheduler admits requests, chooses their servers and accounts for the grants
--- a/peer.go
+++ b/peer.go
@@ -99,7 +99,8 @@
 	Servers     []ServerName
 	ExpiresAt   time.Time
 	Part        bool
-	// Shared reports whether other requests may have caused the second loss.
+	// Shared reports whether other requests may have caused the second loss; for a
+	// part, whether the answers had begun.
 	Shared bool
 }
 
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -47,6 +47,8 @@
 	// sent reports whether a server may know the attempt and must be sent an abort.
 	sent  bool
 	ended bool
+	// completed reports whether the answer was read to its end.
+	completed bool
 }
 
 // open runs prefill and KV cache transfer and returns the stream once its first
--- a/relayer/forward_fakes_test.go
+++ b/relayer/forward_fakes_test.go
@@ -25,6 +25,8 @@
 	assignments   map[egretflow.AttemptID]bool
 	failedServers []string
 	crashes       []string
+	// completed counts the released attempts whose answer was received to its end.
+	completed int
 }
 
 func (s *scriptedScheduler) openAssignments() int {
@@ -115,6 +117,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.assignments, r.Attempt)
+	if r.Complete {
+		s.completed++
+	}
+}
+
+// completedAnswers returns the number of attempts whose answer was received to its end.
+func (s *scriptedScheduler) completedAnswers() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.completed
 }
 
 // scriptedGate closes the servers that the script names and those that state that they
--- a/relayer/forward_test.go
+++ b/relayer/forward_test.go
@@ -38,6 +38,7 @@
 //	want status=N body=TEXT|cut runs=NAME:N,... notrun=true|false
 //	want suspects=NAME,...|none    servers whose failure is reported to the scheduler
 //	want crashed=NAME|none   the server whose crash is reported to the scheduler
+//	want completed=N         answers of streams that are reported as complete
 //	want from=NAME:ID        the last request asks the server to continue after event ID
 //	want leaving=NAME,...    servers that have stated that they are leaving
 //	want paused=NAME,...     servers that have asked for a pause
@@ -269,6 +270,9 @@
 	if want := s.want["crashed"]; want != "" && scheduler.reportedCrashes() != strings.TrimSuffix(want, "none") {
 		t.Errorf("crashes of %q are reported, want %s", scheduler.reportedCrashes(), want)
 	}
+	if want := s.want["completed"]; want != "" && strconv.Itoa(scheduler.completedAnswers()) != want {
+		t.Errorf("%d answers are reported as complete, want %s", scheduler.completedAnswers(), want)
+	}
 	if want := s.want["suspects"]; want != "" && scheduler.reportedFailures() != strings.TrimSuffix(want, "none") {
 		t.Errorf("failures of servers %q were reported to the scheduler, want %q", scheduler.reportedFailures(), want)
 	}
--- a/relayer/forwardstream.go
+++ b/relayer/forwardstream.go
@@ -74,6 +74,7 @@
 	g.suspectedAfter.Store(notSuspected)
 	defer g.release()
 	err = g.run(ctx)
+	g.completed = err == nil
 	cancel(context.Canceled)
 	g.checks.Wait()
 	if err != nil {
@@ -109,6 +110,8 @@
 	// receivedID is the id of the last event that this attempt received, even if the
 	// caller already had it.
 	receivedID string
+	// completed reports whether the answer was read to its end.
+	completed bool
 	// earlierEvents counts the events of earlier attempts.
 	earlierEvents int
 	// receivedEvents counts the events with an id, which comments have not. It is
--- a/relayer/release.go
+++ b/relayer/release.go
@@ -106,7 +106,7 @@
 	if at.wastedTokens > 0 && at.r.cfg.PrefillWasted != nil {
 		at.r.cfg.PrefillWasted(at.a.Work, at.wastedTokens)
 	}
-	at.r.cfg.Scheduler.Release(egretflow.Release{Attempt: at.a.Attempt, WastedPrefillTokens: at.wastedTokens})
+	at.r.cfg.Scheduler.Release(egretflow.Release{Attempt: at.a.Attempt, WastedPrefillTokens: at.wastedTokens, Complete: at.completed})
 }
 
 // abortAt aborts the work of an attempt at one server in the background.
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -133,6 +133,7 @@
 		s.r.abortAt(s.server, s.job.Pool.ServerTLS, s.id)
 	case s.attempt == nil:
 	case ended:
+		s.attempt.completed = err == nil
 		s.attempt.complete()
 	default:
 		_ = s.attempt.reportFailure(s.pressure.markUnread(err))
--- a/relayer/streamrelease.go
+++ b/relayer/streamrelease.go
@@ -18,7 +18,7 @@
 	if g.handle != "" || g.hold != "" {
 		g.r.cleanups.Go(g.freeUnused)
 	}
-	g.r.cfg.Scheduler.Release(egretflow.Release{Attempt: g.a.Attempt})
+	g.r.cfg.Scheduler.Release(egretflow.Release{Attempt: g.a.Attempt, Complete: g.completed})
 }
 
 // freeUnused frees the KV cache and the memory reservation that were not used.
--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -138,6 +138,9 @@
 	p.shares.SetHold(p.rates.hold())
 	work := a.assignment.Work
 	t.streams.Close(work)
+	if r.Complete {
+		t.crashes.AnswerAdvanced(work.Fingerprint, work.Parts, a.progress, crashdetector.WholeAnswer, t.now)
+	}
 	if a.produced && !a.crashed && work.Fingerprint != 0 {
 		t.crashes.Clear(work.Fingerprint)
 	}
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -239,13 +239,10 @@
 // chargeParts counts the crash of a server against the parts of a, and returns the
 // part that is most suspected.
 func (t *task) chargeParts(a *attempt, server egretflow.ServerName, site crashSite) (egretflow.PartHash, bool) {
-	if a.progress > 0 || len(a.assignment.Work.Parts) == 0 {
-		return 0, false
-	}
 	startedAt := a.startedAt
 	if a.adopted {
 		startedAt = time.Time{}
 	}
-	loss := crashdetector.Loss{Server: server, Progress: a.progress, Shared: site.explains(a.assignment.Attempt), Caused: site.convicts(a.assignment.Attempt)}
+	loss := crashdetector.Loss{Server: server, At: site.at, Progress: a.progress, Shared: site.explains(a.assignment.Attempt), Caused: site.convicts(a.assignment.Attempt)}
 	return t.crashes.RecordPartLoss(a.assignment.Work.Parts, loss, startedAt, t.now)
 }
--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -30,6 +30,11 @@
 	d.pass(100 * time.Millisecond)
 }
 
+// complete lets the answer of an attempt end complete.
+func (d *driver) complete(a *egretflow.Assignment) {
+	d.task.handle(releaseMessage{release: egretflow.Release{Attempt: a.Attempt, Complete: true}})
+}
+
 func (d *driver) pass(period time.Duration) {
 	d.now = d.now.Add(period)
 	d.task.now = d.now
@@ -112,17 +117,32 @@
 	}
 }
 
-// Guards against parts that are charged with the loss of a server that was answering,
-// which a part cannot cause.
-func TestBegunAnswerIsNotCharged(t *testing.T) {
+// Guards against a part that crashes servers after the first event and is never found,
+// because each answer with it that begins acquits it.
+func TestBegunAnswerIsCharged(t *testing.T) {
 	d := newDriver(t, 1, 4)
-	for range 3 {
+	for range 2 {
 		w := d.acquire(d.withParts(sharedPart))
 		d.observe(egretflow.ObservationTransferDone, w.assignment.Prefill.Name, w.assignment)
 		d.crash(w)
 	}
+	d.wantRefusal(d.acquire(d.withParts(sharedPart)), egretflow.RefusalCrashSuspect, egretflow.RunStateNotRun)
+}
+
+// Guards against sound parts that stay suspected after losses during answers, although
+// other answers with them end complete.
+func TestCompleteAnswerAcquits(t *testing.T) {
+	d := newDriver(t, 2, 4)
+	other := d.acquire(d.withParts(sharedPart))
+	w := d.acquire(d.withParts(sharedPart))
+	d.observe(egretflow.ObservationTransferDone, w.assignment.Prefill.Name, w.assignment)
+	d.crash(w)
+	if _, v := d.task.crashes.PartVerdict([]egretflow.PartHash{sharedPart}, d.now); v != crashdetector.Isolate {
+		t.Errorf("verdict %s after the loss", v)
+	}
+	d.complete(other.assignment)
 	if _, v := d.task.crashes.PartVerdict([]egretflow.PartHash{sharedPart}, d.now); v != crashdetector.Allow {
-		t.Errorf("verdict %s", v)
+		t.Errorf("verdict %s after a complete answer", v)
 	}
 }
 
--- a/scheduler/crashscript_test.go
+++ b/scheduler/crashscript_test.go
@@ -19,6 +19,7 @@
 //	T start NAME server=S parts=H,...      a request starts on a decode server
 //	T adopt NAME server=S parts=H,... [generated=N]   an attempt of another scheduler is taken over
 //	T begin NAME                           the answer of a request begins
+//	T end NAME                             the answer of a request ends complete
 //	T crash NAME                           a request reports that its decode server crashed
 //	T want parts=H,... verdict=V [part=H]
 type crashScript struct {
@@ -69,6 +70,8 @@
 		s.running[name] = s.adoptOn(name, server, parts, values["generated"])
 	case "begin":
 		s.observe(egretflow.ObservationTokens, a.Decode.Name, a)
+	case "end":
+		s.complete(a)
 	case "crash":
 		s.observe(egretflow.ObservationCrashed, a.Decode.Name, a)
 		s.release(a)
--- a/scheduler/crashsite.go
+++ b/scheduler/crashsite.go
@@ -38,9 +38,6 @@
 	unreported := t.unreportedParts()
 	for _, id := range t.runningOn(s) {
 		work, progress := t.attempts[id].assignment.Work, t.attempts[id].progress
-		if progress > 0 {
-			continue
-		}
 		isUnreported := func(part egretflow.PartHash) bool {
 			depth, ok := unreported[part]
 			return ok && !crashdetector.IsBeyond(progress, depth)
