gossiper: tell peers of suspect sets with several parts

Cause: a report has room for one part. The members of a set were reported as suspects with one loss each, which is sent three times only, so that a restarted coordinator knew nothing.

Change: a report names up to 11 other parts. Messages carry them among the names of the servers, because earlier versions refuse a datagram with another field; they block one member, as they did before.

--- a/crashdetector/crashdetector.go
+++ b/crashdetector/crashdetector.go
@@ -52,8 +52,9 @@
 //     after firstTrialAfter, or earlyTrialAfter if all members were sound before. If it
 //     gets beyond the depth, the verdict ends. If it crashes a server, the next trial is
 //     later, and after the last of trialDelays there is none until the losses expire.
-//  11. Reports to peers list sets of one member with all losses, and suspects with one.
-//     The report of a suspect only makes a part a suspect.
+//  11. Reports to peers list suspect sets with all losses, and suspects with one. The
+//     report of a suspect only makes a part a suspect. The members of a set that is too
+//     large for a report are reported as suspects.
 //  12. Record returns the verdicts, and Restore adds those of a record. Which parts are
 //     sound, and single losses, are kept in memory alone.
 package crashdetector
--- a/crashdetector/parts.go
+++ b/crashdetector/parts.go
@@ -362,8 +362,8 @@
 	return IsBeyond(d.soundPart(part).progress, depth)
 }
 
-// partReports returns the reports of all suspected parts. Of a suspect set with several
-// members each is only a suspect.
+// partReports returns the reports of all suspected parts. Of a suspect set with too many
+// members for a report each is only a suspect.
 func (d *Detector) partReports(now time.Time) []egretflow.CrashReport {
 	var reports []egretflow.CrashReport
 	reported := map[egretflow.PartHash]bool{}
@@ -373,10 +373,12 @@
 	}
 	d.dropExpiredSets(now)
 	for _, s := range d.sets {
+		if len(s.members) <= egretflow.MaxOtherParts+1 {
+			reports = append(reports, s.report())
+			continue
+		}
 		for part := range s.members {
-			if len(s.members) == 1 {
-				add(part, s.servers, s.depth, s.expiresAt)
-			} else if !d.soundBeyond(part, s.depth) {
+			if !d.soundBeyond(part, s.depth) {
 				add(part, s.servers[:1], s.depth, s.expiresAt)
 			}
 		}
@@ -385,14 +387,14 @@
 		switch {
 		case !now.Before(e.expiresAt) && !e.inSet(now):
 			delete(d.parts, part)
-		case !reported[part] && e.count(now) > 0 && !d.soundBeyond(part, e.depth()):
+		case !reported[part] && !e.inSet(now) && e.count(now) > 0 && !d.soundBeyond(part, e.depth()):
 			add(part, []egretflow.ServerName{e.losses[0].server}, e.depth(), e.expiresAt)
 		}
 	}
 	return reports
 }
 
-// mergePart applies a valid report of a peer about a part. The report does not say how
+// mergePart applies a valid report of a peer about a part, or several. The report does not say how
 // far answers had come: if they had begun, only a whole one shows that the part is sound.
 func (d *Detector) mergePart(r *egretflow.CrashReport, now time.Time) {
 	part, lostAt := egretflow.PartHash(r.Fingerprint), r.ExpiresAt.Add(-RejectFor)
@@ -403,19 +405,21 @@
 	if len(r.Servers) == 0 {
 		return
 	}
-	sound := d.soundPart(part)
-	blocks := len(r.Servers) >= MaxLosses
-	if sound.at.After(lostAt) && IsBeyond(sound.progress, depth) || !blocks && sound.progress > 0 {
+	if len(r.Servers) >= MaxLosses {
+		members := slices.DeleteFunc(append(slices.Clone(r.Others), part), func(part egretflow.PartHash) bool {
+			sound := d.soundPart(part)
+			return sound.at.After(lostAt) && IsBeyond(sound.progress, depth)
+		})
+		if len(members) > 0 {
+			d.mergeSet(members, r.Servers, depth, lostAt, r.ExpiresAt, now)
+		}
 		return
 	}
-	if blocks {
-		d.mergeSet([]egretflow.PartHash{part}, r.Servers, depth, lostAt, r.ExpiresAt, now)
+	if d.soundPart(part).progress > 0 {
 		return
 	}
-	e := d.partEntryFor(part, now)
-	if e.count(now) > 0 || e.inSet(now) {
-		return
+	if e := d.partEntryFor(part, now); e.count(now) == 0 && !e.inSet(now) {
+		e.losses, e.explainedBy = nil, nil
+		e.record(partLoss{server: r.Servers[0], at: lostAt, depth: depth})
 	}
-	e.losses, e.explainedBy = nil, nil
-	e.record(partLoss{server: r.Servers[0], at: lostAt, depth: depth})
 }
--- a/crashdetector/suspectset.go
+++ b/crashdetector/suspectset.go
@@ -284,6 +284,16 @@
 	}
 }
 
+// report returns the report of the set to peers. Earlier versions block one
+// member.
+func (s *suspectSet) report() egretflow.CrashReport {
+	members := slices.Sorted(maps.Keys(s.members))
+	last := len(members) - 1
+	return egretflow.CrashReport{
+		Fingerprint: uint64(members[last]), Others: members[:last], Servers: slices.Clone(s.servers), ExpiresAt: s.expiresAt, Part: true, Shared: s.depth > 0,
+	}
+}
+
 // sameSet returns the suspect set with just these members, or nil.
 func (d *Detector) sameSet(members []egretflow.PartHash) *suspectSet {
 	for _, s := range d.sets {
--- a/gossiper/message.go
+++ b/gossiper/message.go
@@ -228,8 +228,9 @@
 	reports := make([]egretflow.CrashReport, len(crashes))
 	for n, c := range crashes {
 		reports[n] = egretflow.CrashReport{
-			Fingerprint: c.Fingerprint, Part: c.Part, Shared: c.Shared, Servers: c.Servers, ExpiresAt: now.Add(time.Duration(c.LeftMS) * time.Millisecond),
+			Fingerprint: c.Fingerprint, Part: c.Part, Shared: c.Shared, ExpiresAt: now.Add(time.Duration(c.LeftMS) * time.Millisecond),
 		}
+		reports[n].SetNames(c.Servers)
 	}
 	return reports
 }
--- a/gossiper/reports_test.go
+++ b/gossiper/reports_test.go
@@ -1,6 +1,7 @@
 package gossiper
 
 import (
+	"reflect"
 	"testing"
 	"time"
 
@@ -77,3 +78,24 @@
 		}
 	})
 }
+
+// Guards against a suspect set of which peers know one member only, so that they refuse
+// every request with it, and against names of other parts that are taken for servers.
+func TestReportKeepsOtherParts(t *testing.T) {
+	now := time.Unix(1000, 0)
+	sent := egretflow.CrashReport{
+		Fingerprint: 7, Others: []egretflow.PartHash{5, 0xdead}, Servers: []egretflow.ServerName{"a", "b"}, ExpiresAt: now.Add(time.Minute), Part: true, Shared: true,
+	}
+	g := &Gossiper{sendCounts: map[crashKey]crashSent{}}
+	data, err := encode(&message{Kind: kindMember, From: "a", Crashes: g.crashesToSend([]egretflow.CrashReport{sent}, now)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, err := decode(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := crashReports(m.Crashes, now); !reflect.DeepEqual(got, []egretflow.CrashReport{sent}) {
+		t.Errorf("received %+v, want %+v", got, sent)
+	}
+}
--- a/gossiper/send.go
+++ b/gossiper/send.go
@@ -317,7 +317,8 @@
 	}
 	var crashes []crash
 	for _, r := range reports {
-		key := crashKey{r.Fingerprint, len(r.Servers)}
+		names := r.Names()
+		key := crashKey{r.Fingerprint, len(names)}
 		sent := g.sendCounts[key]
 		repeats := len(r.Servers) > 1 && now.Sub(sent.at) >= crashRepeatInterval
 		if sent.count >= crashSends && !repeats || len(crashes) == maxCrashesPerMessage {
@@ -325,7 +326,7 @@
 		}
 		g.sendCounts[key] = crashSent{sent.count + 1, now}
 		crashes = append(crashes, crash{
-			Fingerprint: r.Fingerprint, Part: r.Part, Shared: r.Shared, Servers: r.Servers, LeftMS: r.ExpiresAt.Sub(now).Milliseconds(),
+			Fingerprint: r.Fingerprint, Part: r.Part, Shared: r.Shared, Servers: names, LeftMS: r.ExpiresAt.Sub(now).Milliseconds(),
 		})
 	}
 	return crashes
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -100,7 +100,7 @@
 		Demands: []egretflow.Demand{{Server: "known", InUse: 1, Held: 2, Wanted: [4]int{0, 5}}, {Server: "other", Held: 3}},
 		Crashes: []egretflow.CrashReport{
 			{Fingerprint: 1 << 60, Servers: []egretflow.ServerName{"other"}, ExpiresAt: sentAt.Add(time.Minute)},
-			{Fingerprint: 7, Part: true, Servers: []egretflow.ServerName{"other"}, ExpiresAt: sentAt.Add(time.Minute)},
+			{Fingerprint: 7, Others: []egretflow.PartHash{5}, Part: true, Servers: []egretflow.ServerName{"other"}, ExpiresAt: sentAt.Add(time.Minute)},
 		},
 	}
 }
--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -160,9 +160,9 @@
 func wireCrashes(reports []egretflow.CrashReport) []wireCrash {
 	crashes := make([]wireCrash, len(reports))
 	for i, c := range reports {
-		crashes[i] = wireCrash{Fingerprint: c.Fingerprint, Part: c.Part, Shared: c.Shared, ExpiresAt: c.ExpiresAt.UnixMicro(), Servers: make([]string, len(c.Servers))}
-		for j, s := range c.Servers {
-			crashes[i].Servers[j] = string(s)
+		crashes[i] = wireCrash{Fingerprint: c.Fingerprint, Part: c.Part, Shared: c.Shared, ExpiresAt: c.ExpiresAt.UnixMicro()}
+		for _, name := range c.Names() {
+			crashes[i].Servers = append(crashes[i].Servers, string(name))
 		}
 	}
 	return crashes
@@ -250,9 +250,11 @@
 	var reports []egretflow.CrashReport
 	for _, c := range crashes {
 		report := egretflow.CrashReport{Fingerprint: c.Fingerprint, Part: c.Part, Shared: c.Shared, ExpiresAt: time.UnixMicro(c.ExpiresAt)}
-		for _, s := range c.Servers {
-			report.Servers = append(report.Servers, egretflow.ServerName(s))
+		names := make([]egretflow.ServerName, len(c.Servers))
+		for n, name := range c.Servers {
+			names[n] = egretflow.ServerName(name)
 		}
+		report.SetNames(names)
 		reports = append(reports, report)
 	}
 	return reports
--- a/peer.go
+++ b/peer.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/netip"
+	"strconv"
+	"strings"
 	"time"
 )
 
@@ -96,14 +98,48 @@
 	_ struct{} `cbor:",toarray"`
 	// Fingerprint is the hash of the part if Part is true.
 	Fingerprint uint64
-	Servers     []ServerName
-	ExpiresAt   time.Time
-	Part        bool
+	// Others holds the other parts if only requests with all of them are affected, at
+	// most MaxOtherParts.
+	Others    []PartHash
+	Servers   []ServerName
+	ExpiresAt time.Time
+	Part      bool
 	// Shared reports whether other requests may have caused the second loss; for a
 	// part, whether the answers had begun.
 	Shared bool
 }
 
+// MaxOtherParts bounds CrashReport.Others, so that the names of a report stay few.
+const MaxOtherParts = 11
+
+// otherPartPrefix is the beginning of the names that stand for other parts in messages.
+const otherPartPrefix = "suspected-part."
+
+// Names returns the names that messages carry for the servers and the other parts of the
+// report. Earlier versions take all for servers, and so block the part alone.
+func (r *CrashReport) Names() []ServerName {
+	names := make([]ServerName, 0, len(r.Others)+len(r.Servers))
+	for _, part := range r.Others {
+		names = append(names, ServerName(otherPartPrefix+part.String()))
+	}
+	return append(names, r.Servers...)
+}
+
+// SetNames sets the servers and the other parts from the names of a message.
+func (r *CrashReport) SetNames(names []ServerName) {
+	r.Others, r.Servers = nil, make([]ServerName, 0, len(names))
+	for _, name := range names {
+		text, ok := strings.CutPrefix(string(name), otherPartPrefix)
+		hash, err := strconv.ParseUint(text, 16, 64)
+		switch {
+		case !ok:
+			r.Servers = append(r.Servers, name)
+		case err == nil && len(r.Others) < MaxOtherParts:
+			r.Others = append(r.Others, PartHash(hash))
+		}
+	}
+}
+
 // ExchangeRequest is the message that an instance sends periodically to a peer
 // of its slice.
 type ExchangeRequest struct {
