platform: list all parts of a prompt

Cause: egretflow.MaxParts bounded memory by what is known of a prompt.

Change: up to 4,096 parts are listed, more than a header of 16 KB has room for. The tables of the detector bound the memory. A message to a coordinator lists 1,800 parts beyond the first 32 of each request, those of waiting requests first. They are in a new layout, which an instance that does not read it is not sent; TestAllPartsReachCoordinator and TestMessageWithManyPartsIsBounded check it.

Why it works: every shared part reaches the detector, wherever it stands.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -85,9 +85,9 @@
 		release egretflow.Release
 	}
 	datagramInput struct {
-		message  *message
-		from     netip.AddrPort
-		extended bool
+		message *message
+		from    netip.AddrPort
+		reads   layout
 	}
 	scheduledInput struct{ outcome scheduled }
 	leaveInput     struct{}
@@ -321,14 +321,14 @@
 		if err != nil {
 			return fmt.Errorf("receive datagram: %w", err)
 		}
-		m, extended, err := decode(buf[:n])
+		m, reads, err := decode(buf[:n])
 		if err != nil {
 			c.record(egretflow.EventDatagramRefused, "From", from.String(), "Error", err.Error())
 			continue
 		}
 		if address, ok := from.(*net.UDPAddr); ok && m.From != c.cfg.Self.Name {
 			at := address.AddrPort()
-			c.send(datagramInput{m, netip.AddrPortFrom(at.Addr().Unmap(), at.Port()), extended})
+			c.send(datagramInput{m, netip.AddrPortFrom(at.Addr().Unmap(), at.Port()), reads})
 		}
 	}
 }
--- a/coordinator/link.go
+++ b/coordinator/link.go
@@ -180,18 +180,29 @@
 	return false
 }
 
-// message returns the whole state of the link as the next message (rule 2).
+// message returns the whole state of the link as the next message (rule 2). Entries for
+// whose parts there is no room list the first of them only: waiting requests have room
+// first, because the coordinator knows those that run unless it is a new one.
 func (l *link) message(now time.Time) *request {
 	l.sequence++
 	r := &request{Sequence: l.sequence, SentAt: now.UnixMicro()}
+	room := maxMoreParts
+	wire := func(work *egretflow.Work) wireWork {
+		x := toWireWork(work, now)
+		if len(x.MoreParts) > room {
+			x.MoreParts = nil
+		}
+		room -= len(x.MoreParts)
+		return x
+	}
 	for _, w := range l.waiting {
 		if w.sentIn == 0 {
 			w.sentIn = l.sequence
 		}
-		r.Waiting = append(r.Waiting, waitingWork{ID: w.id, Work: toWireWork(w.work, now), Replaces: w.replaces})
+		r.Waiting = append(r.Waiting, waitingWork{ID: w.id, Work: wire(w.work), Replaces: w.replaces})
 	}
 	for id, x := range l.running {
-		work := toWireWork(x.work, now)
+		work := wire(x.work)
 		work.Prefix, work.PrefixEnds = nil, nil
 		r.Running = append(r.Running, runningWork{Attempt: id, Work: work, Decode: x.decode, Generated: x.generated})
 	}
--- a/coordinator/task.go
+++ b/coordinator/task.go
@@ -21,14 +21,14 @@
 	server *server
 	// suspects holds the instances that are passed over and until when.
 	suspects map[egretflow.InstanceName]time.Time
-	// extended holds the instances that read the present layout of messages.
-	extended   map[egretflow.InstanceName]bool
+	// layouts holds the newest layout of messages that each instance reads.
+	layouts    map[egretflow.InstanceName]layout
 	lastWaiter uint64
 	leaving    bool
 }
 
 func newTask(ctx context.Context, c *Coordinator) *task {
-	t := &task{Coordinator: c, now: c.cfg.Clock(), links: map[egretflow.PoolName]*link{}, suspects: map[egretflow.InstanceName]time.Time{}, extended: map[egretflow.InstanceName]bool{}}
+	t := &task{Coordinator: c, now: c.cfg.Clock(), links: map[egretflow.PoolName]*link{}, suspects: map[egretflow.InstanceName]time.Time{}, layouts: map[egretflow.InstanceName]layout{}}
 	t.server = newServer(ctx, c.cfg.Scheduler, func(s scheduled) { c.send(scheduledInput{s}) })
 	t.server.self = c.cfg.Self.Name
 	return t
@@ -46,7 +46,7 @@
 	case releaseInput:
 		t.release(in.pool, in.release)
 	case datagramInput:
-		t.noteVersion(in.message.From, in.extended)
+		t.noteVersion(in.message.From, in.reads)
 		t.handleMessage(in.message, in.from)
 	case scheduledInput:
 		t.deliver(in.outcome)
@@ -213,8 +213,8 @@
 		}
 		return
 	}
-	if !t.extended[l.target.Name] {
-		r.reduce()
+	if reads := t.layouts[l.target.Name]; reads < presentLayout {
+		r.reduce(reads)
 	}
 	t.write(m, l.target)
 }
--- a/coordinator/version.go
+++ b/coordinator/version.go
@@ -11,68 +11,113 @@
 
 // Instances of different versions run side by side during an upgrade. Their structs are
 // arrays without field names, and earlier versions refuse an array of another length.
-// A message therefore keeps the old layout unless its receiver is known to read the
-// present one. Each message of the present version begins with presentTag, which
-// earlier versions skip.
+// A message therefore keeps the oldest layout that has room for it, unless its receiver
+// is known to read a newer one. Each message begins with layoutTag once for each layout
+// after the first that its sender reads. Earlier versions skip these tags.
 
-// presentTag is the encoded tag of CBOR that describes itself (RFC 8949, 3.4.6).
-var presentTag = []byte{0xd9, 0xd9, 0xf7}
+// layoutTag is the encoded tag of CBOR that describes itself (RFC 8949, 3.4.6).
+var layoutTag = []byte{0xd9, 0xd9, 0xf7}
 
-// extendedWork is a wireWork in the present layout, an array of two elements.
-type extendedWork struct {
+// layout numbers the layouts of a work.
+type layout int
+
+const (
+	// layoutFields has the workFields alone.
+	layoutFields layout = iota
+	// layoutPrefixEnds also has the lengths of kept beginnings.
+	layoutPrefixEnds
+	// layoutMoreParts also has more than fieldParts parts.
+	layoutMoreParts
+	presentLayout = layoutMoreParts
+)
+
+// fieldParts is the number of parts in workFields that earlier versions accept.
+const fieldParts = 32
+
+// prefixedWork is a wireWork in layoutPrefixEnds, an array of two elements.
+type prefixedWork struct {
+	_          struct{} `cbor:",toarray"`
+	Fields     workFields
+	PrefixEnds []int
+}
+
+// partedWork is a wireWork in layoutMoreParts, an array of three elements.
+type partedWork struct {
 	_          struct{} `cbor:",toarray"`
 	Fields     workFields
 	PrefixEnds []int
+	MoreParts  []egretflow.PartHash
 }
 
-// arrayOfTwo is the first byte of an encoded extendedWork.
-const arrayOfTwo = 0x82
+// The first bytes of an encoded prefixedWork and partedWork.
+const (
+	arrayOfTwo   = 0x82
+	arrayOfThree = 0x83
+)
 
-// MarshalCBOR writes the old layout if the work has nothing that it lacks.
+// MarshalCBOR writes the oldest layout that has room for the work.
 func (w wireWork) MarshalCBOR() ([]byte, error) {
-	if len(w.PrefixEnds) == 0 {
-		data, err := cbor.Marshal(w.workFields)
-		return data, errors.Wrap(err, "encode work")
+	var value any = w.workFields
+	switch {
+	case len(w.MoreParts) > 0:
+		value = partedWork{Fields: w.workFields, PrefixEnds: w.PrefixEnds, MoreParts: w.MoreParts}
+	case len(w.PrefixEnds) > 0:
+		value = prefixedWork{Fields: w.workFields, PrefixEnds: w.PrefixEnds}
 	}
-	data, err := cbor.Marshal(extendedWork{Fields: w.workFields, PrefixEnds: w.PrefixEnds})
-	return data, errors.Wrap(err, "encode extended work")
+	data, err := cbor.Marshal(value)
+	return data, errors.Wrap(err, "encode work")
 }
 
-// UnmarshalCBOR reads both layouts.
+// UnmarshalCBOR reads all layouts.
 func (w *wireWork) UnmarshalCBOR(data []byte) error {
-	if len(data) == 0 || data[0] != arrayOfTwo {
-		w.PrefixEnds = nil
+	w.PrefixEnds, w.MoreParts = nil, nil
+	switch {
+	case len(data) > 0 && data[0] == arrayOfTwo:
+		var x prefixedWork
+		if err := cbor.Unmarshal(data, &x); err != nil {
+			return errors.Wrap(err, "decode work with lengths")
+		}
+		w.workFields, w.PrefixEnds = x.Fields, x.PrefixEnds
+	case len(data) > 0 && data[0] == arrayOfThree:
+		var x partedWork
+		if err := cbor.Unmarshal(data, &x); err != nil {
+			return errors.Wrap(err, "decode work with more parts")
+		}
+		w.workFields, w.PrefixEnds, w.MoreParts = x.Fields, x.PrefixEnds, x.MoreParts
+	default:
 		return errors.Wrap(cbor.Unmarshal(data, &w.workFields), "decode work")
 	}
-	var x extendedWork
-	if err := cbor.Unmarshal(data, &x); err != nil {
-		return errors.Wrap(err, "decode extended work")
-	}
-	w.workFields, w.PrefixEnds = x.Fields, x.PrefixEnds
 	return nil
 }
 
 // maxVersions bounds the instances whose version is remembered.
 const maxVersions = 4096
 
-// noteVersion notes whether an instance reads the present layout.
-func (t *task) noteVersion(name egretflow.InstanceName, extended bool) {
-	if len(t.extended) >= maxVersions {
-		clear(t.extended)
+// noteVersion notes which layouts an instance reads.
+func (t *task) noteVersion(name egretflow.InstanceName, reads layout) {
+	if len(t.layouts) >= maxVersions {
+		clear(t.layouts)
 	}
-	t.extended[name] = extended
+	t.layouts[name] = reads
 }
 
-// reduce removes from r what the old layout lacks, and with it the hashes that would be
+// reduce removes from r what a layout lacks, and with it the hashes that would be
 // misread: without their lengths they stand for beginnings of other lengths.
-func (r *request) reduce() {
+func (r *request) reduce(reads layout) {
 	for n := range r.Waiting {
-		if w := &r.Waiting[n].Work; len(w.PrefixEnds) > 0 {
-			w.Prefix, w.PrefixEnds = nil, nil
-		}
+		r.Waiting[n].Work.reduce(reads)
 	}
 	for n := range r.Running {
-		r.Running[n].Work.PrefixEnds = nil
+		r.Running[n].Work.reduce(reads)
+	}
+}
+
+func (w *wireWork) reduce(reads layout) {
+	if reads < layoutMoreParts {
+		w.MoreParts = nil
+	}
+	if reads < layoutPrefixEnds && len(w.PrefixEnds) > 0 {
+		w.Prefix, w.PrefixEnds = nil, nil
 	}
 }
 
@@ -82,19 +127,21 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "encode datagram")
 	}
-	return append(bytes.Clone(presentTag), data...), nil
+	return append(bytes.Repeat(layoutTag, int(presentLayout)), data...), nil
 }
 
-// decode decodes and checks a datagram. It reports whether the sender reads the present
-// layout.
-func decode(data []byte) (m *message, extended bool, err error) {
-	data, extended = bytes.CutPrefix(data, presentTag)
+// decode decodes and checks a datagram. It returns the newest layout that the sender
+// reads.
+func decode(data []byte) (m *message, reads layout, err error) {
+	for reads < presentLayout && bytes.HasPrefix(data, layoutTag) {
+		data, reads = data[len(layoutTag):], reads+1
+	}
 	m = &message{}
 	if err := cbor.Unmarshal(data, m); err != nil {
-		return nil, false, errors.Wrap(err, "decode datagram")
+		return nil, 0, errors.Wrap(err, "decode datagram")
 	}
 	if err := m.check(); err != nil {
-		return nil, false, errors.Wrap(err, "check datagram")
+		return nil, 0, errors.Wrap(err, "check datagram")
 	}
-	return m, extended, nil
+	return m, reads, nil
 }
--- a/coordinator/version_test.go
+++ b/coordinator/version_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/egretflow/egretflow"
 )
 
@@ -22,13 +24,13 @@
 
 // Guards against a rolling upgrade in which instances of two versions drop each other's
 // datagrams or misread them: what an earlier version wrote is read, and written again byte
-// for byte behind the tag that it skips.
+// for byte behind the tags that it skips.
 func TestEarlierDatagrams(t *testing.T) {
 	for _, name := range []string{"request.cbor", "response.cbor"} {
 		data := readEarlier(t, name)
-		m, extended, err := decode(data)
-		if err != nil || extended {
-			t.Fatalf("%s: extended %v, error %v", name, extended, err)
+		m, reads, err := decode(data)
+		if err != nil || reads != layoutFields {
+			t.Fatalf("%s: layout %d, error %v", name, reads, err)
 		}
 		if r := m.Request; r != nil {
 			if w := r.Waiting[0].Work.work(m.Pool, time.Unix(1000, 0)); w.Caller != "*" || len(w.Prefix) != 2 || !w.Retry || w.FirstTokenBy.Unix() != 1001 {
@@ -39,7 +41,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if want := append(bytes.Clone(presentTag), data...); !bytes.Equal(again, want) {
+		if want := append(bytes.Repeat(layoutTag, 2), data...); !bytes.Equal(again, want) {
 			t.Errorf("%s: written as %x, want %x", name, again, want)
 		}
 	}
@@ -58,10 +60,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if got, extended, err := decode(data); err != nil || !extended || got.Request.Waiting[0].Work.PrefixEnds[0] != 200 {
-		t.Errorf("present layout: extended %v, error %v", extended, err)
+	if got, reads, err := decode(data); err != nil || reads != presentLayout || got.Request.Waiting[0].Work.PrefixEnds[0] != 200 {
+		t.Errorf("present layout: %d, error %v", reads, err)
 	}
-	m.Request.reduce()
+	m.Request.reduce(layoutFields)
 	if data, err = encode(m); err != nil {
 		t.Fatal(err)
 	}
@@ -70,3 +72,13 @@
 		t.Errorf("reduced request: %+v, error %v", got, err)
 	}
 }
+
+// Guards against instances of earlier versions that drop the datagrams of this one, because
+// they begin with more tags than those versions know.
+func TestEarlierVersionsSkipTags(t *testing.T) {
+	data := append(bytes.Repeat(layoutTag, int(presentLayout)), readEarlier(t, "request.cbor")...)
+	var m message
+	if err := cbor.Unmarshal(data, &m); err != nil || m.Request == nil || len(m.Request.Waiting) == 0 {
+		t.Errorf("read %+v, error %v", m, err)
+	}
+}
--- a/coordinator/wire.go
+++ b/coordinator/wire.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/egretflow/egretflow"
@@ -14,6 +15,9 @@
 	maxDatagramBytes = 60 << 10
 	// maxListed bounds the entries of each list in a message.
 	maxListed = 2000
+	// maxMoreParts bounds the MoreParts of all entries of a message together, at up to
+	// 9 bytes each.
+	maxMoreParts = 1800
 )
 
 // relativeTime is a point in time in microseconds after the message was sent,
@@ -114,6 +118,8 @@
 type wireWork struct {
 	workFields
 	PrefixEnds []int
+	// MoreParts holds the parts after the first fieldParts.
+	MoreParts []egretflow.PartHash
 }
 
 // workFields is the part of a wireWork that all versions know. No field may be added to
@@ -252,7 +258,7 @@
 	if len(w.PrefixEnds) > 0 && len(w.PrefixEnds) != len(w.Prefix) {
 		return &egretflow.FieldError{Field: "PrefixEnds", Reason: "does not match Prefix"}
 	}
-	if len(w.Parts) > egretflow.MaxParts {
+	if len(w.Parts)+len(w.MoreParts) > egretflow.MaxParts {
 		return &egretflow.FieldError{Field: "Work", Reason: "lists too many parts"}
 	}
 	return nil
@@ -274,25 +280,34 @@
 func (s *wireServer) valid() bool { return s.Name != "" && s.Address.IsValid() }
 
 func toWireWork(w *egretflow.Work, now time.Time) wireWork {
+	first := min(len(w.Parts), fieldParts)
 	return wireWork{workFields: workFields{
 		Request: w.Request, Caller: w.Caller, Route: w.Route, Importance: w.Importance, Idempotent: w.Idempotent,
-		PromptTokens: w.PromptTokens, MaxTokens: w.MaxTokens, ExpectedTokens: w.ExpectedTokens, Prefix: w.Prefix, Parts: w.Parts,
+		PromptTokens: w.PromptTokens, MaxTokens: w.MaxTokens, ExpectedTokens: w.ExpectedTokens, Prefix: w.Prefix, Parts: w.Parts[:first],
 		Fingerprint: w.Fingerprint, ArrivedAt: relativeTo(w.ArrivedAt, now), FirstTokenBy: relativeTo(w.FirstTokenBy, now),
 		GiveUpBy: relativeTo(w.GiveUpBy, now), Deadline: relativeTo(w.Deadline, now), Avoid: w.Avoid,
 		Reacquired: w.Reacquired, AfterRefusal: w.AfterRefusal, Retry: w.Retry,
-	}, PrefixEnds: w.PrefixEnds}
+	}, PrefixEnds: w.PrefixEnds, MoreParts: w.Parts[first:]}
 }
 
 func (w *wireWork) work(pool egretflow.PoolName, now time.Time) *egretflow.Work {
 	return &egretflow.Work{
 		Request: w.Request, Caller: w.Caller, Route: w.Route, Pool: pool, Importance: w.Importance, Idempotent: w.Idempotent,
-		PromptTokens: w.PromptTokens, MaxTokens: w.MaxTokens, ExpectedTokens: w.ExpectedTokens, Prefix: w.Prefix, PrefixEnds: w.PrefixEnds, Parts: w.Parts,
+		PromptTokens: w.PromptTokens, MaxTokens: w.MaxTokens, ExpectedTokens: w.ExpectedTokens, Prefix: w.Prefix, PrefixEnds: w.PrefixEnds, Parts: w.parts(),
 		Fingerprint: w.Fingerprint, ArrivedAt: w.ArrivedAt.in(now), FirstTokenBy: w.FirstTokenBy.in(now),
 		GiveUpBy: w.GiveUpBy.in(now), Deadline: w.Deadline.in(now), Avoid: w.Avoid,
 		Reacquired: w.Reacquired, AfterRefusal: w.AfterRefusal, Retry: w.Retry,
 	}
 }
 
+// parts returns all parts of the work.
+func (w *wireWork) parts() []egretflow.PartHash {
+	if len(w.MoreParts) == 0 {
+		return w.Parts
+	}
+	return slices.Concat(w.Parts, w.MoreParts)
+}
+
 func toWireServer(s *egretflow.Server) *wireServer {
 	if s == nil {
 		return nil
--- a/coordinator/wire_test.go
+++ b/coordinator/wire_test.go
@@ -1,7 +1,9 @@
 package coordinator
 
 import (
+	"fmt"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -62,3 +64,65 @@
 		}
 	}
 }
+
+// manyParts returns a work with n parts, as many beginnings, and the given request id.
+func manyParts(id egretflow.RequestID, n int) *egretflow.Work {
+	w := &egretflow.Work{Request: id, Pool: "p"}
+	for k := range n {
+		w.Parts = append(w.Parts, egretflow.PartHash(1<<60+k))
+		w.Prefix, w.PrefixEnds = append(w.Prefix, egretflow.PrefixHash(1<<60+k)), append(w.PrefixEnds, 14*(k+1))
+	}
+	return w
+}
+
+// Guards against a coordinator that does not know the parts of a prompt behind the first
+// ones, and against earlier versions that drop a datagram because it lists them.
+func TestAllPartsReachCoordinator(t *testing.T) {
+	for _, n := range []int{3, 32, 33, 38, 400, egretflow.MaxParts} {
+		sent := manyParts("q", n)
+		sent.Prefix, sent.PrefixEnds = nil, nil
+		m := &message{Kind: kindRequest, From: "a", Incarnation: 1, Pool: "p", Request: &request{
+			Sequence: 1, Waiting: []waitingWork{{ID: 1, Work: toWireWork(sent, time.Unix(1000, 0))}},
+		}}
+		for reads, want := range map[layout]int{presentLayout: n, layoutPrefixEnds: min(n, 32), layoutFields: min(n, 32)} {
+			reduced := *m.Request
+			reduced.Waiting = slices.Clone(reduced.Waiting)
+			reduced.reduce(reads)
+			data, err := encode(&message{Kind: kindRequest, From: "a", Incarnation: 1, Pool: "p", Request: &reduced})
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, _, err := decode(data)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if parts := got.Request.Waiting[0].Work.work("p", time.Unix(1000, 0)).Parts; !slices.Equal(parts, sent.Parts[:want]) {
+				t.Errorf("%d of %d parts are read in layout %d, want %d", len(parts), n, reads, want)
+			}
+		}
+	}
+}
+
+// Guards against prompts of many parts that make a message too large to be sent, so that
+// their instance schedules alone.
+func TestMessageWithManyPartsIsBounded(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := &link{pool: "p", running: map[egretflow.AttemptID]*running{}}
+	for n := range 4 {
+		l.waiting = append(l.waiting, &waiter{id: uint64(n), work: manyParts(egretflow.RequestID(fmt.Sprint("w", n)), 400)})
+	}
+	for n := range 60 {
+		l.running[egretflow.AttemptID(fmt.Sprint("a", n))] = &running{work: manyParts("r", 400), decode: "s"}
+	}
+	r := l.message(now)
+	data, err := encode(&message{Kind: kindRequest, From: "a", Incarnation: 1, Pool: "p", Request: r})
+	if err != nil || len(data) > maxDatagramBytes {
+		t.Errorf("%d bytes, error %v, want at most %d", len(data), err, maxDatagramBytes)
+	}
+	t.Logf("%d bytes with 4 waiting and 60 running requests of 400 parts", len(data))
+	for n := range r.Waiting {
+		if parts := r.Waiting[n].Work.parts(); len(parts) != 400 {
+			t.Errorf("waiting request %d has %d parts", n, len(parts))
+		}
+	}
+}
--- a/decision.go
+++ b/decision.go
@@ -28,8 +28,9 @@
 // its parts up to the end of one.
 type PrefixHash uint64
 
-// MaxParts is the maximum number of parts of a prompt that Work.Parts lists.
-const MaxParts = 32
+// MaxParts is the maximum number of parts of a prompt that Work.Parts lists. A header
+// of 16 KB has no room for more.
+const MaxParts = 4096
 
 // PartHash identifies one part of a prompt, wherever it stands in the prompt.
 type PartHash uint64
--- a/internal/openai/openai_test.go
+++ b/internal/openai/openai_test.go
@@ -106,8 +106,10 @@
 	if got := parts(first); len(got) != 0 {
 		t.Errorf("parts %v of a chat with one message", got)
 	}
-	if got := parts(strings.Repeat(system+",", 100) + first); len(got) != egretflow.MaxParts {
-		t.Errorf("%d parts, want %d", len(got), egretflow.MaxParts)
+	for messages, want := range map[int]int{100: 100, 2 * egretflow.MaxParts: egretflow.MaxParts} {
+		if got := parts(strings.Repeat(system+",", messages) + first); len(got) != want {
+			t.Errorf("%d parts of %d messages, want %d", len(got), messages, want)
+		}
 	}
 }
 
--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -160,3 +160,28 @@
 		t.Errorf("verdict %s", v)
 	}
 }
+
+// BenchmarkCrashedServer measures what the reports of 16 requests cost that a lost server
+// was running, with 400 parts each.
+func BenchmarkCrashedServer(b *testing.B) {
+	parts := make([]egretflow.PartHash, 400)
+	for n := range parts {
+		parts[n] = egretflow.PartHash(n + 1)
+	}
+	for b.Loop() {
+		b.StopTimer()
+		d := newDriver(&testing.T{}, 20, 1)
+		running := make([]*waiter, 16)
+		for n := range running {
+			running[n] = d.acquire(d.withParts(parts...))
+			if running[n].assignment == nil {
+				b.Fatalf("request %d does not run: %v", n, running[n].err)
+			}
+		}
+		b.StartTimer()
+		for _, w := range running {
+			d.observe(egretflow.ObservationCrashed, w.assignment.Decode.Name, w.assignment)
+			d.release(w.assignment)
+		}
+	}
+}
