crashkeeper: keep the verdicts on crashes in the store

Cause: what was learned of crashes was in the memory of the instances alone.

Change: package crashkeeper keeps the verdicts of all instances in one value. An instance reads it at its start; the first tables wait for that, for 200 ms at most.

--- a/assembler/forwarding.go
+++ b/assembler/forwarding.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -16,6 +17,7 @@
 	"github.com/egretflow/egretflow/checker"
 	"github.com/egretflow/egretflow/connector"
 	"github.com/egretflow/egretflow/coordinator"
+	"github.com/egretflow/egretflow/crashkeeper"
 	"github.com/egretflow/egretflow/explainer"
 	"github.com/egretflow/egretflow/frontend"
 	"github.com/egretflow/egretflow/gossiper"
@@ -89,6 +91,10 @@
 	relayer    *relayer.Relayer
 	frontend   *frontend.Frontend
 	accountant *accountant.Accountant
+	// crashes is nil without ForwardingConfig.Store.
+	crashes *crashkeeper.Keeper
+	// awaitCrashes waits for the verdicts on crashes at the first call.
+	awaitCrashes func()
 	// gossiper, coordinator and rebalancer are nil without
 	// ForwardingConfig.PeerConn.
 	gossiper    *gossiper.Gossiper
@@ -105,7 +111,9 @@
 		Instance: name, Clock: cfg.Clock, Rand: cfg.newRand(), Recorder: cfg.Explainer, Checker: check,
 		Sharing: picker.SharingCoordinated, Policy: cfg.Policy,
 		SharedRetryBudget: &scheduler.SharedRetryBudget{SharedBudgetConfig: cfg.RetryBudget, Share: f.retryShare}, OnServerLost: f.reportServerLoss,
+		OnVerdict: f.keepVerdict,
 	})
+	f.awaitCrashes = sync.OnceFunc(f.awaitVerdicts)
 	var requests egretflow.Scheduler = f.scheduler
 	registrarCfg := registrar.Config{Instance: name, Directory: cfg.Directory, Clock: cfg.Clock, Recorder: cfg.Explainer}
 	if cfg.PeerConn != nil {
@@ -130,6 +138,11 @@
 		f.gossiper.Follow(f.registrar)
 		f.addRebalancer()
 	}
+	if cfg.Store != nil {
+		f.crashes = crashkeeper.New(crashkeeper.Config{
+			Instance: name, Store: cfg.Store, Memory: f.scheduler, Clock: cfg.Clock, Rand: cfg.newRand(), Recorder: cfg.Explainer,
+		})
+	}
 	return f, nil
 }
 
@@ -193,6 +206,30 @@
 	}
 }
 
+// keepVerdict makes the verdicts on crashes outlast this instance.
+func (f *Forwarding) keepVerdict() {
+	if f.crashes != nil {
+		f.crashes.Wake()
+	}
+}
+
+// maxVerdictsWait is how long an instance that has started waits for the verdicts on
+// crashes. The store answers sooner unless it is slow or away.
+const maxVerdictsWait = 200 * time.Millisecond
+
+// awaitVerdicts waits until the verdicts that outlasted earlier instances are known.
+func (f *Forwarding) awaitVerdicts() {
+	if f.crashes == nil {
+		return
+	}
+	timer := time.NewTimer(maxVerdictsWait)
+	defer timer.Stop()
+	select {
+	case <-f.crashes.Loaded():
+	case <-timer.C:
+	}
+}
+
 const (
 	// minInstances is the number of instances that are assumed to share the retry
 	// budgets while fewer are known.
@@ -249,8 +286,11 @@
 		{Name: "explainer", Run: f.cfg.Explainer.Run},
 		{Name: "scheduler", Run: f.scheduler.Run},
 		{Name: "accountant", Run: f.accountant.Run},
-		{Name: "registrar", Run: f.followPlatform},
 	}
+	if f.crashes != nil {
+		tasks = append(tasks, supervisor.Task{Name: "crashes", Run: f.crashes.Run})
+	}
+	tasks = append(tasks, supervisor.Task{Name: "registrar", Run: f.followPlatform})
 	if f.gossiper != nil {
 		tasks = append(tasks, []supervisor.Task{
 			{Name: "gossiper", Run: f.gossiper.Run},
@@ -287,6 +327,7 @@
 }
 
 func (f *Forwarding) applyTables(t *egretflow.Tables) {
+	f.awaitCrashes()
 	f.accountant.Apply(t)
 	if f.coordinator == nil {
 		f.scheduler.Apply(t)
--- a/assembler/instance.go
+++ b/assembler/instance.go
@@ -9,6 +9,7 @@
 	"github.com/egretflow/egretflow"
 	"github.com/egretflow/egretflow/accountant"
 	"github.com/egretflow/egretflow/checker"
+	"github.com/egretflow/egretflow/crashkeeper"
 	"github.com/egretflow/egretflow/distributor"
 	"github.com/egretflow/egretflow/exchanger"
 	"github.com/egretflow/egretflow/explainer"
@@ -43,6 +44,8 @@
 	// storeTables follows the tables in the store of an instance without peers; it
 	// is nil otherwise.
 	storeTables *distributor.Distributor
+	// crashes is nil without Config.Store.
+	crashes *crashkeeper.Keeper
 }
 
 // New builds an instance that does nothing until its tasks run.
@@ -61,7 +64,7 @@
 	i.Checker = checker.New(cfg.Self.Name, cfg.Clock, i.Explainer, i.Metrics.InvariantViolated)
 	i.Scheduler = scheduler.New(scheduler.Config{
 		Instance: cfg.Self.Name, Clock: cfg.Clock, Rand: cfg.newRand(), Recorder: i.Explainer, Checker: i.Checker,
-		Sharing: cfg.sharing(), Policy: cfg.Policy,
+		Sharing: cfg.sharing(), Policy: cfg.Policy, OnVerdict: i.keepVerdict,
 	})
 	if cfg.Peers != nil {
 		if i.peering, err = newPeering(i); err != nil {
@@ -77,9 +80,21 @@
 	if err := i.Metrics.ObserveState(cfg.Clock, i.metricsState); err != nil {
 		return nil, createError("metrics", err)
 	}
+	if cfg.Store != nil {
+		i.crashes = crashkeeper.New(crashkeeper.Config{
+			Instance: cfg.Self.Name, Store: cfg.Store, Memory: i.Scheduler, Clock: cfg.Clock, Rand: cfg.newRand(), Recorder: i.Explainer,
+		})
+	}
 	return i, nil
 }
 
+// keepVerdict makes the verdicts on crashes outlast this instance.
+func (i *Instance) keepVerdict() {
+	if i.crashes != nil {
+		i.crashes.Wake()
+	}
+}
+
 // metricsState returns the state that the metrics report.
 func (i *Instance) metricsState() recorder.State {
 	state := readMetricsState(i.Scheduler, i.tables, i.Explainer)
@@ -182,6 +197,9 @@
 		{Name: "accountant", Run: i.accountant.Run},
 		{Name: "tables", Run: i.followTables, Ready: i.tablesReady},
 	}
+	if i.crashes != nil {
+		tasks = append(tasks, supervisor.Task{Name: "crashes", Run: i.crashes.Run})
+	}
 	if i.peering != nil {
 		tasks = append(tasks, i.peering.tasks()...)
 	}
--- a/event.go
+++ b/event.go
@@ -27,6 +27,7 @@
 	EventSuspectServer       EventName = "SuspectServer"
 	EventServerRecovered     EventName = "ServerRecovered"
 	EventCrashSuspect        EventName = "CrashSuspect"
+	EventCrashesUnsaved      EventName = "CrashesUnsaved"
 	EventRevisionInForce     EventName = "RevisionInForce"
 	EventRevisionUnconfirmed EventName = "RevisionUnconfirmed"
 	EventServerFound         EventName = "ServerFound"
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -215,6 +215,7 @@
 // fingerprint and without parts are not counted.
 func (t *task) charge(a *attempt, s *picker.Server) {
 	work, server := a.assignment.Work, s.Spec.Name
+	verdicts := t.crashes.Verdicts()
 	a.crashed = true
 	site := t.crashSiteOf(s)
 	if work.Fingerprint != 0 {
@@ -233,6 +234,9 @@
 	if t.cfg.OnServerLost != nil {
 		t.cfg.OnServerLost()
 	}
+	if t.cfg.OnVerdict != nil && t.crashes.Verdicts() != verdicts {
+		t.cfg.OnVerdict()
+	}
 	t.record(egretflow.EventCrashSuspect, work, a.assignment, append(fields, egretflow.EventField{Key: "Verdict", Value: string(t.verdict(work))}))
 }
 
--- a/scheduler/crashday_test.go
+++ b/scheduler/crashday_test.go
@@ -327,5 +327,6 @@
 	fresh := newDriver(w.T, crashDayPrefills, crashDayServers)
 	fresh.now, fresh.nextFingerprint = w.now, w.nextFingerprint
 	fresh.task.now = w.now
+	fresh.task.crashes.Restore(w.task.crashes.Record(w.now), w.now)
 	w.driver = fresh
 }
--- a/scheduler/message.go
+++ b/scheduler/message.go
@@ -79,21 +79,28 @@
 		from egretflow.InstanceName
 		load egretflow.PrefillLoad
 	}
-	crashesMessage struct {
+	crashRecordMessage struct {
+		now   time.Time
+		reply chan egretflow.CrashRecord
+	}
+	restoreCrashesMessage struct{ record egretflow.CrashRecord }
+	crashesMessage        struct {
 		now   time.Time
 		reply chan []egretflow.CrashReport
 	}
 )
 
-func (acquireMessage) isMessage()      {}
-func (cancelMessage) isMessage()       {}
-func (observeMessage) isMessage()      {}
-func (releaseMessage) isMessage()      {}
-func (tablesMessage) isMessage()       {}
-func (grantsMessage) isMessage()       {}
-func (unavailableMessage) isMessage()  {}
-func (mergeCrashesMessage) isMessage() {}
-func (demandsMessage) isMessage()      {}
-func (crashesMessage) isMessage()      {}
-func (prefillLoadMessage) isMessage()  {}
-func (peerLoadMessage) isMessage()     {}
+func (acquireMessage) isMessage()        {}
+func (cancelMessage) isMessage()         {}
+func (observeMessage) isMessage()        {}
+func (releaseMessage) isMessage()        {}
+func (tablesMessage) isMessage()         {}
+func (grantsMessage) isMessage()         {}
+func (unavailableMessage) isMessage()    {}
+func (mergeCrashesMessage) isMessage()   {}
+func (demandsMessage) isMessage()        {}
+func (crashesMessage) isMessage()        {}
+func (crashRecordMessage) isMessage()    {}
+func (restoreCrashesMessage) isMessage() {}
+func (prefillLoadMessage) isMessage()    {}
+func (peerLoadMessage) isMessage()       {}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -32,6 +32,9 @@
 	// peers yet, and when a request is charged with it. The goroutine of Run calls
 	// it, so it must not block.
 	OnServerLost func()
+	// OnVerdict, if set, is called when this instance has made or changed a verdict that
+	// must outlast it (CrashRecord). The goroutine of Run calls it, so it must not block.
+	OnVerdict func()
 	// MaxStreams is the number of open streams that one caller may have on a
 	// route without a limit of its own; 0 means DefaultMaxStreams.
 	MaxStreams int
@@ -64,6 +67,7 @@
 var (
 	_ egretflow.Scheduler     = (*Scheduler)(nil)
 	_ egretflow.ExchangeState = (*Scheduler)(nil)
+	_ egretflow.CrashMemory   = (*Scheduler)(nil)
 )
 
 // New returns a Scheduler that does nothing until Run is called.
@@ -196,6 +200,17 @@
 	s.send(mergeCrashesMessage{reports: reports})
 }
 
+// CrashRecord implements egretflow.CrashMemory.
+func (s *Scheduler) CrashRecord(now time.Time) egretflow.CrashRecord {
+	m := crashRecordMessage{now: now, reply: make(chan egretflow.CrashRecord, 1)}
+	return ask(s, m, m.reply)
+}
+
+// RestoreCrashes implements egretflow.CrashMemory.
+func (s *Scheduler) RestoreCrashes(r egretflow.CrashRecord) {
+	s.send(restoreCrashesMessage{record: r})
+}
+
 // ask sends m and waits for the answer on reply. It returns the zero value if Run
 // has ended.
 func ask[T any](s *Scheduler, m message, reply chan T) T {
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -214,6 +214,10 @@
 		m.reply <- t.poolRates(m.pool)
 	case roleChangeMessage:
 		t.markRoleChanging(m.server, roleChange{until: m.until, ordered: true})
+	case crashRecordMessage:
+		m.reply <- t.crashes.Record(m.now)
+	case restoreCrashesMessage:
+		t.crashes.Restore(m.record, t.now)
 	case mergeCrashesMessage:
 		t.crashes.Merge(m.reports, t.now)
 	case hintsMessage:
