coordinator: send ids of requests as short valid text

What was seen (by the review, by reading): an X-Request-Id that is not UTF-8, or some of many kilobytes, keep the state of an instance from its coordinator, so that it schedules alone for a while.

Cause: callers choose the id, and messages carried it as it came. A receiver drops a datagram with text that is not UTF-8, and one above 60 KB is not sent.

Change: messages carry at most 128 bytes of it as valid UTF-8. Coordinators use it in their logs alone; the id that servers get is unchanged.

Evidence: TestRequestIDsKeepNothingBack fails before, with "invalid UTF-8 string" and 165,011 bytes, and passes now.

--- a/coordinator/wire.go
+++ b/coordinator/wire.go
@@ -4,6 +4,7 @@
 	"math"
 	"net/netip"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/egretflow/egretflow"
@@ -282,7 +283,7 @@
 func toWireWork(w *egretflow.Work, now time.Time) wireWork {
 	first := min(len(w.Parts), fieldParts)
 	return wireWork{workFields: workFields{
-		Request: w.Request, Caller: w.Caller, Route: w.Route, Importance: w.Importance, Idempotent: w.Idempotent,
+		Request: wireRequestID(w.Request), Caller: w.Caller, Route: w.Route, Importance: w.Importance, Idempotent: w.Idempotent,
 		PromptTokens: w.PromptTokens, MaxTokens: w.MaxTokens, ExpectedTokens: w.ExpectedTokens, Prefix: w.Prefix, Parts: w.Parts[:first],
 		Fingerprint: w.Fingerprint, ArrivedAt: relativeTo(w.ArrivedAt, now), FirstTokenBy: relativeTo(w.FirstTokenBy, now),
 		GiveUpBy: relativeTo(w.GiveUpBy, now), Deadline: relativeTo(w.Deadline, now), Avoid: w.Avoid,
@@ -300,6 +301,15 @@
 	}
 }
 
+// maxRequestIDBytes bounds the ids of requests in messages.
+const maxRequestIDBytes = 128
+
+// wireRequestID returns the id as messages carry it. Callers choose ids, and receivers drop
+// a datagram with text that is not UTF-8, or a state that is too large is not sent.
+func wireRequestID(id egretflow.RequestID) egretflow.RequestID {
+	return egretflow.RequestID(strings.ToValidUTF8(string(id[:min(len(id), maxRequestIDBytes)]), "?"))
+}
+
 // parts returns all parts of the work.
 func (w *wireWork) parts() []egretflow.PartHash {
 	if len(w.MoreParts) == 0 {
--- a/coordinator/wire_test.go
+++ b/coordinator/wire_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"reflect"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -65,6 +66,24 @@
 	}
 }
 
+// Guards against a request whose id keeps the state of its instance from the coordinator:
+// one that is not UTF-8 is refused there, and long ones make the message too large.
+func TestRequestIDsKeepNothingBack(t *testing.T) {
+	for _, id := range []string{"\xff\xfe", strings.Repeat("x", 8<<10), strings.Repeat("\u00e4", 100)} {
+		l := &link{pool: "p", running: map[egretflow.AttemptID]*running{}}
+		for n := range 20 {
+			l.waiting = append(l.waiting, &waiter{id: uint64(n), work: &egretflow.Work{Request: egretflow.RequestID(id)}})
+		}
+		data, err := encode(&message{Kind: kindRequest, From: "a", Incarnation: 1, Pool: "p", Request: l.message(time.Unix(1000, 0))})
+		if err != nil || len(data) > maxDatagramBytes {
+			t.Fatalf("%.10q: %d bytes, error %v", id, len(data), err)
+		}
+		if m, _, err := decode(data); err != nil || len(m.Request.Waiting) != 20 {
+			t.Errorf("%.10q: error %v", id, err)
+		}
+	}
+}
+
 // manyParts returns a work with n parts, as many beginnings, and the given request id.
 func manyParts(id egretflow.RequestID, n int) *egretflow.Work {
 	w := &egretflow.Work{Request: id, Pool: "p"}
