--- a/cmd/egretctl/egretctl_test.go
+++ b/cmd/egretctl/egretctl_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"encoding/pem"
 	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os"
 	"strconv"
 	"strings"
 	"testing"
@@ -65,7 +67,7 @@
 			return nil
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"fault": setFault, "backup": backup, "rawinstance": startRawInstance,
+			"fault": setFault, "backup": backup, "rawinstance": startRawInstance, "rawtlsinstance": startRawTLSInstance,
 		},
 	})
 }
@@ -86,18 +88,34 @@
 // each request with the bytes, written like the text of a Go string, and sets the variable
 // to its URL.
 func startRawInstance(ts *testscript.TestScript, _ bool, args []string) {
-	answer, err := strconv.Unquote(`"` + strings.ReplaceAll(args[1], `"`, `\"`) + `"`)
+	srv := httptest.NewServer(rawAnswer(ts, args[1]))
+	ts.Defer(srv.Close)
+	ts.Setenv(args[0], srv.URL)
+}
+
+// startRawTLSInstance implements "rawtlsinstance NAME ANSWER FILE": the same over TLS, with
+// the certificate of the authority in the file.
+func startRawTLSInstance(ts *testscript.TestScript, _ bool, args []string) {
+	srv := httptest.NewTLSServer(rawAnswer(ts, args[1]))
+	ts.Defer(srv.Close)
+	ts.Setenv(args[0], srv.URL)
+	certificate := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: srv.Certificate().Raw})
+	ts.Check(os.WriteFile(ts.MkAbs(args[2]), certificate, 0o600))
+}
+
+// rawAnswer returns a handler that answers with the bytes of text, which is written like
+// that of a Go string.
+func rawAnswer(ts *testscript.TestScript, text string) http.Handler {
+	answer, err := strconv.Unquote(`"` + strings.ReplaceAll(text, `"`, `\"`) + `"`)
 	ts.Check(err)
-	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		conn, _, err := http.NewResponseController(w).Hijack()
 		if err != nil {
 			return
 		}
 		_, _ = conn.Write([]byte(answer))
 		_ = conn.Close()
-	}))
-	ts.Defer(srv.Close)
-	ts.Setenv(args[0], srv.URL)
+	})
 }
 
 // backup implements "backup take" and "backup restore" of the store's content.
