--- a/crashdetector/parts.go
+++ b/crashdetector/parts.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -10,24 +9,13 @@
 )
 
 const (
-	// WholeAnswer is the progress of an answer that ended complete.
-	WholeAnswer = math.MaxInt
 	// maxParts bounds the parts with losses that are kept.
 	maxParts = 8192
 	// evictedParts is the number of parts that are evicted at a time.
 	evictedParts = maxParts / 16
-	// maxSoundParts bounds the sound parts that are remembered, in each of the two
-	// generations.
-	maxSoundParts = 8192
-	// crossingShare is the share of a depth by which an answer must exceed it. Of an
-	// answer that breaks off, some of the last output may be lost.
-	crossingShare = 0.25
 	// isolationDepth is the depth in tokens up to which other requests with a suspect
 	// wait for the answer to get beyond it. Deeper ones take too long.
 	isolationDepth = 32
-	// unknownDepth stands for that of an answer that had begun. Only a complete answer
-	// gets beyond it.
-	unknownDepth = WholeAnswer / 2
 )
 
 // partLoss is a loss that counts against a part.
@@ -39,16 +27,6 @@
 	depth int
 }
 
-// crossed reports whether an answer that got from one progress to another got beyond
-// a depth on the way.
-func crossed(depth, from, to int) bool {
-	limit := depth + int(crossingShare*float64(depth))
-	return from <= limit && limit < to
-}
-
-// IsBeyond reports whether an answer with the given progress got beyond a depth.
-func IsBeyond(progress, depth int) bool { return crossed(depth, 0, progress) }
-
 // partEntry holds what is known of one part.
 type partEntry struct {
 	// losses holds the losses that count, oldest first.
@@ -95,12 +73,6 @@
 	return true
 }
 
-// soundPart is how far answers with a part got, and when one last did.
-type soundPart struct {
-	at       time.Time
-	progress int
-}
-
 // partEntryFor returns the entry of a part. If there is none, or if it has expired, it
 // adds a new one and evicts others if necessary.
 func (d *Detector) partEntryFor(part egretflow.PartHash, now time.Time) *partEntry {
@@ -172,7 +144,8 @@
 // RecordPartLoss records that a server was lost while it ran an attempt with the given
 // parts, whose answer had the given progress. startedAt is when the attempt started, or
 // zero if that is not known. A shared loss only counts for parts that have none and were
-// not sound beyond its depth. It returns the part that is most suspected, and whether there is one.
+// not sound beyond its depth. It returns the part that is most suspected, and whether there
+// is one.
 func (d *Detector) RecordPartLoss(parts []egretflow.PartHash, l Loss, startedAt, now time.Time) (egretflow.PartHash, bool) {
 	if len(parts) == 0 {
 		return 0, false
@@ -191,16 +164,7 @@
 	shared := l.Shared || involved
 	suspect, counted := parts[0], map[egretflow.PartHash]bool{}
 	for _, part := range parts {
-		e := d.partEntryFor(part, now)
-		ranApart := e.lastLossAt.IsZero() || !startedAt.Before(e.lastLossAt) || loss.at.Sub(e.lastLossAt) >= sameLossWindow
-		if ranApart && (!shared || e.count(now) == 0 && !d.soundBeyond(part, l.Progress)) {
-			if e.count(now) == 0 {
-				e.losses, e.explainedBy = nil, nil
-			}
-			counted[part] = e.record(loss) || counted[part]
-		} else if e.recorded(loss) {
-			e.record(loss)
-		}
+		counted[part] = d.chargePart(part, loss, shared, startedAt, now) || counted[part]
 		if d.moreSuspect(part, suspect, l.Progress, now) {
 			suspect = part
 		}
@@ -211,6 +175,26 @@
 	return suspect, true
 }
 
+// chargePart counts a loss against one part, and reports whether it is a new one.
+func (d *Detector) chargePart(part egretflow.PartHash, l partLoss, shared bool, startedAt, now time.Time) bool {
+	e := d.partEntryFor(part, now)
+	if e.recorded(l) {
+		return e.record(l)
+	}
+	ranApart := e.lastLossAt.IsZero() || !startedAt.Before(e.lastLossAt) || l.at.Sub(e.lastLossAt) >= sameLossWindow
+	if !ranApart {
+		return false
+	}
+	known := e.count(now)
+	if shared && (known > 0 || d.soundBeyond(part, l.depth)) {
+		return false
+	}
+	if known == 0 {
+		e.losses, e.explainedBy = nil, nil
+	}
+	return e.record(l)
+}
+
 // recorded reports whether the newest loss is the same as l.
 func (e *partEntry) recorded(l partLoss) bool {
 	if len(e.losses) == 0 {
@@ -338,88 +322,3 @@
 		}
 	}
 }
-
-// noteSound remembers how far an answer with the parts got.
-func (d *Detector) noteSound(parts []egretflow.PartHash, progress int, now time.Time) {
-	for _, part := range parts {
-		known := d.soundPart(part)
-		if len(d.sound) >= maxSoundParts {
-			d.formerSound, d.sound = d.sound, map[egretflow.PartHash]soundPart{}
-		}
-		d.sound[part] = soundPart{at: now, progress: max(progress, known.progress)}
-	}
-}
-
-func (d *Detector) soundPart(part egretflow.PartHash) soundPart {
-	if s, ok := d.sound[part]; ok {
-		return s
-	}
-	return d.formerSound[part]
-}
-
-// soundBeyond reports whether an answer with the part once got beyond a depth.
-func (d *Detector) soundBeyond(part egretflow.PartHash, depth int) bool {
-	return IsBeyond(d.soundPart(part).progress, depth)
-}
-
-// partReports returns the reports of all suspected parts. Of a suspect set with too many
-// members for a report each is only a suspect.
-func (d *Detector) partReports(now time.Time) []egretflow.CrashReport {
-	var reports []egretflow.CrashReport
-	reported := map[egretflow.PartHash]bool{}
-	add := func(part egretflow.PartHash, servers []egretflow.ServerName, depth int, expiresAt time.Time) {
-		reported[part] = true
-		reports = append(reports, egretflow.CrashReport{Fingerprint: uint64(part), Servers: slices.Clone(servers), ExpiresAt: expiresAt, Part: true, Shared: depth > 0})
-	}
-	d.dropExpiredSets(now)
-	for _, s := range d.sets {
-		if len(s.members) <= egretflow.MaxOtherParts+1 {
-			reports = append(reports, s.report())
-			continue
-		}
-		for part := range s.members {
-			if !d.soundBeyond(part, s.depth) {
-				add(part, s.servers[:1], s.depth, s.expiresAt)
-			}
-		}
-	}
-	for part, e := range d.parts {
-		switch {
-		case !now.Before(e.expiresAt) && !e.inSet(now):
-			delete(d.parts, part)
-		case !reported[part] && !e.inSet(now) && e.count(now) > 0 && !d.soundBeyond(part, e.depth()):
-			add(part, []egretflow.ServerName{e.losses[0].server}, e.depth(), e.expiresAt)
-		}
-	}
-	return reports
-}
-
-// mergePart applies a valid report of a peer about a part, or several. The report does not say how
-// far answers had come: if they had begun, only a whole one shows that the part is sound.
-func (d *Detector) mergePart(r *egretflow.CrashReport, now time.Time) {
-	part, lostAt := egretflow.PartHash(r.Fingerprint), r.ExpiresAt.Add(-RejectFor)
-	depth := 0
-	if r.Shared {
-		depth = unknownDepth
-	}
-	if len(r.Servers) == 0 {
-		return
-	}
-	if len(r.Servers) >= MaxLosses {
-		members := slices.DeleteFunc(append(slices.Clone(r.Others), part), func(part egretflow.PartHash) bool {
-			sound := d.soundPart(part)
-			return sound.at.After(lostAt) && IsBeyond(sound.progress, depth)
-		})
-		if len(members) > 0 {
-			d.mergeSet(members, r.Servers, depth, lostAt, r.ExpiresAt, now)
-		}
-		return
-	}
-	if d.soundPart(part).progress > 0 {
-		return
-	}
-	if e := d.partEntryFor(part, now); e.count(now) == 0 && !e.inSet(now) {
-		e.losses, e.explainedBy = nil, nil
-		e.record(partLoss{server: r.Servers[0], at: lostAt, depth: depth})
-	}
-}
