crashkeeper: save the verdicts that several instances make together

What was seen (by reading, then in a script): a request that crashes one server of each of three instances is refused by all, but none of them saves that, because each has recorded one loss itself. After a loss of power it runs again at all.

Cause: only an instance that recorded the deciding loss was asked to save.

Change: one that recorded a loss of the request saves when the reports of peers make it a verdict. Those that only listen save nothing.

Beside it: when an answer with a part began, the proof of an earlier and longer one got its time, so that a peer ignored newer reports about a part that was sound an hour ago. The proof keeps its time now.

--- a/crashdetector/crashdetector.go
+++ b/crashdetector/crashdetector.go
@@ -127,6 +127,8 @@
 	afterStart bool
 	// shared reports whether another suspect may explain the second loss.
 	shared bool
+	// own reports whether this Detector recorded one of the losses itself.
+	own bool
 }
 
 // losses returns the number of losses that count.
@@ -146,7 +148,8 @@
 	// before.
 	sound       map[egretflow.PartHash]soundPart
 	formerSound map[egretflow.PartHash]soundPart
-	// verdicts counts the changes of verdicts that this Detector made itself.
+	// verdicts counts the changes of verdicts that this Detector made itself, or
+	// contributed a loss to.
 	verdicts uint64
 }
 
@@ -162,6 +165,7 @@
 	if !e.recordLoss(l.Server, now) {
 		return
 	}
+	e.own = true
 	if e.losses() == MaxLosses {
 		e.shared = l.Shared
 	}
@@ -333,7 +337,11 @@
 // mergeRequest applies a valid report about a request.
 func (d *Detector) mergeRequest(r *egretflow.CrashReport, now time.Time) {
 	e := d.entries.entryFor(r.Fingerprint, now)
+	before := e.losses()
 	e.merge(r, now)
+	if e.own && e.losses() >= MaxLosses && e.losses() > before {
+		d.verdicts++
+	}
 	if r.ExpiresAt.After(e.expiresAt) {
 		e.expiresAt = r.ExpiresAt
 	}
--- a/crashdetector/record.go
+++ b/crashdetector/record.go
@@ -9,8 +9,8 @@
 	"github.com/egretflow/egretflow"
 )
 
-// Verdicts returns the number of changes of verdicts that this Detector made itself, and
-// did not learn from peers or a record.
+// Verdicts returns the number of changes of verdicts that this Detector made itself, or
+// contributed a loss to, and did not only learn from peers or a record.
 func (d *Detector) Verdicts() uint64 { return d.verdicts }
 
 // Record returns the verdicts that must outlast this process. Those with the most losses
--- a/crashdetector/sound.go
+++ b/crashdetector/sound.go
@@ -31,7 +31,7 @@
 // IsBeyond reports whether an answer with the given progress got beyond a depth.
 func IsBeyond(progress, depth int) bool { return crossed(depth, 0, progress) }
 
-// soundPart is how far answers with a part got, and when one last did.
+// soundPart is how far answers with a part got, and when one last got that far.
 type soundPart struct {
 	at       time.Time
 	progress int
@@ -44,7 +44,10 @@
 		if len(d.sound) >= maxSoundParts {
 			d.formerSound, d.sound = d.sound, map[egretflow.PartHash]soundPart{}
 		}
-		d.sound[part] = soundPart{at: now, progress: max(progress, known.progress)}
+		if progress >= known.progress {
+			known = soundPart{at: now, progress: progress}
+		}
+		d.sound[part] = known
 	}
 }
 
--- a/crashkeeper/crashkeeper_test.go
+++ b/crashkeeper/crashkeeper_test.go
@@ -55,6 +55,7 @@
 //	T start NAME,...                        instances start with an empty memory
 //	T stop NAME,...                         instances lose power
 //	T crash NAME server=S parts=H,... | request=H   a server is lost
+//	T report FROM,TO                        the reports of one instance reach another
 //	T store outage=true|false               the store goes away or comes back
 //	T store latency=MS                      each call takes so long
 //	T store lost=N                          the answers to the next writes are lost
@@ -125,6 +126,9 @@
 		}
 	case "crash":
 		r.crash(r.instances[name], values)
+	case "report":
+		from, to, _ := strings.Cut(name, ",")
+		r.report(r.instances[from].memory, r.instances[to])
 	case "store":
 		r.store.SetFaults(fakestore.Faults{
 			Outage: values["outage"] == "true", LostResponses: r.number(values["lost"]), Latency: time.Duration(r.number(values["latency"])) * time.Millisecond,
@@ -177,6 +181,18 @@
 	}
 }
 
+func (r *scriptRun) report(from *memory, to *instance) {
+	from.mu.Lock()
+	reports := from.d.Reports(time.Now())
+	from.mu.Unlock()
+	to.memory.mu.Lock()
+	defer to.memory.mu.Unlock()
+	before := to.memory.d.Verdicts()
+	if to.memory.d.Merge(reports, time.Now()); to.memory.d.Verdicts() != before {
+		to.keeper.Wake()
+	}
+}
+
 func (r *scriptRun) write(w egretflow.StoreWrite) {
 	if _, err := r.store.Commit(r.Context(), egretflow.StoreTxn{Writes: []egretflow.StoreWrite{w}}); err != nil {
 		r.Fatal(err)
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -234,10 +234,23 @@
 	if t.cfg.OnServerLost != nil {
 		t.cfg.OnServerLost()
 	}
+	t.notifyVerdict(verdicts)
+	t.record(egretflow.EventCrashSuspect, work, a.assignment, append(fields, egretflow.EventField{Key: "Verdict", Value: string(t.verdict(work))}))
+}
+
+// mergeCrashes applies the crash reports of a peer.
+func (t *task) mergeCrashes(reports []egretflow.CrashReport) {
+	verdicts := t.crashes.Verdicts()
+	t.crashes.Merge(reports, t.now)
+	t.notifyVerdict(verdicts)
+}
+
+// notifyVerdict calls Config.OnVerdict if a verdict has changed since there were that many
+// changes.
+func (t *task) notifyVerdict(verdicts uint64) {
 	if t.cfg.OnVerdict != nil && t.crashes.Verdicts() != verdicts {
 		t.cfg.OnVerdict()
 	}
-	t.record(egretflow.EventCrashSuspect, work, a.assignment, append(fields, egretflow.EventField{Key: "Verdict", Value: string(t.verdict(work))}))
 }
 
 // chargeParts counts the crash of a server against the parts of a, and returns the
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -219,7 +219,7 @@
 	case restoreCrashesMessage:
 		t.crashes.Restore(m.record, t.now)
 	case mergeCrashesMessage:
-		t.crashes.Merge(m.reports, t.now)
+		t.mergeCrashes(m.reports)
 	case hintsMessage:
 		m.reply <- t.serverHints(m.now)
 	case applyHintsMessage:
