--- a/crashdetector/crashdetector.go
+++ b/crashdetector/crashdetector.go
@@ -47,9 +47,10 @@
 //     suspect set. Parts that were sound before are left out if others were not. Only
 //     requests with all members are rejected. Those with some of them run as in rule 8:
 //     one that gets beyond the depth removes its parts from the set, and one that loses
-//     its server removes the others. The set explains the losses of other parts.
+//     its server removes the others. The set explains the losses of other parts. One
+//     whose members all were sound before is weak: it explains and convicts less.
 //  10. Some time after the last loss one request with all members runs as a trial:
-//     after firstTrialAfter, or earlyTrialAfter if all members were sound before. If it
+//     after firstTrialAfter, or earlyTrialAfter if the set is weak. If it
 //     gets beyond the depth, the verdict ends. If it crashes a server, the next trial is
 //     later, and after the last of trialDelays there is none until the losses expire.
 //  11. Reports to peers list suspect sets with all losses, and suspects with one. The
@@ -68,7 +69,7 @@
 
 const (
 	// MaxLosses is the number of losses from which on a request is rejected, unless
-	// another suspect may explain the last of them, and parts are in a suspect set.
+	// another suspect may explain the last of them, and parts make a suspect set.
 	MaxLosses = 2
 	// RejectFor is how long the losses of a request are kept after the last one.
 	RejectFor = 10 * time.Minute
--- a/crashdetector/suspicion.go
+++ b/crashdetector/suspicion.go
@@ -16,8 +16,8 @@
 	suspects partSet
 	// withLoss holds the suspects and the sound parts with a loss.
 	withLoss partSet
-	// inSets holds the members of suspect sets that are not weak, and convicted reports whether the request
-	// has all those of one.
+	// inSets holds the members of suspect sets that are not weak, and convicted reports
+	// whether the request has all those of one.
 	inSets    partSet
 	convicted bool
 }
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -23,10 +23,11 @@
 	if v == crashdetector.Reject || len(work.Parts) == 0 {
 		return v
 	}
-	if _, byPart := t.crashes.PartVerdict(work.Parts, t.now); byPart != crashdetector.Allow && v != crashdetector.Isolate || byPart == crashdetector.Reject {
-		return byPart
+	_, byPart := t.crashes.PartVerdict(work.Parts, t.now)
+	if byPart == crashdetector.Allow || byPart == crashdetector.Separate && v == crashdetector.Isolate {
+		return v
 	}
-	return v
+	return byPart
 }
 
 // requestVerdict returns the verdict on work without regard to its parts.
@@ -211,8 +212,8 @@
 }
 
 // charge counts the crash of s against the request of a and against the parts of its
-// prompt, and records the verdict. Requests without a
-// fingerprint and without parts are not counted.
+// prompt, and records the verdict. Requests without a fingerprint and without parts are not
+// counted.
 func (t *task) charge(a *attempt, s *picker.Server) {
 	work, server := a.assignment.Work, s.Spec.Name
 	verdicts := t.crashes.Verdicts()
