crashdetector: count the parts of a report once

What was seen (by reading, then in a test): a report that names a part twice makes another suspect set each time that it comes, up to the bound of 32, where it displaces others.

Change: the parts are sorted and compacted before they are compared.

Evidence: TestMergeOfOddReports fails before, with 5 sets for 5 reports, and passes now.

--- a/crashdetector/partreports.go
+++ b/crashdetector/partreports.go
@@ -39,17 +39,18 @@
 	return reports
 }
 
-// mergePart applies a valid report of a peer about a part, or several. The report does not say how
-// far answers had come: if they had begun, only a whole one shows that the part is sound.
+// mergePart applies a valid report of a peer about a part, or several. The report does not
+// say how far answers had come: if they had begun, only a whole one shows that a part is
+// sound.
 func (d *Detector) mergePart(r *egretflow.CrashReport, now time.Time) {
+	if len(r.Servers) == 0 {
+		return
+	}
 	part, lostAt := egretflow.PartHash(r.Fingerprint), r.ExpiresAt.Add(-RejectFor)
 	depth := 0
 	if r.Shared {
 		depth = unknownDepth
 	}
-	if len(r.Servers) == 0 {
-		return
-	}
 	if len(r.Servers) >= MaxLosses {
 		members := slices.DeleteFunc(append(slices.Clone(r.Others), part), func(part egretflow.PartHash) bool {
 			sound := d.soundPart(part)
--- a/crashdetector/parts_test.go
+++ b/crashdetector/parts_test.go
@@ -167,3 +167,19 @@
 		t.Errorf("verdict %s after a loss during an answer", v)
 	}
 }
+
+// Guards against a report that names a part twice, and so makes another suspect set each
+// time that it comes, or one without servers that ends the process.
+func TestMergeOfOddReports(t *testing.T) {
+	d := New()
+	r := egretflow.CrashReport{Fingerprint: 7, Others: []egretflow.PartHash{7, 5, 5}, Servers: []egretflow.ServerName{"a", "b"}, ExpiresAt: at(600), Part: true}
+	for n := range 5 {
+		d.Merge([]egretflow.CrashReport{r, {Fingerprint: 8, ExpiresAt: at(600), Part: true}}, at(n))
+	}
+	if len(d.sets) != 1 || len(d.sets[0].members) != 2 {
+		t.Errorf("%d suspect sets", len(d.sets))
+	}
+	if _, v := d.PartVerdict([]egretflow.PartHash{5, 7}, at(1)); v != Reject {
+		t.Errorf("verdict %s", v)
+	}
+}
--- a/crashdetector/suspectset.go
+++ b/crashdetector/suspectset.go
@@ -262,6 +262,7 @@
 
 // mergeSet applies a verdict that a peer or the store knows.
 func (d *Detector) mergeSet(members []egretflow.PartHash, servers []egretflow.ServerName, depth int, lastLossAt, expiresAt, now time.Time) {
+	members = slices.Compact(slices.Sorted(slices.Values(members)))
 	known := d.sameSet(members)
 	if known == nil {
 		known = &suspectSet{servers: slices.Clone(servers[:min(len(servers), maxServers)]), depth: depth, failedTrials: max(0, len(servers)-MaxLosses)}
@@ -284,8 +285,7 @@
 	}
 }
 
-// report returns the report of the set to peers. Earlier versions block one
-// member.
+// report returns the report of the set to peers. Earlier versions block one member.
 func (s *suspectSet) report() egretflow.CrashReport {
 	members := slices.Sorted(maps.Keys(s.members))
 	last := len(members) - 1
