review: case 11 with a planned stop in place of the kill

Cause: the case needs one disruption only, the drill of the store. Change: two changes of the configuration come before, and the holder is stopped by SIGTERM.

--- a/review/standin3/restoredstore.go
+++ b/review/standin3/restoredstore.go
@@ -150,14 +150,19 @@
 // storm writes configurations in quick succession. They change the timeout of one route.
 func (w *world) storm() {
 	for n := range stormChanges {
-		w.config["version"] = 8 + n
-		routes, _ := w.config["routes"].([]map[string]any)
-		routes[3]["timeout_ms"] = 1500 + n%2
-		w.writeConfig()
+		w.changeTimeout(8 + n)
 		time.Sleep(stormGap)
 	}
 }
 
+// changeTimeout writes a configuration with another timeout of one route.
+func (w *world) changeTimeout(version int) {
+	w.config["version"] = version
+	routes, _ := w.config["routes"].([]map[string]any)
+	routes[3]["timeout_ms"] = 1500 + version%2
+	w.writeConfig()
+}
+
 // noteServed notes how the calls of order-desk that were sent later than since ended.
 func (w *world) noteServed(since time.Time) {
 	sent, served := 0, 0
--- a/review/standin3/sametoken.go
+++ b/review/standin3/sametoken.go
@@ -1,13 +1,14 @@
 package main
 
 import (
-	"os"
 	"time"
 )
 
 const (
 	// beforeCopy is how long the traffic runs before the copy of the store is taken.
 	beforeCopy = time.Second
+	// changeGap is the time before each of the two changes of the configuration.
+	changeGap = 300 * time.Millisecond
 	// orderWait is how long the case waits for the first order.
 	orderWait = 15 * time.Second
 	// afterOrder is the time from the first orders to the drill, and momentAway how long the
@@ -29,29 +30,33 @@
 
 // sameToken plays the drill in which the store comes back from a copy some seconds old, just
 // after an instance has become the holder of the lease for orders and has given its first
-// orders. The process of that instance is killed. No two holders may give orders to one
-// replica with one fencing token. With TROUBLE=kill, the process is killed and there is no
-// drill.
+// orders. Then that instance is stopped, as planned work. No two holders may give orders to
+// one replica with one fencing token.
 func sameToken(w *world, trouble bool) bool {
 	w.startFleet()
 	time.Sleep(beforeCopy)
 	w.store.copyNow()
 	w.note("the copy of the store is taken at revision %d", w.store.revision())
+	for n := range 2 {
+		time.Sleep(changeGap)
+		w.changeTimeout(8 + n)
+		w.note("the operator changes the configuration; the store is at revision %d", w.store.revision())
+	}
 	first, ok := w.firstOrder()
 	if !ok {
 		w.fail("no order was given")
 	}
 	time.Sleep(afterOrder)
-	if trouble && os.Getenv("TROUBLE") != "kill" {
+	if trouble {
 		w.store.goAway()
 		time.Sleep(momentAway)
 		before, after, age := w.store.comeBack(true)
+		w.writeConfig()
 		w.note("the store was away for %v and comes back from a copy %.1f s old: revision %d instead of %d", momentAway, age.Seconds(), after, before)
 	}
 	for _, i := range w.instances {
-		if i.name == first.holder && os.Getenv("TROUBLE") != "0" {
-			i.lose()
-			w.note("%s: its process is killed", i.name)
+		if i.name == first.holder {
+			i.stop()
 		}
 	}
 	time.Sleep(takeover)
--- a/review/standin3/world.go
+++ b/review/standin3/world.go
@@ -229,6 +229,16 @@
 	_ = i.cmd.Wait()
 }
 
+// stop sends SIGTERM to the process of an instance, and SIGKILL after grace_s.
+func (i *instance) stop() {
+	_ = i.cmd.Process.Signal(syscall.SIGTERM)
+	i.w.note("%s: gets SIGTERM", i.name)
+	time.AfterFunc(graceTime, func() { _ = i.cmd.Process.Kill() })
+}
+
+// graceTime is grace_s of the sheet.
+const graceTime = 8 * time.Second
+
 // lose takes the power from the machine of an instance for the rest of the run.
 func (i *instance) lose() {
 	i.kill()
