--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -10,6 +10,7 @@
 
 var cases = map[string]func(w *world, trouble bool) (broken bool){
 	"restored-store":   restoredStore,
+	"slow-start":       slowStart,
 	"same-token":       sameToken,
 	"idle-connections": idleConnections,
 	"wrong-bytes":      wrongBytes,
--- a/review/standin3/replica.go
+++ b/review/standin3/replica.go
@@ -281,6 +281,11 @@
 		p.running--
 		p.mu.Unlock()
 	}()
+	if p.w.crashPath != "" && r.URL.Path == p.w.crashPath {
+		p.ran(id)
+		p.crash()
+		return
+	}
 	switch {
 	case !engine:
 		p.call(w, id, body)
--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -47,10 +47,12 @@
 	era     int
 	away    bool
 	changed chan struct{}
+	// delay is how long a call takes.
+	delay time.Duration
 }
 
 func newStore() *store {
-	return &store{now: contents{revision: 1, items: map[string]item{}, leases: map[int64]lease{}}, era: 1, changed: make(chan struct{})}
+	return &store{now: contents{revision: 1, items: map[string]item{}, leases: map[int64]lease{}}, era: 1, delay: answerTime, changed: make(chan struct{})}
 }
 
 func (c contents) clone() contents {
@@ -192,11 +194,21 @@
 	}
 }
 
+// setAnswerTime sets how long a call takes.
+func (s *store) setAnswerTime(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = d
+}
+
 // answerTime is how long a call of the store takes, as the sheets give it.
 const answerTime = 4 * time.Millisecond
 
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	time.Sleep(answerTime)
+	s.mu.Lock()
+	delay := s.delay
+	s.mu.Unlock()
+	time.Sleep(delay)
 	s.mu.Lock()
 	if s.away {
 		s.mu.Unlock()
--- a/review/standin3/world.go
+++ b/review/standin3/world.go
@@ -45,6 +45,9 @@
 	// extraRoutes are added to those of the sheet.
 	extraRoutes []map[string]any
 	open        []net.Conn
+	// crashPath is the path of the request that crashes replicas, if there is one.
+	crashPath string
+	crashes   []time.Time
 }
 
 // arrival is a request that has reached a replica.
