--- a/review/standin3/world.go
+++ b/review/standin3/world.go
@@ -110,6 +110,35 @@
 // at returns a time in seconds since the start.
 func (w *world) at(t time.Time) float64 { return t.Sub(w.started).Seconds() }
 
+// noteRequests puts what was sent, answered and run in front of the record, one line for each
+// request: when and to which instance it was sent, when and how it was answered, and when it
+// reached which replicas. Those that the replica ran are marked.
+func (w *world) noteRequests() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	reached := map[string]string{}
+	for _, a := range w.arrivals {
+		how := "reached"
+		switch {
+		case a.prefill:
+			how = "prefill"
+		case a.replica.runsOf(a.id) > 0:
+			how = "ran"
+		}
+		reached[a.id] += fmt.Sprintf("; %s at %s %.3f", how, a.replica.name, w.at(a.at))
+	}
+	list := slices.SortedFunc(maps.Values(w.sent), func(a, b *attempt) int { return a.sentAt.Compare(b.sentAt) })
+	var lines []string
+	for _, a := range list {
+		answer := "no answer"
+		if a.status != 0 {
+			answer = fmt.Sprintf("answered %d at %.3f, complete %v, stamp %q", a.status, w.at(a.answeredAt), a.complete, a.stamp)
+		}
+		lines = append(lines, fmt.Sprintf("%7.3f sent %s %s to %s; %s%s", w.at(a.sentAt), a.kind, a.id, a.instance.name, answer, reached[a.id]))
+	}
+	w.lines = append(lines, w.lines...)
+}
+
 // fail ends the run as one that could not be made.
 func (w *world) fail(format string, args ...any) {
 	w.note("could not run: "+format, args...)
@@ -122,6 +151,7 @@
 	for _, i := range w.instances {
 		i.kill()
 	}
+	w.noteRequests()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if path := os.Getenv("RECORD"); path != "" {
