--- a/review/standin3/paths.go
+++ b/review/standin3/paths.go
@@ -25,7 +25,7 @@
 		routeOf("desk-charge", "/desk/", "unsafe", "order-desk", 2, 1500, 300, false),
 		routeOf("desk-lookup", "/desk/lookup/", "safe", "order-desk", 2, 1500, 300, false),
 	}
-	kinds = append(kinds, kind{"desk-charge", http.MethodPost, "/desk/lookup%2F117", 20, false})
+	kinds = append(kinds, kind{"desk-charge", http.MethodPost, "/desk/lookup%2F117", 50, false})
 	w.startFleet()
 	time.Sleep(beforeLoss)
 	if trouble {
