store: one owner of what a version of the store is

Nothing reads Store-Era.

Change: egretflow.StoreVersion (era before revision) is made where the store's answers are read, and stands in entries, conditions and the results of writes. LeaseID has the era of its lease. Package erafollower knows the latest era and says what is void: answers of an earlier era, pages of two eras in one list, a watch that goes on in another era, leases and conditions of an earlier one.

--- a/claimer/fake_test.go
+++ b/claimer/fake_test.go
@@ -63,16 +63,16 @@
 	return entry, nil
 }
 
-func (s *fakeStore) Commit(ctx context.Context, txn egretflow.StoreTxn) (int64, error) {
+func (s *fakeStore) Commit(ctx context.Context, txn egretflow.StoreTxn) (egretflow.StoreVersion, error) {
 	sleep(ctx, s.latency)
 	if ctx.Err() != nil {
-		return 0, egretflow.ErrUncertain
+		return egretflow.StoreVersion{}, egretflow.ErrUncertain
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.writes++
 	if s.outage {
-		return 0, egretflow.ErrUnavailable
+		return egretflow.StoreVersion{}, egretflow.ErrUnavailable
 	}
 	if s.loseResponse != nil {
 		if lost, late := s.loseResponse(); lost {
@@ -85,30 +85,31 @@
 					_, _ = s.apply(txn)
 				})
 			}
-			return 0, egretflow.ErrUncertain
+			return egretflow.StoreVersion{}, egretflow.ErrUncertain
 		}
 	}
 	return s.apply(txn)
 }
 
 // apply applies a transaction if its conditions hold. The caller holds mu.
-func (s *fakeStore) apply(txn egretflow.StoreTxn) (int64, error) {
+func (s *fakeStore) apply(txn egretflow.StoreTxn) (egretflow.StoreVersion, error) {
 	for _, c := range txn.Conditions {
-		if s.entries[c.Key].ModRevision != c.ModRevision {
+		if s.entries[c.Key].Modified != c.Modified {
 			s.conflicts++
-			return 0, egretflow.ErrConflict
+			return egretflow.StoreVersion{}, egretflow.ErrConflict
 		}
 	}
 	s.revision++
+	version := egretflow.StoreVersion{Revision: s.revision}
 	for _, w := range txn.Writes {
 		if w.Delete {
 			delete(s.entries, w.Key)
 			continue
 		}
-		s.entries[w.Key] = egretflow.StoreEntry{Key: w.Key, Value: w.Value, ModRevision: s.revision}
+		s.entries[w.Key] = egretflow.StoreEntry{Key: w.Key, Value: w.Value, Modified: version}
 		s.writtenBytes += len(w.Value)
 	}
-	return s.revision, nil
+	return version, nil
 }
 
 // violationRecorder collects violated invariants and drops events.
--- a/claimer/sweep.go
+++ b/claimer/sweep.go
@@ -61,7 +61,7 @@
 		return fmt.Errorf("encode sweep mark: %w", err)
 	}
 	txn := egretflow.StoreTxn{
-		Conditions: []egretflow.StoreCondition{{Key: sweepKey(shard), ModRevision: entry.ModRevision}},
+		Conditions: []egretflow.StoreCondition{{Key: sweepKey(shard), Modified: entry.Modified}},
 		Writes:     []egretflow.StoreWrite{{Key: sweepKey(shard), Value: value}},
 	}
 	for b := mark.Bucket + 1; b <= next; b++ {
--- a/claimer/writer.go
+++ b/claimer/writer.go
@@ -35,8 +35,8 @@
 	queue chan *operation
 
 	document *document
-	revision int64
-	// loaded reports whether document was in the store at revision.
+	version  egretflow.StoreVersion
+	// loaded reports whether document was in the store at version.
 	loaded  bool
 	wroteAt time.Time // of the last attempt to write
 }
@@ -126,14 +126,14 @@
 	entry, err := w.store.Get(ctx, w.name)
 	switch {
 	case errors.Is(err, egretflow.ErrNotFound):
-		w.document, w.revision = newDocument(), 0
+		w.document, w.version = newDocument(), egretflow.StoreVersion{}
 	case err != nil:
 		return fmt.Errorf("read claim document: %w", err)
 	default:
 		if w.document, err = decodeDocument(entry.Value, w.clock()); err != nil {
 			return err
 		}
-		w.revision = entry.ModRevision
+		w.version = entry.Modified
 	}
 	w.loaded, *reread = true, true
 	return nil
@@ -166,17 +166,17 @@
 }
 
 // put writes the document on the condition that the store still has it at
-// revision. It marks the batch as uncertain unless the write certainly failed.
+// version. It marks the batch as uncertain unless the write certainly failed.
 func (w *writer) put(ctx context.Context, batch []*operation) error {
 	ctx, cancel := w.callContext(ctx, batch)
 	defer cancel()
 	w.wroteAt = w.clock()
-	revision, err := w.store.Commit(ctx, egretflow.StoreTxn{
-		Conditions: []egretflow.StoreCondition{{Key: w.name, ModRevision: w.revision}},
+	version, err := w.store.Commit(ctx, egretflow.StoreTxn{
+		Conditions: []egretflow.StoreCondition{{Key: w.name, Modified: w.version}},
 		Writes:     []egretflow.StoreWrite{{Key: w.name, Value: w.document.encode()}},
 	})
 	if err == nil {
-		w.revision = revision
+		w.version = version
 		return nil
 	}
 	if !errors.Is(err, egretflow.ErrConflict) && !errors.Is(err, egretflow.ErrUnavailable) {
--- a/cmd/egretflow/platform.go
+++ b/cmd/egretflow/platform.go
@@ -18,6 +18,7 @@
 	"github.com/egretflow/egretflow/assembler"
 	"github.com/egretflow/egretflow/connector"
 	"github.com/egretflow/egretflow/coordinator"
+	"github.com/egretflow/egretflow/erafollower"
 	"github.com/egretflow/egretflow/explainer"
 	"github.com/egretflow/egretflow/frontend"
 	"github.com/egretflow/egretflow/loader"
@@ -117,8 +118,9 @@
 	if err != nil {
 		return assembler.ForwardingConfig{}, fmt.Errorf("make metrics: %w", err)
 	}
-	store := platform.NewStore(platform.StoreConfig{Address: s.Store, Client: client, Clock: clock, Observe: metrics.StoreCalled})
 	events := explainer.New(platformEvents, logger)
+	eras := erafollower.New(erafollower.Config{Instance: s.Name, Clock: clock, Recorder: events, OnChange: metrics.StoreEraChanged})
+	store := platform.NewStore(platform.StoreConfig{Address: s.Store, Client: client, Clock: clock, Eras: eras, Observe: metrics.StoreCalled})
 	directory := platform.NewDirectory(store, func(key, reason string) {
 		events.Record(egretflow.NewEvent(egretflow.EventServerInvalid, clock(), s.Name, "Key", key, "Error", reason))
 	})
--- a/commander/pool.go
+++ b/commander/pool.go
@@ -22,11 +22,11 @@
 	// term is nil while another instance holds the lease.
 	term *term
 	// desired is the desired state. If desiredLoaded, it was read from the store
-	// or written to it at desiredRevision, and may have changed since.
-	desired         desiredState
-	desiredRevision int64
-	desiredLoaded   bool
-	balancer        roleBalancer
+	// or written to it at desiredVersion, and may have changed since.
+	desired        desiredState
+	desiredVersion egretflow.StoreVersion
+	desiredLoaded  bool
+	balancer       roleBalancer
 }
 
 func newPoolCommander(cfg *Config, name egretflow.PoolName) *poolCommander {
@@ -126,7 +126,7 @@
 			return fmt.Errorf("decode desired state: %w", err)
 		}
 	}
-	p.desired, p.desiredRevision, p.desiredLoaded = d, entry.ModRevision, true
+	p.desired, p.desiredVersion, p.desiredLoaded = d, entry.Modified, true
 	return nil
 }
 
@@ -141,10 +141,10 @@
 	if err != nil {
 		return fmt.Errorf("encode desired state: %w", err)
 	}
-	revision, err := p.cfg.Store.Commit(ctx, egretflow.StoreTxn{
+	version, err := p.cfg.Store.Commit(ctx, egretflow.StoreTxn{
 		Conditions: []egretflow.StoreCondition{
-			{Key: leaseKey(p.name), ModRevision: p.term.ModRevision},
-			{Key: desiredKey(p.name), ModRevision: p.desiredRevision},
+			{Key: leaseKey(p.name), Modified: p.term.Version},
+			{Key: desiredKey(p.name), Modified: p.desiredVersion},
 		},
 		Writes: []egretflow.StoreWrite{{Key: desiredKey(p.name), Value: value}},
 	})
@@ -155,7 +155,7 @@
 		}
 		return fmt.Errorf("write desired state: %w", err)
 	}
-	p.desiredRevision = revision
+	p.desiredVersion = version
 	return nil
 }
 
--- a/crashkeeper/crashkeeper.go
+++ b/crashkeeper/crashkeeper.go
@@ -148,7 +148,7 @@
 // sync reads the verdicts in the store, adds them to the memory if that was not done yet,
 // and writes those of this instance that are missing.
 func (k *Keeper) sync(ctx context.Context) error {
-	stored, revision, err := k.read(ctx)
+	stored, version, err := k.read(ctx)
 	if err != nil {
 		return err
 	}
@@ -168,34 +168,34 @@
 	if stored.Includes(&own) {
 		return nil
 	}
-	return k.write(ctx, stored.Union(&own, now), revision)
+	return k.write(ctx, stored.Union(&own, now), version)
 }
 
-// read returns the verdicts in the store, and the revision of their value. Ones that cannot
+// read returns the verdicts in the store, and the version of their value. Ones that cannot
 // be decoded count as none, so that the next write replaces them.
-func (k *Keeper) read(ctx context.Context) (egretflow.CrashRecord, int64, error) {
+func (k *Keeper) read(ctx context.Context) (egretflow.CrashRecord, egretflow.StoreVersion, error) {
 	var record egretflow.CrashRecord
 	entry, err := k.cfg.Store.Get(ctx, Key)
 	if errors.Is(err, egretflow.ErrNotFound) {
-		return record, 0, nil
+		return record, egretflow.StoreVersion{}, nil
 	}
 	if err != nil {
-		return record, 0, fmt.Errorf("read verdicts on crashes: %w", err)
+		return record, egretflow.StoreVersion{}, fmt.Errorf("read verdicts on crashes: %w", err)
 	}
 	if err := json.Unmarshal(entry.Value, &record); err != nil {
 		k.cfg.Recorder.Record(egretflow.NewEvent(egretflow.EventCrashesUnsaved, k.cfg.Clock(), k.cfg.Instance, "Error", err.Error()))
-		return egretflow.CrashRecord{}, entry.ModRevision, nil
+		return egretflow.CrashRecord{}, entry.Modified, nil
 	}
-	return record, entry.ModRevision, nil
+	return record, entry.Modified, nil
 }
 
-func (k *Keeper) write(ctx context.Context, record egretflow.CrashRecord, revision int64) error {
+func (k *Keeper) write(ctx context.Context, record egretflow.CrashRecord, version egretflow.StoreVersion) error {
 	value, err := json.Marshal(record)
 	if err != nil {
 		return fmt.Errorf("encode verdicts on crashes: %w", err)
 	}
 	_, err = k.cfg.Store.Commit(ctx, egretflow.StoreTxn{
-		Conditions: []egretflow.StoreCondition{{Key: Key, ModRevision: revision}},
+		Conditions: []egretflow.StoreCondition{{Key: Key, Modified: version}},
 		Writes:     []egretflow.StoreWrite{{Key: Key, Value: value}},
 	})
 	if err != nil {
--- a/dialect.go
+++ b/dialect.go
@@ -190,10 +190,9 @@
 	// Invalid names the servers whose registration is there but names no server to
 	// use.
 	Invalid []ServerName
-	// Revision is the revision of the platform's store at which the list is
-	// complete. It never decreases, so it orders the lists that instances read
-	// without comparing clocks.
-	Revision int64
+	// Version is the version of the platform's store at which the list is complete. It
+	// orders the lists that instances read without comparing clocks.
+	Version StoreVersion
 	// ConfirmedAt is when the list was known to be current, if another instance has
 	// read it; zero for a read of the platform itself.
 	ConfirmedAt time.Time
--- a/distributor/store.go
+++ b/distributor/store.go
@@ -76,20 +76,20 @@
 }
 
 // readDocument reads the document from the store. It also returns the
-// modification revision of its key, from which a watch can start; 0 if the store
+// version of the last write of its key, from which a watch can start; zero if the store
 // holds no tables or the read failed.
-func (d *Distributor) readDocument(ctx context.Context) (storeRead, int64) {
+func (d *Distributor) readDocument(ctx context.Context) (storeRead, egretflow.StoreVersion) {
 	r := storeRead{readAt: d.cfg.Clock()}
 	entry, err := d.cfg.Store.Get(ctx, egretflow.TablesDocumentKey)
 	if errors.Is(err, egretflow.ErrNotFound) {
-		return r, 0
+		return r, egretflow.StoreVersion{}
 	}
 	if err != nil {
 		r.err = fmt.Errorf("read tables: %w", err)
-		return r, 0
+		return r, egretflow.StoreVersion{}
 	}
 	r.decode(entry.Value)
-	return r, entry.ModRevision
+	return r, entry.Modified
 }
 
 func (r *storeRead) decode(data []byte) {
@@ -125,7 +125,7 @@
 // much smaller, until the watch fails or the head is ahead of it. documentRead
 // reports whether the document could be read.
 func (f *storeFollower) follow(ctx context.Context) (documentRead bool, err error) {
-	first, modRevision := f.readDocument(ctx)
+	first, modified := f.readDocument(ctx)
 	if first.err != nil {
 		return false, first.err
 	}
@@ -136,7 +136,7 @@
 	events := make(chan egretflow.StoreEntry)
 	watchErr := make(chan error, 1)
 	var watch sync.WaitGroup
-	watch.Go(func() { watchErr <- f.cfg.Store.Watch(ctx, editor.AuditPrefix, modRevision, events) })
+	watch.Go(func() { watchErr <- f.cfg.Store.Watch(ctx, editor.AuditPrefix, modified, events) })
 	defer watch.Wait()
 	defer cancel()
 
--- a/editor/editor.go
+++ b/editor/editor.go
@@ -99,9 +99,9 @@
 // snapshot is the document as read from the store.
 type snapshot struct {
 	tables *egretflow.Tables
-	// modRevision is the modification revision of the document's key; 0 if it
+	// modified is the version of the last write of the document's key; zero if it
 	// does not exist.
-	modRevision int64
+	modified egretflow.StoreVersion
 }
 
 // Tables reads the tables from the store. Before the first edit they are empty
@@ -126,7 +126,7 @@
 	if err != nil {
 		return snapshot{}, fmt.Errorf("read tables: %w", err)
 	}
-	return snapshot{tables: t, modRevision: entry.ModRevision}, nil
+	return snapshot{tables: t, modified: entry.Modified}, nil
 }
 
 // Edit applies a request. The errors are *egretflow.FieldError for an invalid
@@ -167,7 +167,7 @@
 		Revision: next.Revision, EditID: next.EditID, Who: r.Who, At: e.clock(), Reason: r.Reason, Changes: result.Changes,
 		base: base.tables.Revision,
 	}
-	txn, err := encodeEdit(base.modRevision, next, entry)
+	txn, err := encodeEdit(base.modified, next, entry)
 	if err != nil {
 		return result, err
 	}
@@ -191,7 +191,7 @@
 }
 
 // encodeEdit returns the transaction of an edit and sets the checksum of entry.
-func encodeEdit(modRevision int64, next *egretflow.Tables, entry *AuditEntry) (egretflow.StoreTxn, error) {
+func encodeEdit(modified egretflow.StoreVersion, next *egretflow.Tables, entry *AuditEntry) (egretflow.StoreTxn, error) {
 	document, err := json.Marshal(next)
 	if err != nil {
 		return egretflow.StoreTxn{}, fmt.Errorf("encode tables: %w", err)
@@ -222,7 +222,7 @@
 		}
 	}
 	return egretflow.StoreTxn{
-		Conditions: []egretflow.StoreCondition{{Key: egretflow.TablesDocumentKey, ModRevision: modRevision}},
+		Conditions: []egretflow.StoreCondition{{Key: egretflow.TablesDocumentKey, Modified: modified}},
 		Writes: []egretflow.StoreWrite{
 			{Key: egretflow.TablesDocumentKey, Value: stored},
 			{Key: egretflow.TablesHeadKey, Value: head},
--- a/editor/linear_test.go
+++ b/editor/linear_test.go
@@ -33,7 +33,7 @@
 	return s.Store.Get(ctx, key)
 }
 
-func (s *slowStore) Commit(ctx context.Context, txn egretflow.StoreTxn) (int64, error) {
+func (s *slowStore) Commit(ctx context.Context, txn egretflow.StoreTxn) (egretflow.StoreVersion, error) {
 	s.wait()
 	defer s.wait()
 	return s.Store.Commit(ctx, txn)
--- a/event.go
+++ b/event.go
@@ -63,6 +63,7 @@
 	EventStoreAvailable      EventName = "StoreAvailable"
 	EventStoreAccessChanged  EventName = "StoreAccessChanged"
 	EventOldReading          EventName = "OldReading"
+	EventStoreEraChanged     EventName = "StoreEraChanged"
 	EventLinesDropped        EventName = "LinesDropped"
 	EventInvariantViolated   EventName = "InvariantViolated"
 	EventReloaded            EventName = "Reloaded"
--- a/gossiper/directory.go
+++ b/gossiper/directory.go
@@ -138,7 +138,7 @@
 			return egretflow.ServerList{}, err
 		}
 		at := d.cfg.Clock().Add(-time.Duration(min(max(s.AgeMS, 0), maxAgeMS)) * time.Millisecond)
-		return egretflow.ServerList{Entries: s.Entries, Revision: s.Revision, ConfirmedAt: at}, nil
+		return egretflow.ServerList{Entries: s.Entries, Version: egretflow.StoreVersion{Revision: s.Revision}, ConfirmedAt: at}, nil
 	}, d.cfg.Source.Servers)
 }
 
@@ -372,7 +372,7 @@
 		return
 	}
 	age := s.cfg.Clock().Sub(list.ConfirmedAt).Milliseconds()
-	data, err := compress(serversSnapshot{Entries: list.Entries, Revision: list.Revision, AgeMS: age})
+	data, err := compress(serversSnapshot{Entries: list.Entries, Revision: list.Version.Revision, AgeMS: age})
 	if err != nil {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
--- a/gossiper/directory_test.go
+++ b/gossiper/directory_test.go
@@ -24,7 +24,7 @@
 			if err != nil || c.Version != 3 {
 				t.Errorf("%s read configuration %+v, error %v", m.cfg.Self.Name, c, err)
 			}
-			if list, err := m.Directory().Servers(x.t.Context()); err != nil || list.Revision != 3 {
+			if list, err := m.Directory().Servers(x.t.Context()); err != nil || list.Version.Revision != 3 {
 				t.Errorf("%s read servers %+v, error %v", m.cfg.Self.Name, list, err)
 			}
 		}
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -102,7 +102,7 @@
 func (f *fakeFollower) Snapshot() (*egretflow.Configuration, egretflow.ServerList) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return &egretflow.Configuration{Version: f.version}, egretflow.ServerList{ConfirmedAt: f.confirmedAt, Revision: int64(f.version)}
+	return &egretflow.Configuration{Version: f.version}, egretflow.ServerList{ConfirmedAt: f.confirmedAt, Version: egretflow.StoreVersion{Revision: int64(f.version)}}
 }
 
 func (f *fakeFollower) Recheck() {
@@ -352,7 +352,7 @@
 				t.Errorf("%s read configuration %+v, error %v", i.cfg.Self.Name, c, err)
 			}
 			list, err := d.Servers(x.t.Context())
-			if err != nil || list.Revision != 3 || list.ConfirmedAt.IsZero() {
+			if err != nil || list.Version.Revision != 3 || list.ConfirmedAt.IsZero() {
 				t.Errorf("%s read servers %+v, error %v", i.cfg.Self.Name, list, err)
 			}
 		}
--- a/gossiper/registration.go
+++ b/gossiper/registration.go
@@ -50,9 +50,9 @@
 	key string
 	// lease has a zero ID while this instance is not registered.
 	lease egretflow.Lease
-	// malformed holds the revisions of the malformed registrations that were read
+	// malformed holds the versions of the malformed registrations that were read
 	// last, so that each is recorded once.
-	malformed map[string]int64
+	malformed map[string]egretflow.StoreVersion
 }
 
 func newRegistration(g *Gossiper) *registration { return &registration{Gossiper: g} }
@@ -112,7 +112,7 @@
 // step renews the registration, or takes a slot, and returns the wait before the next
 // step.
 func (r *registration) step(ctx context.Context) (time.Duration, error) {
-	if r.lease.ID != 0 {
+	if !r.lease.ID.IsZero() {
 		return r.renew(ctx)
 	}
 	if r.knowsFullDomain() {
@@ -127,7 +127,7 @@
 	if !vacant {
 		return r.vacancyWait(), nil
 	}
-	if condition == 0 && !sleep(ctx, r.delayBeforeTaking()) {
+	if condition == (egretflow.StoreVersion{}) && !sleep(ctx, r.delayBeforeTaking()) {
 		return 0, nil
 	}
 	return r.take(ctx, key, condition)
@@ -178,13 +178,13 @@
 	defer r.mu.Unlock()
 	now := r.cfg.Clock()
 	taken := make(map[string]slot, len(entries))
-	malformed := map[string]int64{}
+	malformed := map[string]egretflow.StoreVersion{}
 	for _, e := range entries {
 		m, err := decodeRegistration(e)
-		taken[e.Key] = slot{holder: m.Name, revision: e.ModRevision}
+		taken[e.Key] = slot{holder: m.Name, version: e.Modified}
 		if err != nil {
-			malformed[e.Key] = e.ModRevision
-			if r.malformed[e.Key] != e.ModRevision {
+			malformed[e.Key] = e.Modified
+			if r.malformed[e.Key] != e.Modified {
 				r.record(egretflow.EventRegistrationFailed, "Key", e.Key, "Error", "the registration is malformed")
 			}
 			continue
@@ -226,30 +226,30 @@
 
 // slot is a registration that was read.
 type slot struct {
-	holder   egretflow.InstanceName
-	revision int64
+	holder  egretflow.InstanceName
+	version egretflow.StoreVersion
 }
 
 // vacantSlot returns the key of a slot that this instance may take: its own one from
-// before a restart, or a free one. revision is the revision that the key must have.
-func (r *registration) vacantSlot(taken map[string]slot) (key string, revision int64, ok bool) {
+// before a restart, or a free one. version is the one that the key must have.
+func (r *registration) vacantSlot(taken map[string]slot) (key string, version egretflow.StoreVersion, ok bool) {
 	free := ""
 	for n := range SlotsPerDomain {
 		key := slotKey(r.cfg.Self.FailureDomain, n)
 		s, exists := taken[key]
 		if exists && s.holder == r.cfg.Self.Name {
-			return key, s.revision, true
+			return key, s.version, true
 		}
 		if !exists && free == "" {
 			free = key
 		}
 	}
-	return free, 0, free != ""
+	return free, egretflow.StoreVersion{}, free != ""
 }
 
 // take writes the registration to a slot under a new lease, unless another instance
 // was faster.
-func (r *registration) take(ctx context.Context, key string, revision int64) (time.Duration, error) {
+func (r *registration) take(ctx context.Context, key string, version egretflow.StoreVersion) (time.Duration, error) {
 	lease, err := r.cfg.Store.GrantLease(ctx, LeaseTTL)
 	if err != nil {
 		return retryInterval, fmt.Errorf("register instance: %w", err)
@@ -259,7 +259,7 @@
 		return retryInterval, fmt.Errorf("encode registration: %w", err)
 	}
 	_, err = r.cfg.Store.Commit(ctx, egretflow.StoreTxn{
-		Conditions: []egretflow.StoreCondition{{Key: key, ModRevision: revision}},
+		Conditions: []egretflow.StoreCondition{{Key: key, Modified: version}},
 		Writes:     []egretflow.StoreWrite{{Key: key, Value: value, Lease: lease.ID}},
 	})
 	if errors.Is(err, egretflow.ErrConflict) {
@@ -295,7 +295,7 @@
 // deregister revokes the lease, which removes the registration. If the store does not
 // answer, the registration ends when the lease expires.
 func (r *registration) deregister() {
-	if r.lease.ID == 0 {
+	if r.lease.ID.IsZero() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), deregisterTimeout)
--- a/gossiper/relay_test.go
+++ b/gossiper/relay_test.go
@@ -178,7 +178,7 @@
 		}
 		started := time.Now()
 		list, err := reading.Directory().Servers(x.t.Context())
-		if err != nil || list.Revision != 3 || time.Since(started) > aheadReadTimeout || x.source.reads > 0 {
+		if err != nil || list.Version.Revision != 3 || time.Since(started) > aheadReadTimeout || x.source.reads > 0 {
 			t.Errorf("read %+v after %v with %d reads of the platform, error %v", list, time.Since(started), x.source.reads, err)
 		}
 	})
--- a/internal/fakestore/fakestore.go
+++ b/internal/fakestore/fakestore.go
@@ -79,6 +79,9 @@
 	return maps.Clone(s.calls)
 }
 
+// version returns the version of the store. The caller holds mu.
+func (s *Store) version() egretflow.StoreVersion { return egretflow.StoreVersion{Revision: s.revision} }
+
 // wake makes all watches check for changes. The caller holds mu.
 func (s *Store) wake() {
 	if s.changed != nil {
@@ -140,9 +143,9 @@
 }
 
 // Commit implements egretflow.Store.
-func (s *Store) Commit(ctx context.Context, txn egretflow.StoreTxn) (int64, error) {
+func (s *Store) Commit(ctx context.Context, txn egretflow.StoreTxn) (egretflow.StoreVersion, error) {
 	if err := s.begin(ctx, "Commit"); err != nil {
-		return 0, err
+		return egretflow.StoreVersion{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -153,27 +156,27 @@
 			defer s.mu.Unlock()
 			_, _ = s.apply(txn)
 		})
-		return 0, egretflow.ErrUncertain
+		return egretflow.StoreVersion{}, egretflow.ErrUncertain
 	}
-	revision, err := s.apply(txn)
+	version, err := s.apply(txn)
 	if err == nil && s.faults.LostResponses > 0 {
 		s.faults.LostResponses--
-		return 0, egretflow.ErrUncertain
+		return egretflow.StoreVersion{}, egretflow.ErrUncertain
 	}
-	return revision, err
+	return version, err
 }
 
 // apply executes a transaction. The caller holds mu.
-func (s *Store) apply(txn egretflow.StoreTxn) (int64, error) {
+func (s *Store) apply(txn egretflow.StoreTxn) (egretflow.StoreVersion, error) {
 	s.expire()
 	for _, w := range txn.Writes {
-		if w.Lease != 0 && s.leases[w.Lease] == nil {
-			return 0, egretflow.ErrNotFound
+		if !w.Lease.IsZero() && s.leases[w.Lease] == nil {
+			return egretflow.StoreVersion{}, egretflow.ErrNotFound
 		}
 	}
 	for _, c := range txn.Conditions {
-		if s.entries[c.Key].ModRevision != c.ModRevision {
-			return 0, egretflow.ErrConflict
+		if s.entries[c.Key].Modified != c.Modified {
+			return egretflow.StoreVersion{}, egretflow.ErrConflict
 		}
 	}
 	if s.entries == nil {
@@ -182,9 +185,9 @@
 	s.revision++
 	for _, w := range txn.Writes {
 		old, exists := s.entries[w.Key]
-		e := egretflow.StoreEntry{Key: w.Key, ModRevision: s.revision, CreateRevision: s.revision}
+		e := egretflow.StoreEntry{Key: w.Key, Modified: s.version(), Created: s.version()}
 		if exists {
-			e.CreateRevision = old.CreateRevision
+			e.Created = old.Created
 		}
 		if w.Delete {
 			if !exists {
@@ -201,11 +204,11 @@
 		s.history = append(s.history, e)
 	}
 	s.wake()
-	return s.revision, nil
+	return s.version(), nil
 }
 
 // Watch implements egretflow.Store.
-func (s *Store) Watch(ctx context.Context, prefix string, after int64, events chan<- egretflow.StoreEntry) error {
+func (s *Store) Watch(ctx context.Context, prefix string, after egretflow.StoreVersion, events chan<- egretflow.StoreEntry) error {
 	if err := s.begin(ctx, "Watch"); err != nil {
 		return err
 	}
@@ -220,17 +223,17 @@
 		if f.Outage {
 			return egretflow.ErrUnavailable
 		}
-		if after+1 < oldestRevision {
+		if after.Revision+1 < oldestRevision {
 			return ErrCompacted
 		}
 		sent := after
 		for _, e := range history {
-			if f.SilentWatches || e.ModRevision <= after || !strings.HasPrefix(e.Key, prefix) {
+			if f.SilentWatches || !e.Modified.After(after) || !strings.HasPrefix(e.Key, prefix) {
 				continue
 			}
 			select {
 			case events <- e:
-				sent = e.ModRevision
+				sent = e.Modified
 			case <-ctx.Done():
 				return ctx.Err()
 			}
@@ -266,7 +269,7 @@
 	for _, key := range l.keys {
 		s.revision++
 		delete(s.entries, key)
-		s.history = append(s.history, egretflow.StoreEntry{Key: key, ModRevision: s.revision})
+		s.history = append(s.history, egretflow.StoreEntry{Key: key, Modified: s.version()})
 	}
 	s.wake()
 }
@@ -281,7 +284,7 @@
 	if s.leases == nil {
 		s.leases = map[egretflow.LeaseID]*lease{}
 	}
-	s.lastLease++
+	s.lastLease.Number++
 	l := &lease{ttl: ttl, expiresAt: time.Now().Add(ttl)}
 	s.leases[s.lastLease] = l
 	return egretflow.Lease{ID: s.lastLease, ExpiresAt: l.expiresAt}, nil
--- a/internal/faultrun/planted_test.go
+++ b/internal/faultrun/planted_test.go
@@ -238,7 +238,7 @@
 
 func ignoreConditions(s egretflow.Store) egretflow.Store { return unconditionalStore{s} }
 
-func (s unconditionalStore) Commit(ctx context.Context, txn egretflow.StoreTxn) (int64, error) {
+func (s unconditionalStore) Commit(ctx context.Context, txn egretflow.StoreTxn) (egretflow.StoreVersion, error) {
 	txn.Conditions = nil
 	return s.Store.Commit(ctx, txn)
 }
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -44,12 +44,10 @@
 // until the lease ends.
 type HeldLease struct {
 	Lease egretflow.Lease
-	// Fencing is the create revision of the key, and ModRevision its
-	// modification revision. They are equal because the key is written only
-	// once.
-	Fencing     uint64
-	ModRevision int64
-	StartedAt   time.Time
+	// Version is that of the key, which is written only once.
+	Version   egretflow.StoreVersion
+	Fencing   uint64
+	StartedAt time.Time
 
 	store egretflow.Store
 }
@@ -67,14 +65,14 @@
 		return nil, fmt.Errorf("grant lease: %w", err)
 	}
 	value := uuid.NewString()
-	revision, err := cfg.Store.Commit(ctx, egretflow.StoreTxn{
+	version, err := cfg.Store.Commit(ctx, egretflow.StoreTxn{
 		Conditions: []egretflow.StoreCondition{{Key: cfg.Key}},
 		Writes:     []egretflow.StoreWrite{{Key: cfg.Key, Value: []byte(value), Lease: lease.ID}},
 	})
 	if errors.Is(err, egretflow.ErrUncertain) {
-		revision, err = readBack(ctx, cfg, value)
+		version, err = readBack(ctx, cfg, value)
 	}
-	term := &HeldLease{Lease: lease, Fencing: uint64(revision), ModRevision: revision, StartedAt: cfg.Clock(), store: cfg.Store}
+	term := &HeldLease{Lease: lease, Version: version, Fencing: uint64(version.Revision), StartedAt: cfg.Clock(), store: cfg.Store}
 	if err == nil {
 		return term, nil
 	}
@@ -86,17 +84,17 @@
 	return nil, fmt.Errorf("write lease key: %w", err)
 }
 
-// readBack returns the create revision of the key if its value is the given one.
+// readBack returns the version of the key if its value is the given one.
 // Acquire calls it after the response to the write was lost.
-func readBack(ctx context.Context, cfg Config, value string) (int64, error) {
+func readBack(ctx context.Context, cfg Config, value string) (egretflow.StoreVersion, error) {
 	entry, err := cfg.Store.Get(ctx, cfg.Key)
 	if err != nil {
-		return 0, fmt.Errorf("read back lease key: %w", err)
+		return egretflow.StoreVersion{}, fmt.Errorf("read back lease key: %w", err)
 	}
 	if string(entry.Value) != value {
-		return 0, egretflow.ErrConflict
+		return egretflow.StoreVersion{}, egretflow.ErrConflict
 	}
-	return entry.CreateRevision, nil
+	return entry.Created, nil
 }
 
 // Renew extends the lease by its TTL. After an error, the previous expiry
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -59,6 +59,7 @@
 	failedAttempts metric.Int64Counter
 	cutAnswers     metric.Int64Counter
 	storeCalls     metric.Int64Counter
+	eraChanges     metric.Int64Counter
 	storeCallTime  metric.Float64Histogram
 	quotaRequests  metric.Int64Counter
 	quotaCharged   metric.Int64Counter
@@ -87,6 +88,7 @@
 		{&m.failedAttempts, "egretflow_attempts_failed", "Attempts that failed, by reason."},
 		{&m.cutAnswers, "egretflow_answers_cut", "Answers that ended after their first event without their end, by outcome."},
 		{&m.storeCalls, "egretflow_store_calls", "Calls of the key-value store, by kind and result."},
+		{&m.eraChanges, "egretflow_store_era_changes", "Returns of the key-value store from an older copy."},
 		{&m.quotaRequests, "egretflow_quota_requests", "Requests of organisations with a quota, by result."},
 		{&m.quotaCharged, "egretflow_quota_charged", "What requests were charged, in the unit of the quota."},
 		{&m.violations, "egretflow_invariant_violations", "Violations of the invariants of the design."},
@@ -228,6 +230,9 @@
 	m.storeCallTime.Record(ctx, took.Seconds(), metric.WithAttributes(label))
 }
 
+// StoreEraChanged counts a return of the key-value store from an older copy.
+func (m *Metrics) StoreEraChanged() { m.eraChanges.Add(context.Background(), 1) }
+
 // AccessDenied counts a request with a wrong or missing credential. listener names
 // the interface that rejected it.
 func (m *Metrics) AccessDenied(listener string) {
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -56,6 +56,7 @@
 	m.AttemptFailed(work, "Broken")
 	m.WastedPrefill(work, 300)
 	m.StoreCalled("Watch", 4*time.Millisecond, nil)
+	m.StoreEraChanged()
 	m.StoreCalled("Watch", 900*time.Millisecond, errors.New("timeout"))
 	const labels = `importance="High",`
 	got := scrape(t, m)
@@ -67,6 +68,7 @@
 		`egretflow_attempts_failed_total{` + labels + `reason="Broken",route="letters"} 1`,
 		`egretflow_wasted_prefill_tokens_total{` + labels + `route="letters"} 300`,
 		`egretflow_store_calls_total{kind="Watch",result="Answered"} 1`,
+		`egretflow_store_era_changes_total 1`,
 		`egretflow_store_calls_total{kind="Watch",result="Unavailable"} 1`,
 		`egretflow_store_call_seconds_count{kind="Watch"} 2`,
 		`egretflow_servers{pool="letters-3",role="Decode",state="Suspect"} 999`,
--- a/registrar/fleet_test.go
+++ b/registrar/fleet_test.go
@@ -141,7 +141,7 @@
 	}
 	a.sharedStore.mu.Lock()
 	defer a.sharedStore.mu.Unlock()
-	list := egretflow.ServerList{Revision: int64(1 + a.gone)}
+	list := egretflow.ServerList{Version: egretflow.StoreVersion{Revision: int64(1 + a.gone)}}
 	for n := a.gone; n < registeredServers; n++ {
 		list.Entries = append(list.Entries, server(n))
 	}
--- a/registrar/reading.go
+++ b/registrar/reading.go
@@ -106,7 +106,7 @@
 func (r *Registrar) Snapshot() (*egretflow.Configuration, egretflow.ServerList) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	list := egretflow.ServerList{Revision: r.state.storeRevision, ConfirmedAt: r.schedule.confirmedAt}
+	list := egretflow.ServerList{Version: egretflow.StoreVersion{Revision: r.state.storeRevision}, ConfirmedAt: r.schedule.confirmedAt}
 	for _, e := range r.state.servers {
 		list.Entries = append(list.Entries, e)
 	}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -152,9 +152,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.cfg.Clock()
-	if list.Revision < r.state.storeRevision {
+	if list.Version.Revision < r.state.storeRevision {
 		r.schedule.attemptedAt, r.schedule.failures = readAt, 0
-		r.record(egretflow.EventOldReading, "Revision", strconv.FormatInt(list.Revision, 10), "Known", strconv.FormatInt(r.state.storeRevision, 10))
+		r.record(egretflow.EventOldReading, "Revision", strconv.FormatInt(list.Version.Revision, 10), "Known", strconv.FormatInt(r.state.storeRevision, 10))
 		return
 	}
 	if !r.state.reachable {
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -71,7 +71,7 @@
 	if d.staleList != nil {
 		return *d.staleList, nil
 	}
-	return egretflow.ServerList{Entries: append([]egretflow.ServerEntry(nil), d.servers...), Invalid: d.invalid, Revision: d.revision}, nil
+	return egretflow.ServerList{Entries: append([]egretflow.ServerEntry(nil), d.servers...), Invalid: d.invalid, Version: egretflow.StoreVersion{Revision: d.revision}}, nil
 }
 
 func (d *fakeDirectory) readCount() int {
--- a/registrar/state.go
+++ b/registrar/state.go
@@ -98,7 +98,7 @@
 		return nil
 	}
 	s.graceUntil = time.Time{}
-	return s.replaceServers(egretflow.ServerList{Entries: slices.Collect(maps.Values(entries)), Revision: c.Revision}, now)
+	return s.replaceServers(egretflow.ServerList{Entries: slices.Collect(maps.Values(entries)), Version: egretflow.StoreVersion{Revision: c.Revision}}, now)
 }
 
 // endGraceIfConfirmed drops the servers that are only kept until graceUntil, if the
@@ -159,7 +159,7 @@
 	if !kept {
 		// While missing servers are kept, storeRevision stays lower, so that the
 		// confirmation of a peer that has read the same revision counts as newer.
-		s.storeRevision = list.Revision
+		s.storeRevision = list.Version.Revision
 	}
 	s.dropStatements()
 	s.appendDelta(changes, now)
--- a/storeclient/client.go
+++ b/storeclient/client.go
@@ -38,7 +38,8 @@
 	CallTimeout time.Duration
 }
 
-// Client implements egretflow.Store. It is safe for concurrent use.
+// Client implements egretflow.Store. It is safe for concurrent use. The store names no
+// eras, so that every version is of era 0.
 type Client struct {
 	cfg   Config
 	calls callCounter
@@ -102,13 +103,13 @@
 	return entries, nil
 }
 
-// Commit applies the transaction and returns its store revision. It returns
+// Commit applies the transaction and returns its version. It returns
 // ErrConflict if a condition does not hold, and a FieldError for a value larger
 // than egretflow.MaxStoreValueBytes.
-func (c *Client) Commit(ctx context.Context, txn egretflow.StoreTxn) (int64, error) {
+func (c *Client) Commit(ctx context.Context, txn egretflow.StoreTxn) (egretflow.StoreVersion, error) {
 	for _, w := range txn.Writes {
 		if len(w.Value) > egretflow.MaxStoreValueBytes {
-			return 0, fmt.Errorf("commit %s: %w", w.Key, &egretflow.FieldError{
+			return egretflow.StoreVersion{}, fmt.Errorf("commit %s: %w", w.Key, &egretflow.FieldError{
 				Field:  w.Key,
 				Reason: fmt.Sprintf("value of %d bytes exceeds %d", len(w.Value), egretflow.MaxStoreValueBytes),
 			})
@@ -116,10 +117,10 @@
 	}
 	var response txnResponse
 	if err := c.call(ctx, CallCommit, encodeTxn(txn), &response); err != nil {
-		return 0, fmt.Errorf("commit: %w", err)
+		return egretflow.StoreVersion{}, fmt.Errorf("commit: %w", err)
 	}
 	if !response.Succeeded {
-		return 0, fmt.Errorf("commit: %w", egretflow.ErrConflict)
+		return egretflow.StoreVersion{}, fmt.Errorf("commit: %w", egretflow.ErrConflict)
 	}
-	return response.Header.Revision, nil
+	return egretflow.StoreVersion{Revision: response.Header.Revision}, nil
 }
--- a/storeclient/client_test.go
+++ b/storeclient/client_test.go
@@ -92,11 +92,11 @@
 		})
 		start := time.Now()
 		lease, err := c.GrantLease(t.Context(), 4500*time.Millisecond)
-		if want := start.Add(5 * time.Second); err != nil || lease.ID != 7 || !lease.ExpiresAt.Equal(want) {
+		if want := start.Add(5 * time.Second); err != nil || lease.ID.Number != 7 || !lease.ExpiresAt.Equal(want) {
 			t.Errorf("lease %+v, error %v, want expiry %v", lease, err, want)
 		}
 		start = time.Now()
-		if lease, err = c.KeepLease(t.Context(), 7); err != nil || !lease.ExpiresAt.Equal(start.Add(5*time.Second)) {
+		if lease, err = c.KeepLease(t.Context(), egretflow.LeaseID{Number: 7}); err != nil || !lease.ExpiresAt.Equal(start.Add(5*time.Second)) {
 			t.Errorf("kept lease %+v, error %v", lease, err)
 		}
 	})
@@ -106,7 +106,7 @@
 // with status 200 but without a TTL.
 func TestKeepLeaseAfterExpiry(t *testing.T) {
 	c := newTestClient(t, respond(200, `{"result":{"ID":"7"}}`))
-	if _, err := c.KeepLease(t.Context(), 7); !errors.Is(err, egretflow.ErrNotFound) {
+	if _, err := c.KeepLease(t.Context(), egretflow.LeaseID{Number: 7}); !errors.Is(err, egretflow.ErrNotFound) {
 		t.Errorf("error %v, want not found", err)
 	}
 }
@@ -143,8 +143,8 @@
 			stream: `{"result":{"header":{"revision":"4"},"created":true}}
 {"result":{"events":[{"kv":{"key":"YQ==","value":"Yg==","mod_revision":"5","create_revision":"5"}},{"type":"DELETE","kv":{"key":"YQ==","mod_revision":"6"}}]}}`,
 			events: []egretflow.StoreEntry{
-				{Key: "a", Value: []byte("b"), ModRevision: 5, CreateRevision: 5},
-				{Key: "a", ModRevision: 6},
+				{Key: "a", Value: []byte("b"), Modified: egretflow.StoreVersion{Revision: 5}, Created: egretflow.StoreVersion{Revision: 5}},
+				{Key: "a", Modified: egretflow.StoreVersion{Revision: 6}},
 			},
 			want: egretflow.ErrUnavailable,
 		},
@@ -154,7 +154,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			events := make(chan egretflow.StoreEntry, 10)
-			err := newTestClient(t, respond(200, tt.stream)).Watch(t.Context(), "a", 4, events)
+			err := newTestClient(t, respond(200, tt.stream)).Watch(t.Context(), "a", egretflow.StoreVersion{Revision: 4}, events)
 			if !errors.Is(err, tt.want) {
 				t.Errorf("error %v, want %v", err, tt.want)
 			}
@@ -187,12 +187,12 @@
 	if _, err := c.List(context.Background(), "a"); err != nil {
 		t.Fatal(err)
 	}
-	revision, err := c.Commit(context.Background(), egretflow.StoreTxn{
-		Conditions: []egretflow.StoreCondition{{Key: "a", ModRevision: 3}},
-		Writes:     []egretflow.StoreWrite{{Key: "a", Value: []byte("b"), Lease: 7}, {Key: "b", Delete: true}},
+	version, err := c.Commit(context.Background(), egretflow.StoreTxn{
+		Conditions: []egretflow.StoreCondition{{Key: "a", Modified: egretflow.StoreVersion{Revision: 3}}},
+		Writes:     []egretflow.StoreWrite{{Key: "a", Value: []byte("b"), Lease: egretflow.LeaseID{Number: 7}}, {Key: "b", Delete: true}},
 	})
-	if err != nil || revision != 8 {
-		t.Fatalf("revision %d, error %v", revision, err)
+	if err != nil || version.Revision != 8 {
+		t.Fatalf("version %s, error %v", version, err)
 	}
 	want := []string{
 		`/v3/kv/range {"key":"YQ==","range_end":"Yg=="}`,
--- a/storeclient/lease.go
+++ b/storeclient/lease.go
@@ -29,11 +29,11 @@
 	var response struct {
 		Result leaseResponse `json:"result"`
 	}
-	if err := c.call(ctx, CallKeepLease, leaseRequest{ID: int64(id)}, &response); err != nil {
-		return egretflow.Lease{}, fmt.Errorf("keep lease %d: %w", id, err)
+	if err := c.call(ctx, CallKeepLease, leaseRequest{ID: id.Number}, &response); err != nil {
+		return egretflow.Lease{}, fmt.Errorf("keep lease %d: %w", id.Number, err)
 	}
 	if response.Result.TTL <= 0 {
-		return egretflow.Lease{}, fmt.Errorf("keep lease %d: %w", id, egretflow.ErrNotFound)
+		return egretflow.Lease{}, fmt.Errorf("keep lease %d: %w", id.Number, egretflow.ErrNotFound)
 	}
 	return response.Result.lease(before), nil
 }
@@ -42,8 +42,8 @@
 // lease does not exist.
 func (c *Client) RevokeLease(ctx context.Context, id egretflow.LeaseID) error {
 	var response struct{}
-	if err := c.call(ctx, CallRevokeLease, leaseRequest{ID: int64(id)}, &response); err != nil {
-		return fmt.Errorf("revoke lease %d: %w", id, err)
+	if err := c.call(ctx, CallRevokeLease, leaseRequest{ID: id.Number}, &response); err != nil {
+		return fmt.Errorf("revoke lease %d: %w", id.Number, err)
 	}
 	return nil
 }
@@ -52,7 +52,7 @@
 // call.
 func (r leaseResponse) lease(requestedAt time.Time) egretflow.Lease {
 	return egretflow.Lease{
-		ID:        egretflow.LeaseID(r.ID),
+		ID:        egretflow.LeaseID{Number: r.ID},
 		ExpiresAt: requestedAt.Add(time.Duration(r.TTL) * time.Second),
 	}
 }
--- a/storeclient/stub_test.go
+++ b/storeclient/stub_test.go
@@ -29,9 +29,9 @@
 }
 
 // putTxn returns a transaction that writes a key which is at modRevision.
-func putTxn(key, value string, modRevision int64) egretflow.StoreTxn {
+func putTxn(key, value string, modified egretflow.StoreVersion) egretflow.StoreTxn {
 	return egretflow.StoreTxn{
-		Conditions: []egretflow.StoreCondition{{Key: key, ModRevision: modRevision}},
+		Conditions: []egretflow.StoreCondition{{Key: key, Modified: modified}},
 		Writes:     []egretflow.StoreWrite{{Key: key, Value: []byte(value)}},
 	}
 }
@@ -43,20 +43,20 @@
 		if _, err := c.Get(ctx, "a/1"); !errors.Is(err, egretflow.ErrNotFound) {
 			t.Errorf("error %v", err)
 		}
-		first, err := c.Commit(ctx, putTxn("a/1", "x", 0))
+		first, err := c.Commit(ctx, putTxn("a/1", "x", egretflow.StoreVersion{}))
 		if err != nil {
 			t.Fatal(err)
 		}
-		if _, err := c.Commit(ctx, putTxn("a/1", "y", 0)); !errors.Is(err, egretflow.ErrConflict) {
+		if _, err := c.Commit(ctx, putTxn("a/1", "y", egretflow.StoreVersion{})); !errors.Is(err, egretflow.ErrConflict) {
 			t.Errorf("error %v", err)
 		}
 		for _, key := range []string{"a/2", "b"} {
-			if _, err := c.Commit(ctx, putTxn(key, "z", 0)); err != nil {
+			if _, err := c.Commit(ctx, putTxn(key, "z", egretflow.StoreVersion{})); err != nil {
 				t.Fatal(err)
 			}
 		}
 		entries, err := c.List(ctx, "a/")
-		if err != nil || len(entries) != 2 || entries[0].ModRevision != first || string(entries[1].Value) != "z" {
+		if err != nil || len(entries) != 2 || entries[0].Modified != first || string(entries[1].Value) != "z" {
 			t.Errorf("entries %+v, error %v", entries, err)
 		}
 	})
@@ -129,7 +129,7 @@
 					t.Fatal(err)
 				}
 				tt.inject(stub, hosts)
-				_, err := c.Commit(t.Context(), putTxn("k", "v", 0))
+				_, err := c.Commit(t.Context(), putTxn("k", "v", egretflow.StoreVersion{}))
 				if !errors.Is(err, tt.want) {
 					t.Errorf("error %v, want %v", err, tt.want)
 				}
@@ -149,7 +149,7 @@
 	withStub(t, func(t *testing.T, c *Client, stub *store.Store, _ *stubtest.Hosts) {
 		events := make(chan egretflow.StoreEntry, 10)
 		watchEnded := make(chan error, 1)
-		first, err := c.Commit(t.Context(), putTxn("a", "1", 0))
+		first, err := c.Commit(t.Context(), putTxn("a", "1", egretflow.StoreVersion{}))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -160,7 +160,7 @@
 		if _, err := c.Commit(t.Context(), egretflow.StoreTxn{Writes: []egretflow.StoreWrite{{Key: "a", Delete: true}}}); err != nil {
 			t.Fatal(err)
 		}
-		if e := <-events; string(e.Value) != "2" || e.ModRevision != first+1 {
+		if e := <-events; string(e.Value) != "2" || e.Modified.Revision != first.Revision+1 {
 			t.Errorf("event %+v", e)
 		}
 		if e := <-events; e.Value != nil {
--- a/storeclient/watch.go
+++ b/storeclient/watch.go
@@ -11,15 +11,15 @@
 )
 
 // Watch sends to events every change of a key with the prefix after the given
-// store revision, in order. It returns an error when ctx ends or the watch
+// version, in order. It returns an error when ctx ends or the watch
 // fails; ErrCompacted means that the store no longer has all these changes. A
 // watch does not notice a connection that silently stopped delivering, so the
 // caller must compare with a read from time to time.
-func (c *Client) Watch(ctx context.Context, prefix string, after int64, events chan<- egretflow.StoreEntry) error {
+func (c *Client) Watch(ctx context.Context, prefix string, after egretflow.StoreVersion, events chan<- egretflow.StoreEntry) error {
 	request := watchRequest{Create: watchCreate{
 		Key:           []byte(prefix),
 		RangeEnd:      prefixEnd(prefix),
-		StartRevision: after + 1,
+		StartRevision: after.Revision + 1,
 	}}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/storeclient/wire.go
+++ b/storeclient/wire.go
@@ -34,10 +34,10 @@
 		value = []byte{}
 	}
 	return egretflow.StoreEntry{
-		Key:            string(kv.Key),
-		Value:          value,
-		ModRevision:    kv.ModRevision,
-		CreateRevision: kv.CreateRevision,
+		Key:      string(kv.Key),
+		Value:    value,
+		Modified: egretflow.StoreVersion{Revision: kv.ModRevision},
+		Created:  egretflow.StoreVersion{Revision: kv.CreateRevision},
 	}
 }
 
@@ -74,7 +74,7 @@
 	r := txnRequest{Compare: []compare{}, Success: []requestOp{}}
 	for _, c := range txn.Conditions {
 		r.Compare = append(r.Compare, compare{
-			Key: []byte(c.Key), Target: "MOD", Result: "EQUAL", ModRevision: c.ModRevision,
+			Key: []byte(c.Key), Target: "MOD", Result: "EQUAL", ModRevision: c.Modified.Revision,
 		})
 	}
 	for _, w := range txn.Writes {
@@ -82,7 +82,7 @@
 			r.Success = append(r.Success, requestOp{Delete: &rangeRequest{Key: []byte(w.Key)}})
 			continue
 		}
-		put := &putRequest{Key: []byte(w.Key), Value: w.Value, Lease: int64(w.Lease)}
+		put := &putRequest{Key: []byte(w.Key), Value: w.Value, Lease: w.Lease.Number}
 		r.Success = append(r.Success, requestOp{Put: put})
 	}
 	return r
