leaser, rebalancer: fencing tokens that rise over eras of the store

Cause: the token was the create revision of the lease's key, which is given out again in the next era of the store; and a lease was believed after the era in which it was granted.

Change: the token is made of era and revision (53 bits). A lease ends with its era. Nobody acquires one before the era has been known for the TTL of a lease and the time of an order (6 s with the platform's settings), so that a holder of an earlier era and its orders on the way are past.

Why it works: two eras can't give one token, and in the time in which two instances could believe in a lease only one can have a valid one.

--- a/assembler/forwarding.go
+++ b/assembler/forwarding.go
@@ -59,7 +59,9 @@
 	// PeerConn, PeerListener, CoordinatorConn and AccountantConn, if set, connect the
 	// instance with the others; this needs Store. They listen at the address of Self, the
 	// last two at coordinator.AddressOf and accountant.AddressOf.
-	Store           egretflow.Store
+	Store egretflow.Store
+	// Eras knows the latest era of Store.
+	Eras            egretflow.EraFollower
 	PeerConn        net.PacketConn
 	PeerListener    net.Listener
 	CoordinatorConn net.PacketConn
@@ -259,7 +261,7 @@
 // addRebalancer needs the gossiper.
 func (f *Forwarding) addRebalancer() {
 	f.rebalancer = rebalancer.New(rebalancer.Config{
-		Instance: f.cfg.Self.Name, Tables: f.registrar, Store: f.cfg.Store, Engines: f.cfg.Engines,
+		Instance: f.cfg.Self.Name, Tables: f.registrar, Store: f.cfg.Store, Eras: f.cfg.Eras, Engines: f.cfg.Engines,
 		Rates:        f.poolRates,
 		OnRoleChange: f.scheduler.SetRoleChanging, LeaseTTL: f.cfg.LeaseTTL, Clock: f.cfg.Clock, Recorder: f.cfg.Explainer,
 	})
--- a/cmd/egretflow/platform.go
+++ b/cmd/egretflow/platform.go
@@ -129,7 +129,7 @@
 			Name: s.Name, FailureDomain: s.FailureDomain, Region: s.Region, State: egretflow.MemberStateLive, ProcessorShare: s.ProcessorShare,
 		},
 		Clock: clock, Rand: newRand(), Dial: dialer.DialContext, Explainer: events, Metrics: metrics, Policy: p.Policy,
-		Store: store, Incarnation: uint64(clock().UnixNano()), LeaseTTL: s.LeaseTTL(), Bootstrap: s.Bootstrap,
+		Store: store, Eras: eras, Incarnation: uint64(clock().UnixNano()), LeaseTTL: s.LeaseTTL(), Bootstrap: s.Bootstrap,
 		RetryBudget: s.RetryBudget(), QuotaTolerance: s.QuotaTolerance(),
 		Directory: directory, Dialect: platform.Dialect{}, Engines: platform.NewEngineClient(dialer.DialContext, clock, responses), Responses: responses,
 		Limits: frontend.Limits{
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	term, err := leaser.Acquire(ctx, leaser.Config{Store: store, Clock: clock, Key: key, TTL: ttl})
+//	term, err := leaser.Acquire(ctx, leaser.Config{Store: store, Eras: eras, Clock: clock, Key: key, TTL: ttl, ActionTimeout: timeout})
 //	if term == nil {
 //		// another instance holds the key
 //	}
@@ -11,13 +11,19 @@
 //
 // # Rules
 //
-//  1. The create revision of the key is the fencing token; it increases with
-//     every holder.
+//  1. The version at which the key was created gives the fencing token; it increases
+//     with every holder, also when the store comes back from an older copy of itself and
+//     begins a new era.
 //  2. If the response to the write of the key is lost, Acquire reads the key and
 //     compares its value with the value written. If the write takes effect only
 //     after that, it holds the key for TTL at most.
 //  3. After an error that leaves it open whether the lease was extended, the
 //     previous expiry applies.
+//  4. A lease ends with its era, whatever the store says of it: its number may belong to
+//     another lease.
+//  5. A holder of an earlier era may act until its lease would have expired, and its last
+//     action takes ActionTimeout at most. Nobody acquires a lease before both have passed
+//     since this instance learnt of the era.
 package leaser
 
 import (
@@ -35,9 +41,34 @@
 type Config struct {
 	Store egretflow.Store
 	Clock egretflow.Clock
-	Key   string
+	// Eras knows the latest era of Store; nil for a store that names none.
+	Eras egretflow.EraFollower
+	Key  string
 	// TTL is the lifetime of the lease.
 	TTL time.Duration
+	// ActionTimeout bounds what a holder does between a renewal and the end of the action
+	// that the renewal is for.
+	ActionTimeout time.Duration
+}
+
+// OpensAt returns the time before which a holder of an earlier era may still act; zero if
+// there is none.
+func (c *Config) OpensAt() time.Time {
+	known := c.latestEra()
+	if known.LearntAt.IsZero() {
+		return time.Time{}
+	}
+	return known.LearntAt.Add(c.TTL + c.ActionTimeout)
+}
+
+// open reports whether no holder of an earlier era can act any more.
+func (c *Config) open() bool { return !c.Clock().Before(c.OpensAt()) }
+
+func (c *Config) latestEra() egretflow.KnownEra {
+	if c.Eras == nil {
+		return egretflow.KnownEra{}
+	}
+	return c.Eras.Latest()
 }
 
 // HeldLease is a lease with which this instance holds the key. The key is held
@@ -49,30 +80,29 @@
 	Fencing   uint64
 	StartedAt time.Time
 
-	store egretflow.Store
+	cfg Config
 }
 
 // Acquire tries to become the holder of the key. It returns nil without an error
-// if another instance is the holder.
+// if another instance is the holder, or one of an earlier era may still be.
 func Acquire(ctx context.Context, cfg Config) (*HeldLease, error) {
 	if _, err := cfg.Store.Get(ctx, cfg.Key); err == nil {
 		return nil, nil
 	} else if !errors.Is(err, egretflow.ErrNotFound) {
 		return nil, fmt.Errorf("read lease key: %w", err)
 	}
+	if !cfg.open() {
+		return nil, nil
+	}
 	lease, err := cfg.Store.GrantLease(ctx, cfg.TTL)
 	if err != nil {
 		return nil, fmt.Errorf("grant lease: %w", err)
 	}
-	value := uuid.NewString()
-	version, err := cfg.Store.Commit(ctx, egretflow.StoreTxn{
-		Conditions: []egretflow.StoreCondition{{Key: cfg.Key}},
-		Writes:     []egretflow.StoreWrite{{Key: cfg.Key, Value: []byte(value), Lease: lease.ID}},
-	})
-	if errors.Is(err, egretflow.ErrUncertain) {
-		version, err = readBack(ctx, cfg, value)
+	version, err := writeKey(ctx, cfg, lease.ID)
+	term := &HeldLease{Lease: lease, Version: version, StartedAt: cfg.Clock(), cfg: cfg}
+	if err == nil {
+		term.Fencing, err = version.Fencing()
 	}
-	term := &HeldLease{Lease: lease, Version: version, Fencing: uint64(version.Revision), StartedAt: cfg.Clock(), store: cfg.Store}
 	if err == nil {
 		return term, nil
 	}
@@ -84,6 +114,29 @@
 	return nil, fmt.Errorf("write lease key: %w", err)
 }
 
+// writeKey writes the key under a lease and returns its version. It returns ErrConflict if
+// the key was written in another era than that of the lease, where the lease may be another
+// one, and removes the key then.
+func writeKey(ctx context.Context, cfg Config, lease egretflow.LeaseID) (egretflow.StoreVersion, error) {
+	value := uuid.NewString()
+	version, err := cfg.Store.Commit(ctx, egretflow.StoreTxn{
+		Conditions: []egretflow.StoreCondition{{Key: cfg.Key}},
+		Writes:     []egretflow.StoreWrite{{Key: cfg.Key, Value: []byte(value), Lease: lease}},
+	})
+	if errors.Is(err, egretflow.ErrUncertain) {
+		version, err = readBack(ctx, cfg, value)
+	}
+	if err != nil || version.Era == lease.Era {
+		return version, err //nolint:wrapcheck // Acquire adds the context.
+	}
+	// An error is ignored because the lease of the key may also expire.
+	_, _ = cfg.Store.Commit(ctx, egretflow.StoreTxn{
+		Conditions: []egretflow.StoreCondition{{Key: cfg.Key, Modified: version}},
+		Writes:     []egretflow.StoreWrite{{Key: cfg.Key, Delete: true}},
+	})
+	return version, egretflow.ErrConflict
+}
+
 // readBack returns the version of the key if its value is the given one.
 // Acquire calls it after the response to the write was lost.
 func readBack(ctx context.Context, cfg Config, value string) (egretflow.StoreVersion, error) {
@@ -97,10 +150,15 @@
 	return entry.Created, nil
 }
 
+// Held reports whether the lease is valid at a time, as far as this instance knows.
+func (t *HeldLease) Held(now time.Time) bool {
+	return now.Before(t.Lease.ExpiresAt) && (t.cfg.Eras == nil || t.Lease.ID.Era == t.cfg.Eras.Latest().Era)
+}
+
 // Renew extends the lease by its TTL. After an error, the previous expiry
-// applies.
+// applies, except that after ErrNotFound the lease has ended.
 func (t *HeldLease) Renew(ctx context.Context) error {
-	lease, err := t.store.KeepLease(ctx, t.Lease.ID)
+	lease, err := t.cfg.Store.KeepLease(ctx, t.Lease.ID)
 	if err != nil {
 		return fmt.Errorf("renew lease: %w", err)
 	}
@@ -110,7 +168,7 @@
 
 // Release revokes the lease, which deletes the key.
 func (t *HeldLease) Release(ctx context.Context) error {
-	if err := t.store.RevokeLease(ctx, t.Lease.ID); err != nil {
+	if err := t.cfg.Store.RevokeLease(ctx, t.Lease.ID); err != nil {
 		return fmt.Errorf("release lease: %w", err)
 	}
 	return nil
--- a/rebalancer/doc.go
+++ b/rebalancer/doc.go
@@ -19,7 +19,8 @@
 //  3. Only the holder of a pool's lease sends orders to change roles. An instance
 //     acquires the lease when a change is needed and renews it before each order.
 //     The lease expires LeaseTTL after the last order, so that holders do not
-//     alternate quickly.
+//     alternate quickly. When the store comes back from an older copy, which has lost the
+//     lease, nobody acquires one before the holder of then can't send orders any more.
 //  4. An order names the number of orders that the engine has accepted so far, so
 //     that an order that arrives late changes nothing. The role of an engine is
 //     the one that it reports.
--- a/rebalancer/rebalancer.go
+++ b/rebalancer/rebalancer.go
@@ -30,7 +30,9 @@
 	Instance egretflow.InstanceName
 	Tables   egretflow.TablesSource
 	Store    egretflow.Store
-	Engines  egretflow.EngineClient
+	// Eras knows the latest era of Store; nil for a store that names none.
+	Eras    egretflow.EraFollower
+	Engines egretflow.EngineClient
 	// Rates returns the rates of one server of each role of a pool, or false if
 	// this instance does not schedule the requests of the pool.
 	Rates func(pool egretflow.PoolName) (Rates, bool)
@@ -114,7 +116,7 @@
 	state := r.state(pool.Name)
 	now := r.cfg.Clock()
 	state.dropFinished(pool, now)
-	if state.term != nil && !now.Before(state.term.Lease.ExpiresAt) {
+	if state.term != nil && !state.term.Held(now) {
 		r.record(egretflow.EventLeaseLost, pool.Name, "Fencing", strconv.FormatUint(state.term.Fencing, 10))
 		state.term = nil
 	}
@@ -152,13 +154,16 @@
 	if state.term != nil {
 		return true
 	}
-	if now.Before(state.retryAt) {
+	cfg := leaser.Config{
+		Store: r.cfg.Store, Eras: r.cfg.Eras, Clock: r.cfg.Clock, Key: leaseKey(pool), TTL: r.cfg.LeaseTTL, ActionTimeout: storeTimeout,
+	}
+	if now.Before(state.retryAt) || now.Before(cfg.OpensAt()) {
 		return false
 	}
 	state.retryAt = now.Add(r.cfg.LeaseTTL)
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	term, err := leaser.Acquire(ctx, leaser.Config{Store: r.cfg.Store, Clock: r.cfg.Clock, Key: leaseKey(pool), TTL: r.cfg.LeaseTTL})
+	term, err := leaser.Acquire(ctx, cfg)
 	if err != nil {
 		r.record(egretflow.EventLeaseFailed, pool, "Error", err.Error())
 		return false
