relayer: a response must prove to be that to the request

Cause: a response was refused if it named another request, or said "not run" without naming one. What proved nothing was taken for the answer, and nobody looked for the signature of the server.

Change: one table of what each kind of response must prove (docs/design.md, 17.16), checked in one place. Each names its request, once; a success for the caller is signed, once; a 2xx that says "not run" contradicts itself. What proves nothing may have run: it is repeated only where that is allowed, its connection is not used again, and callers get a failure without a signature. A call counts as one whose server states an error: counted as a broken connection it shrank the call window, and sound calls were refused.

Tests changed: the stand-ins of scripts, planted violations and two dialects now name the request and sign, as the platform's servers do; what they check is as it was. TestChecksDetectViolations failed with unsigned stand-ins in 3 cases (its plants were refused), and passes again.

--- a/decision.go
+++ b/decision.go
@@ -179,7 +179,7 @@
 	// ObservationServed means that a service call has ended.
 	ObservationServed ObservationKind = "Served"
 	// ObservationErrored means that a service call has ended with a response that
-	// states an error of the server.
+	// states an error of the server, or that does not prove to be the server's.
 	ObservationErrored ObservationKind = "Errored"
 	// ObservationFailed means that the connection broke, or that the response
 	// was malformed or did not match the request.
--- a/dialect.go
+++ b/dialect.go
@@ -80,6 +80,12 @@
 	// ID is the caller's id of the request that the server answers; empty if
 	// the response does not say.
 	ID string
+	// Signed reports whether the response has the signature that a server gives each
+	// success; true where servers sign nothing.
+	Signed bool
+	// Contradictory reports whether the response states one thing twice or in two ways,
+	// so that none of its statements can be believed.
+	Contradictory bool
 	// NotRun is true only if the server has not run the request and will not run it.
 	NotRun bool
 	// ReadAsNotRun reports whether callers take the status to mean that the
--- a/frontend/drain_test.go
+++ b/frontend/drain_test.go
@@ -23,7 +23,7 @@
 )
 
 // emptyDialect reads nothing from headers and sets none. All requests have the
-// same id.
+// same id, which all responses name, and no server signs anything.
 type emptyDialect struct{}
 
 func (emptyDialect) ReadRequest(*http.Request, time.Time) (egretflow.RequestMetadata, error) {
@@ -31,7 +31,7 @@
 }
 func (emptyDialect) WriteExchange(http.Header, egretflow.ExchangeMetadata, time.Time) {}
 func (emptyDialect) ReadResponse(*http.Response, time.Time) egretflow.ResponseMetadata {
-	return egretflow.ResponseMetadata{}
+	return egretflow.ResponseMetadata{ID: "r1", Signed: true}
 }
 func (emptyDialect) WriteRefusal(http.Header, *egretflow.Refusal, time.Time) {}
 
--- a/frontend/organisation_test.go
+++ b/frontend/organisation_test.go
@@ -58,6 +58,7 @@
 		x.ran = append(x.ran, header)
 		x.mu.Unlock()
 		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		w.Header().Set("X-Response-Stamp", "s")
 		_, _ = io.WriteString(w, "done")
 	}))
 	t.Cleanup(server.Close)
--- a/relayer/failure.go
+++ b/relayer/failure.go
@@ -32,6 +32,9 @@
 	// failureMismatch means that the response belongs to another request or attempt,
 	// or that the stream has a gap or an invalid event.
 	failureMismatch failureKind = "Mismatch"
+	// failureUnproven means that a whole head arrived that does not prove to be that of the
+	// response to the request.
+	failureUnproven failureKind = "Unproven"
 	// failureExpired means that the prefill server had dropped the KV cache before
 	// the decode server imported it.
 	failureExpired failureKind = "KVExpired"
@@ -72,6 +75,8 @@
 	// unread reports whether the response was not read for some time before the
 	// connection broke.
 	unread bool
+	// sentAt is when the request was sent, if a response has arrived that proves nothing.
+	sentAt time.Time
 	// retryAt is set if the server wants no work of this instance before then.
 	retryAt time.Time
 	err     error
@@ -98,6 +103,19 @@
 	failureCrashed:  egretflow.ObservationCrashed,
 	failureStalled:  egretflow.ObservationSilent,
 	failureMismatch: egretflow.ObservationFailed,
+	failureUnproven: egretflow.ObservationFailed,
+}
+
+// observation returns what the scheduler is told of the failure of an attempt at a pool, or
+// false if that is nothing. A call without a proven response has failed like one whose
+// server states an error: that says nothing of the connection or of the load.
+func (f *failure) observation(pool *egretflow.Pool, now time.Time) (egretflow.Observation, bool) {
+	kind, ok := observationKinds[f.kind]
+	o := egretflow.Observation{Kind: kind, Server: f.server, StartedAt: now, EndedAt: now, Unsent: f.unsent, RetryAt: f.retryAt}
+	if f.kind == failureUnproven && pool.Kind == egretflow.PoolKindService {
+		o.Kind, o.StartedAt = egretflow.ObservationErrored, f.sentAt
+	}
+	return o, ok
 }
 
 // Causes with which contexts and streams end.
--- a/relayer/forward.go
+++ b/relayer/forward.go
@@ -314,14 +314,14 @@
 	return resp, nil
 }
 
-// checkResponse checks that the response belongs to the request and that the
-// server did not refuse the request. A refusal that lacks the request's id may be
-// the repeated refusal of another request, so it states nothing about this one.
+// checkResponse checks that the response is the server's response to the request and
+// that the server did not refuse the request. A response that does not prove the former
+// states nothing: the request may have run, also if the response says that it has not.
 func (f *forwardState) checkResponse(a *egretflow.Assignment, t egretflow.ExchangeMetadata, resp *http.Response) error {
 	terms := f.r.cfg.Dialect.ReadResponse(resp, f.r.now())
-	if terms.ID != f.call.Terms.ID && (terms.ID != "" || terms.NotRun) {
-		f.r.record(egretflow.EventAnswerMismatch, a.Work, a, field("server", t.Server.Name), field("got", terms.ID))
-		return &failure{kind: failureMismatch, server: t.Server.Name, delivered: true, err: fmt.Errorf("response belongs to request %q", terms.ID)}
+	if err := f.checkProof(&terms, t.Stage, resp.StatusCode); err != nil {
+		f.r.record(egretflow.EventAnswerMismatch, a.Work, a, field("server", t.Server.Name), field("got", terms.ID), field("error", err.Error()))
+		return &failure{kind: failureUnproven, server: t.Server.Name, delivered: true, sentAt: f.lastActivityAt, err: err}
 	}
 	f.r.noteStatements(t.Server, &terms)
 	if !terms.NotRun {
@@ -343,6 +343,22 @@
 	}
 }
 
+// checkProof returns an error unless a response proves what one of its kind must
+// (docs/design.md, 17.16): each names the request, and a success that is meant for the
+// caller has the server's signature.
+func (f *forwardState) checkProof(terms *egretflow.ResponseMetadata, stage egretflow.Stage, status int) error {
+	success := status < http.StatusMultipleChoices
+	switch {
+	case terms.Contradictory:
+		return errors.Errorf("response with status %d contradicts itself", status)
+	case terms.ID != f.call.Terms.ID:
+		return errors.Errorf("response with status %d belongs to request %q", status, terms.ID)
+	case success && stage != egretflow.StagePrefill && !terms.Signed:
+		return errors.Errorf("response with status %d is not signed", status)
+	}
+	return nil
+}
+
 // checkEncoding returns a failure if a success has an encoded body. Callers ask for
 // none, so that it is not the body that the server made.
 func checkEncoding(s *egretflow.Server, resp *http.Response) error {
--- a/relayer/forward_fakes_test.go
+++ b/relayer/forward_fakes_test.go
@@ -24,7 +24,9 @@
 	nextID        int
 	assignments   map[egretflow.AttemptID]bool
 	failedServers []string
-	crashes       []string
+	// failureKinds holds the kinds of the observations in failedServers.
+	failureKinds []string
+	crashes      []string
 	// completed counts the released attempts whose answer was received to its end.
 	completed int
 }
@@ -81,7 +83,7 @@
 	return &next, nil
 }
 
-// Observe records the servers that are reported as failed, crashed or silent.
+// Observe records the servers that are reported as failed, crashed or silent, or to state errors.
 func (s *scriptedScheduler) Observe(o egretflow.Observation) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -89,8 +91,8 @@
 		s.crashes = append(s.crashes, string(o.Server))
 	}
 	switch o.Kind {
-	case egretflow.ObservationFailed, egretflow.ObservationCrashed, egretflow.ObservationSilent:
-		s.failedServers = append(s.failedServers, string(o.Server))
+	case egretflow.ObservationErrored, egretflow.ObservationFailed, egretflow.ObservationCrashed, egretflow.ObservationSilent:
+		s.failedServers, s.failureKinds = append(s.failedServers, string(o.Server)), append(s.failureKinds, string(o.Kind))
 	}
 }
 
@@ -102,6 +104,13 @@
 	return strings.Join(s.crashes, ",")
 }
 
+// reportedKinds returns the kinds of the observations of failures, separated by commas.
+func (s *scriptedScheduler) reportedKinds() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return strings.Join(s.failureKinds, ",")
+}
+
 // reportedFailures returns the names of the servers that Observe recorded, separated
 // by commas.
 func (s *scriptedScheduler) reportedFailures() string {
@@ -175,7 +184,7 @@
 
 func (scriptedDialect) ReadResponse(resp *http.Response, now time.Time) egretflow.ResponseMetadata {
 	return egretflow.ResponseMetadata{
-		ID: resp.Header.Get("Request"), NotRun: resp.Header.Get("Not-Run") != "", ReadAsNotRun: resp.StatusCode == http.StatusServiceUnavailable,
+		ID: resp.Header.Get("Request"), Signed: resp.Header.Get("Stamp") != "", Contradictory: len(resp.Header["Request"]) > 1 || len(resp.Header["Stamp"]) > 1 || resp.Header.Get("Not-Run") != "" && resp.StatusCode == http.StatusOK, NotRun: resp.Header.Get("Not-Run") != "", ReadAsNotRun: resp.StatusCode == http.StatusServiceUnavailable,
 		Leaving: resp.Header.Get("Leaving") != "", RetryAt: connector.RetryAt(resp.StatusCode, resp.Header, now),
 	}
 }
--- a/relayer/forward_server_test.go
+++ b/relayer/forward_server_test.go
@@ -130,7 +130,7 @@
 	v.resumeAfter = append(v.resumeAfter, req.Header.Get("After"))
 	v.mu.Unlock()
 	head := func(status int, extra string) string {
-		return fmt.Sprintf("HTTP/1.1 %d X\r\nRequest: r1\r\n%s", status, extra)
+		return fmt.Sprintf("HTTP/1.1 %d X\r\nRequest: r1\r\nStamp: %s\r\n%s", status, v.name, extra)
 	}
 	respond := func(status int, body string) {
 		_, _ = fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", head(status, ""), len(body), body)
@@ -178,7 +178,7 @@
 		reset()
 	case "foreign":
 		v.countRun()
-		_, _ = fmt.Fprint(conn, "HTTP/1.1 200 X\r\nRequest: r2\r\nContent-Length: 5\r\n\r\nother")
+		_, _ = fmt.Fprint(conn, "HTTP/1.1 200 X\r\nRequest: r2\r\nStamp: s\r\nContent-Length: 5\r\n\r\nother")
 	case "raw":
 		v.countRun()
 		for part := range strings.SplitSeq(decodeBody(argument(1)), "%") {
@@ -250,8 +250,8 @@
 	"anonymous": refusalHead + "Content-Length: 0\r\n\r\n",
 	"foreign":   refusalHead + "Request: r2\r\nContent-Length: 0\r\n\r\n",
 	"interim":   "HTTP/1.1 103 X\r\nRequest: r1\r\nNot-Run: 1\r\n\r\n" + refusalHead + "Content-Length: 0\r\n\r\n",
-	"surplus":   "HTTP/1.1 200 X\r\nRequest: r1\r\nContent-Length: 4\r\n\r\ngood" + refusalHead + "Request: r1\r\nContent-Length: 0\r\n\r\n",
-	"trailer":   "HTTP/1.1 200 X\r\nRequest: r1\r\nTrailer: Not-Run\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\nNot-Run: 1\r\n\r\n",
+	"surplus":   "HTTP/1.1 200 X\r\nRequest: r1\r\nStamp: s\r\nContent-Length: 4\r\n\r\ngood" + refusalHead + "Request: r1\r\nContent-Length: 0\r\n\r\n",
+	"trailer":   "HTTP/1.1 200 X\r\nRequest: r1\r\nStamp: s\r\nTrailer: Not-Run\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\nNot-Run: 1\r\n\r\n",
 }
 
 const refusalHead = "HTTP/1.1 503 X\r\nNot-Run: 1\r\n"
@@ -338,13 +338,13 @@
 	"header":     {"HTTP/1.1 200 X\r\nRequest: ", "r"},
 	"headers":    {"HTTP/1.1 200 X\r\nRequest: r1\r\n", "A: b\r\n"},
 	"interim":    {"", "HTTP/1.1 103 X\r\nA: b\r\n\r\n"},
-	"body":       {"HTTP/1.1 200 X\r\nRequest: r1\r\nConnection: close\r\n\r\n", "b"},
-	"chunks":     {"HTTP/1.1 200 X\r\nRequest: r1\r\nTransfer-Encoding: chunked\r\n\r\n", "5\r\nxxxxx\r\n"},
-	"extensions": {"HTTP/1.1 200 X\r\nRequest: r1\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x"},
-	"trailers":   {"HTTP/1.1 200 X\r\nRequest: r1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"},
-	"surplus":    {"HTTP/1.1 200 X\r\nRequest: r1\r\nContent-Length: 4\r\n\r\ngood", "b"},
-	"line":       {"HTTP/1.1 200 X\r\nRequest: r1\r\nConnection: close\r\n\r\nid: 1\ndata: e1\n\ndata: ", "x"},
-	"lines":      {"HTTP/1.1 200 X\r\nRequest: r1\r\nConnection: close\r\n\r\nid: 1\ndata: e1\n\n", "a\n"},
+	"body":       {"HTTP/1.1 200 X\r\nRequest: r1\r\nStamp: s\r\nConnection: close\r\n\r\n", "b"},
+	"chunks":     {"HTTP/1.1 200 X\r\nRequest: r1\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n", "5\r\nxxxxx\r\n"},
+	"extensions": {"HTTP/1.1 200 X\r\nRequest: r1\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x"},
+	"trailers":   {"HTTP/1.1 200 X\r\nRequest: r1\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"},
+	"surplus":    {"HTTP/1.1 200 X\r\nRequest: r1\r\nStamp: s\r\nContent-Length: 4\r\n\r\ngood", "b"},
+	"line":       {"HTTP/1.1 200 X\r\nRequest: r1\r\nStamp: s\r\nConnection: close\r\n\r\nid: 1\ndata: e1\n\ndata: ", "x"},
+	"lines":      {"HTTP/1.1 200 X\r\nRequest: r1\r\nStamp: s\r\nConnection: close\r\n\r\nid: 1\ndata: e1\n\n", "a\n"},
 }
 
 const (
--- a/relayer/forward_test.go
+++ b/relayer/forward_test.go
@@ -37,6 +37,7 @@
 //	want stamp=TEXT          the header Stamp, with which servers sign their responses
 //	want status=N body=TEXT|cut runs=NAME:N,... notrun=true|false
 //	want suspects=NAME,...|none    servers whose failure is reported to the scheduler
+//	want reported=KIND,...   the observations that report these failures
 //	want crashed=NAME|none   the server whose crash is reported to the scheduler
 //	want completed=N         answers of streams that are reported as complete
 //	want from=NAME:ID        the last request asks the server to continue after event ID
@@ -256,6 +257,9 @@
 			t.Errorf("server %s ran the request %d times, want %s", name, s.server(name).runCount(), count)
 		}
 	}
+	if want := s.want["reported"]; want != "" && scheduler.reportedKinds() != want {
+		t.Errorf("failures are reported as %q, want %q", scheduler.reportedKinds(), want)
+	}
 	if from := s.want["from"]; from != "" {
 		name, id, _ := strings.Cut(from, ":")
 		if seen := s.server(name).resumePoints(); len(seen) == 0 || seen[len(seen)-1] != id {
--- a/relayer/memory_test.go
+++ b/relayer/memory_test.go
@@ -41,6 +41,7 @@
 func (h *holdingServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	control := http.NewResponseController(w)
 	w.Header().Set("Request", "r1")
+	w.Header().Set("Stamp", "s")
 	switch r.URL.Path {
 	case "/small":
 		_, _ = io.WriteString(w, "small")
--- a/relayer/release.go
+++ b/relayer/release.go
@@ -51,9 +51,9 @@
 	if f.unread && f.kind == failureBroken {
 		f.kind = failureUnread
 	}
-	now := r.now()
-	if kind, ok := observationKinds[f.kind]; ok {
-		r.cfg.Scheduler.Observe(egretflow.Observation{Kind: kind, Server: f.server, Attempt: a.Attempt, StartedAt: now, EndedAt: now, Unsent: f.unsent, RetryAt: f.retryAt})
+	if o, ok := f.observation(pool, r.now()); ok {
+		o.Attempt = a.Attempt
+		r.cfg.Scheduler.Observe(o)
 	}
 	if r.cfg.AttemptFailed != nil {
 		r.cfg.AttemptFailed(a.Work, string(f.kind))
--- a/relayer/streamcut_test.go
+++ b/relayer/streamcut_test.go
@@ -38,7 +38,7 @@
 on p prefill
 on e events %d-%d
 want status=200 body=%s runs=d:1,e:%d %s
-`, encode.Replace("HTTP/1.1 200 X\r\nContent-Type: text/event-stream\r\n"+head+whole[:end]), arrived+1, events, encodeBody(whole[:got*len(event)]), next, from)
+`, encode.Replace("HTTP/1.1 200 X\r\nRequest: r1\r\nStamp: d\r\nContent-Type: text/event-stream\r\n"+head+whole[:end]), arrived+1, events, encodeBody(whole[:got*len(event)]), next, from)
 			t.Run(fmt.Sprintf("%s/%d", framing, end), func(t *testing.T) {
 				t.Parallel()
 				parseScript(t, framing, text).run(t)
--- a/relayer/successor_test.go
+++ b/relayer/successor_test.go
@@ -43,7 +43,7 @@
 // Guards against a stream that waits for other servers, and uses the retry budget, although its own has gone on.
 func TestResumedStreamStopsWaitingForSuccessor(t *testing.T) {
 	s := parseScript(t, "x", "route kind=resumable attempts=2\nserver p stage=prefill\nserver d stage=decode\non p prefill\n"+
-		"on d raw HTTP/1.1_200_X^|Request:_r1^|Connection:_close^|^|id:_1|data:_e1||%SLEEP%id:_2|data:_e2||%SLEEP%id:_3|data:_e3||\n")
+		"on d raw HTTP/1.1_200_X^|Request:_r1^|Stamp:_d^|Connection:_close^|^|id:_1|data:_e1||%SLEEP%id:_2|data:_e2||%SLEEP%id:_3|data:_e3||\n")
 	for _, v := range s.servers {
 		v.listen(t)
 	}
