registrar: a list of servers belongs to an era of the store

Cause: lists, changes and messages were compared by their bare revisions, so that every list of the restored store counted as old until its revisions had passed the former ones.

Change: they carry a StoreVersion; a later era is newer, and what an earlier one says is void. Changes lead only within an era. Servers that the copy lacks are kept for the grace, which no peer ends; servers that had departed, and that the copy lists as usable, get no work. What an instance of the build before says names no era and is never taken for a later state. In the grace after any outage the list now has the version before the one that was read, so that peers learn of its changes at once.

--- a/assembler/forwarding.go
+++ b/assembler/forwarding.go
@@ -117,7 +117,7 @@
 	})
 	f.awaitCrashes = sync.OnceFunc(f.awaitVerdicts)
 	var requests egretflow.Scheduler = f.scheduler
-	registrarCfg := registrar.Config{Instance: name, Directory: cfg.Directory, Clock: cfg.Clock, Recorder: cfg.Explainer}
+	registrarCfg := registrar.Config{Instance: name, Directory: cfg.Directory, Eras: cfg.Eras, Clock: cfg.Clock, Recorder: cfg.Explainer}
 	if cfg.PeerConn != nil {
 		f.connectPeers(&registrarCfg)
 		requests = f.coordinator
--- a/fleet.go
+++ b/fleet.go
@@ -62,10 +62,11 @@
 	From InstanceName
 	// Configuration is what the instance knows of the configuration.
 	Configuration ConfigurationState
-	// Servers is a hash of the set of backend servers. Revision is the revision
-	// of the platform's store at which that set was read.
-	Servers  uint64
-	Revision int64
+	// Servers is a hash of the set of backend servers. Version is the version of the
+	// platform's store at which that set was read; its era is 0 if the sender is of an
+	// earlier build.
+	Servers uint64
+	Version StoreVersion
 	// ReadAt is when an instance last read the set from the platform; zero if it sends
 	// nothing about it. ConfirmedAt is when it last knew the set to be current, by its
 	// own read or that of another instance.
@@ -79,10 +80,10 @@
 // servers.
 type ServersDelta struct {
 	_ struct{} `cbor:",toarray"`
-	// Revision is the store revision of the later reading.
-	Revision int64
-	Changed  []ServerEntry
-	Removed  []ServerName
+	// Version is the store version of the later reading.
+	Version StoreVersion
+	Changed []ServerEntry
+	Removed []ServerName
 }
 
 // TablesSource holds the tables that the instance uses.
--- a/gossiper/directory.go
+++ b/gossiper/directory.go
@@ -56,10 +56,14 @@
 // configuration, so that its organisations and public routes are missing.
 var errWithoutOrganisations = errors.New("configuration without organisations")
 
+// errEarlierEra means that an instance has a list of an earlier era of the store, or is of
+// an earlier version of the program, which knows no eras.
+var errEarlierEra = errors.New("list of an earlier era")
+
 // serversSnapshot is what a relay answers to a read of the servers.
 type serversSnapshot struct {
-	Entries  []egretflow.ServerEntry
-	Revision int64
+	Entries []egretflow.ServerEntry
+	egretflow.StoreVersion
 	// AgeMS is the time in milliseconds since the list was known to be current.
 	AgeMS int64
 }
@@ -130,15 +134,18 @@
 // Servers implements egretflow.Directory. A subscriber whose list nobody confirms reads the
 // store if that has answered its reads of the configuration: it may refuse all members.
 func (d *relayDirectory) Servers(ctx context.Context) (egretflow.ServerList, error) {
-	known := d.follower.Confirmation().ConfirmedAt
-	stale := !known.IsZero() && d.cfg.Clock().Sub(known) >= memberTimeout
+	known := d.follower.Confirmation()
+	stale := !known.ConfirmedAt.IsZero() && d.cfg.Clock().Sub(known.ConfirmedAt) >= memberTimeout
 	return readInOrder(ctx, d, !stale || !d.storeAnswers(), func(ctx context.Context, from netip.AddrPort) (egretflow.ServerList, error) {
 		var s serversSnapshot
 		if _, err := d.read(ctx, from, serversPath, &s); err != nil {
 			return egretflow.ServerList{}, err
 		}
+		if s.Era < known.Version.Era {
+			return egretflow.ServerList{}, fmt.Errorf("read %s: list of era %d: %w", from, s.Era, errEarlierEra)
+		}
 		at := d.cfg.Clock().Add(-time.Duration(min(max(s.AgeMS, 0), maxAgeMS)) * time.Millisecond)
-		return egretflow.ServerList{Entries: s.Entries, Version: egretflow.StoreVersion{Revision: s.Revision}, ConfirmedAt: at}, nil
+		return egretflow.ServerList{Entries: s.Entries, Version: s.StoreVersion, ConfirmedAt: at}, nil
 	}, d.cfg.Source.Servers)
 }
 
@@ -372,7 +379,7 @@
 		return
 	}
 	age := s.cfg.Clock().Sub(list.ConfirmedAt).Milliseconds()
-	data, err := compress(serversSnapshot{Entries: list.Entries, Revision: list.Version.Revision, AgeMS: age})
+	data, err := compress(serversSnapshot{Entries: list.Entries, StoreVersion: list.Version, AgeMS: age})
 	if err != nil {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
--- a/gossiper/entries_test.go
+++ b/gossiper/entries_test.go
@@ -128,7 +128,7 @@
 // Guards against changes of servers that arrive with another start time: they do not
 // lead to the fingerprint of the sender, so that each receiver reads the platform.
 func TestDeltasKeepTheStartTime(t *testing.T) {
-	sent := egretflow.ServersDelta{Revision: 5, Changed: []egretflow.ServerEntry{{Pool: "p", Server: egretflow.Server{
+	sent := egretflow.ServersDelta{Version: egretflow.StoreVersion{Era: 2, Revision: 5}, Changed: []egretflow.ServerEntry{{Pool: "p", Server: egretflow.Server{
 		Name: "s", Address: netip.MustParseAddrPort("10.0.0.1:80"), Role: egretflow.RoleService, Slots: 6,
 		StartedAt: time.UnixMilli(1_700_000_000_123).UTC(),
 	}}}}
--- a/gossiper/message.go
+++ b/gossiper/message.go
@@ -91,11 +91,11 @@
 // confirmation is an egretflow.Confirmation of the servers with its age instead of its
 // time. AgeMS is negative if there is none.
 type confirmation struct {
-	_        struct{} `cbor:",toarray"`
-	Servers  uint64
-	Revision int64
-	AgeMS    int64
-	Deltas   []egretflow.ServersDelta
+	_       struct{} `cbor:",toarray"`
+	Servers uint64
+	Version egretflow.StoreVersion
+	AgeMS   int64
+	Deltas  []egretflow.ServersDelta
 }
 
 // crash is a crash report with the remaining time instead of its end, because the
@@ -190,7 +190,7 @@
 	if at.IsZero() {
 		return confirmation{AgeMS: -1}
 	}
-	return confirmation{Servers: c.Servers, Revision: c.Revision, AgeMS: now.Sub(at).Milliseconds(), Deltas: c.Deltas}
+	return confirmation{Servers: c.Servers, Version: c.Version, AgeMS: now.Sub(at).Milliseconds(), Deltas: c.Deltas}
 }
 
 // toConfigurationState returns the state of a configuration that was confirmed at a time
@@ -219,7 +219,7 @@
 		return c
 	}
 	at := now.Add(-time.Duration(m.Confirmed.AgeMS) * time.Millisecond)
-	c.Servers, c.Revision, c.ReadAt, c.ConfirmedAt, c.Deltas = m.Confirmed.Servers, m.Confirmed.Revision, at, at, m.Confirmed.Deltas
+	c.Servers, c.Version, c.ReadAt, c.ConfirmedAt, c.Deltas = m.Confirmed.Servers, m.Confirmed.Version, at, at, m.Confirmed.Deltas
 	return c
 }
 
--- a/registrar/doc.go
+++ b/registrar/doc.go
@@ -19,7 +19,9 @@
 //     A server that is missing after the outage is therefore kept until
 //     ReregistrationGrace has passed, or until a peer confirms exactly the list
 //     that this instance has read. One whose registration is there but names no
-//     server to use counts as gone at once.
+//     server to use counts as gone at once. The same holds after the store has come
+//     back from an older copy, but that no peer ends the grace. Servers that had
+//     departed before, and that the copy lists as usable, get no work.
 //  4. Before the first configuration there are no tables.
 //  5. In a fleet the instance with rank 0 reads the directory for all instances.
 //     It sends them a fingerprint of the server list and the latest changes to it.
@@ -28,8 +30,11 @@
 //     some time; instances with a lower rank do so earlier.
 //     An instance reports only the age of its own last successful read, never a
 //     confirmation that it has received.
-//  6. Reads are ordered by the revision of the platform's store. A list that was
-//     read or received with a lower revision than the known one is ignored.
+//  6. Reads are ordered by the version of the platform's store, its era first. A list
+//     that was read or received with an older version than the known one is ignored.
+//     Changes lead from one list to the next only within an era. What an instance of
+//     an earlier build says names no era: it may confirm an equal list, and a
+//     different one makes this instance read once.
 //  7. A server that states in a response that it is leaving gets no new work from
 //     this instance, whatever the list says, until it is no longer listed or has
 //     started again.
--- a/registrar/reading.go
+++ b/registrar/reading.go
@@ -34,11 +34,14 @@
 	// age is sent to the peers: a confirmation that was forwarded would look too
 	// recent, because its age does not include the time on the network.
 	succeededAt time.Time
-	// peerRevision is the store revision at which a peer has read a different server
+	// peerVersion is the store version at which a peer has read a different server
 	// list, and mismatchAt is when this instance learned of it.
-	peerRevision int64
-	mismatchAt   time.Time
-	failures     int
+	peerVersion egretflow.StoreVersion
+	mismatchAt  time.Time
+	// unknownEra reports whether the peer does not say in which era it has read the list,
+	// so that one read shows all that can be known.
+	unknownEra bool
+	failures   int
 }
 
 // due returns the time at which this instance must read the servers. mismatch
@@ -51,7 +54,7 @@
 	case rank == 0:
 		return r.attemptedAt.Add(ReadInterval)
 	case mismatch && r.attemptedAt.After(r.mismatchAt):
-		// This instance has read since, but still has an older revision than the
+		// This instance has read since, but still has an older version than the
 		// peer.
 		return r.attemptedAt.Add(mismatchDelay)
 	case mismatch:
@@ -92,7 +95,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c := egretflow.Confirmation{
-		From: r.cfg.Instance, Configuration: r.configuration.State(), Servers: r.state.fingerprint, Revision: r.state.storeRevision,
+		From: r.cfg.Instance, Configuration: r.configuration.State(), Servers: r.state.fingerprint, Version: r.state.version,
 		ReadAt: r.schedule.succeededAt, ConfirmedAt: r.schedule.confirmedAt,
 	}
 	for _, d := range r.state.deltas {
@@ -106,7 +109,7 @@
 func (r *Registrar) Snapshot() (*egretflow.Configuration, egretflow.ServerList) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	list := egretflow.ServerList{Version: egretflow.StoreVersion{Revision: r.state.storeRevision}, ConfirmedAt: r.schedule.confirmedAt}
+	list := egretflow.ServerList{Version: r.state.version, ConfirmedAt: r.schedule.confirmedAt}
 	for _, e := range r.state.servers {
 		list.Entries = append(list.Entries, e)
 	}
@@ -127,13 +130,23 @@
 }
 
 // applyPeerServers applies the servers that a peer knows. A different list of a
-// revision that is not newer than the local one is ignored (rule 6). The caller holds
-// mu.
+// version that is not newer than the local one is ignored (rule 6), and so is all that a
+// peer knows of an earlier era. The caller holds mu.
 func (r *Registrar) applyPeerServers(c *egretflow.Confirmation) {
+	unknownEra := c.Version.Era == 0 && r.cfg.Eras.Latest().Era > 0
+	if !r.cfg.Eras.Learn(c.Version.Era, c.From) && !unknownEra {
+		return
+	}
+	if changes := r.state.reopen(r.cfg.Clock()); len(changes) > 0 {
+		r.publishChanges(changes)
+	}
 	if changes := r.state.endGraceIfConfirmed(c.Servers, r.cfg.Clock()); len(changes) > 0 {
 		r.publishChanges(changes)
 	}
-	newer := c.Revision > r.state.storeRevision
+	newer := c.Version.After(r.state.version)
+	if unknownEra {
+		newer = c.Version.Revision > r.state.version.Revision
+	}
 	if newer && r.state.everRead && c.Servers != r.state.fingerprint {
 		if changes := r.state.applyDeltas(c, r.cfg.Clock()); len(changes) > 0 {
 			r.publishChanges(changes)
@@ -141,19 +154,25 @@
 	}
 	switch {
 	case c.Servers == r.state.fingerprint:
-		r.state.storeRevision = max(r.state.storeRevision, c.Revision)
+		r.state.beginEra(c.Version.Era, r.cfg.Clock())
+		r.state.version = r.state.version.Later(c.Version)
 		if c.ReadAt.After(r.schedule.confirmedAt) {
 			r.schedule.confirmedAt, r.schedule.failures = c.ReadAt, 0
 		}
 	case newer && !r.mismatch():
-		r.schedule.peerRevision, r.schedule.mismatchAt = c.Revision, r.cfg.Clock()
+		r.schedule.peerVersion, r.schedule.mismatchAt, r.schedule.unknownEra = c.Version, r.cfg.Clock(), unknownEra
 		notify(r.wakeServers)
 	}
 }
 
 // mismatch reports whether a peer has read a newer list of servers that this instance
 // does not have. The caller holds mu.
-func (r *Registrar) mismatch() bool { return r.schedule.peerRevision > r.state.storeRevision }
+func (r *Registrar) mismatch() bool {
+	if r.schedule.unknownEra {
+		return !r.schedule.attemptedAt.After(r.schedule.mismatchAt)
+	}
+	return r.schedule.peerVersion.After(r.state.version)
+}
 
 // notify wakes the goroutine that waits on c. It does nothing if a wake-up is already
 // pending.
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -8,6 +8,7 @@
 
 	"github.com/egretflow/egretflow"
 	"github.com/egretflow/egretflow/configwatcher"
+	"github.com/egretflow/egretflow/erafollower"
 )
 
 const (
@@ -24,8 +25,11 @@
 type Config struct {
 	Instance  egretflow.InstanceName
 	Directory egretflow.Directory
-	Clock     egretflow.Clock
-	Recorder  egretflow.Recorder
+	// Eras knows the latest era of the platform's store. Nil means that this instance
+	// learns it from the lists alone.
+	Eras     egretflow.EraFollower
+	Clock    egretflow.Clock
+	Recorder egretflow.Recorder
 	// Rank returns the position of this instance in the order in which instances
 	// read the directory for the fleet; the one with rank 0 reads. Nil means that
 	// this instance always reads itself.
@@ -60,7 +64,7 @@
 // New returns a Registrar that has no tables until Run has read the directory.
 func New(cfg Config) *Registrar {
 	cfg = cfg.withDefaults()
-	r := &Registrar{cfg: cfg, state: state{statedLeaving: statements{}, pausedUntil: map[egretflow.ServerName]time.Time{}}, wakeServers: make(chan struct{}, 1)}
+	r := &Registrar{cfg: cfg, state: state{statedLeaving: statements{}, departures: map[egretflow.ServerName]departure{}, pausedUntil: map[egretflow.ServerName]time.Time{}}, wakeServers: make(chan struct{}, 1)}
 	r.configuration = configwatcher.New(configwatcher.Config{
 		Instance: cfg.Instance, Source: cfg.Directory, Clock: cfg.Clock, Recorder: cfg.Recorder,
 		Apply: r.applyConfiguration, OnRead: cfg.OnRead, Rank: cfg.Rank, Watches: cfg.Watches, Relayed: cfg.Relayed,
@@ -71,6 +75,9 @@
 // withDefaults returns the settings of an instance without peers in place of those that
 // are missing.
 func (c Config) withDefaults() Config {
+	if c.Eras == nil {
+		c.Eras = erafollower.New(erafollower.Config{Instance: c.Instance, Clock: c.Clock, Recorder: c.Recorder})
+	}
 	if c.Rank == nil {
 		c.Rank = func() int { return 0 }
 	}
@@ -152,9 +159,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.cfg.Clock()
-	if list.Version.Revision < r.state.storeRevision {
+	if !r.cfg.Eras.Learn(list.Version.Era, "") || r.state.version.After(list.Version) {
 		r.schedule.attemptedAt, r.schedule.failures = readAt, 0
-		r.record(egretflow.EventOldReading, "Revision", strconv.FormatInt(list.Version.Revision, 10), "Known", strconv.FormatInt(r.state.storeRevision, 10))
+		r.record(egretflow.EventOldReading, "Version", list.Version.String(), "Known", r.state.version.String())
 		return
 	}
 	if !r.state.reachable {
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -24,6 +24,7 @@
 	reads   int
 	// revision counts the changes; staleList, if set, is returned instead of servers.
 	revision  int64
+	era       egretflow.Era
 	staleList *egretflow.ServerList
 	changed   chan struct{}
 }
@@ -71,7 +72,7 @@
 	if d.staleList != nil {
 		return *d.staleList, nil
 	}
-	return egretflow.ServerList{Entries: append([]egretflow.ServerEntry(nil), d.servers...), Invalid: d.invalid, Version: egretflow.StoreVersion{Revision: d.revision}}, nil
+	return egretflow.ServerList{Entries: append([]egretflow.ServerEntry(nil), d.servers...), Invalid: d.invalid, Version: egretflow.StoreVersion{Era: d.era, Revision: d.revision}}, nil
 }
 
 func (d *fakeDirectory) readCount() int {
--- a/registrar/state.go
+++ b/registrar/state.go
@@ -16,23 +16,26 @@
 	servers       map[egretflow.ServerName]egretflow.ServerEntry
 	// fingerprint identifies servers.
 	fingerprint uint64
-	// storeRevision is the revision of the platform's store that servers reflects,
-	// and tablesRevision counts the tables that were built.
-	storeRevision  int64
+	// version is the version of the platform's store that servers reflects, and
+	// tablesRevision counts the tables that were built.
+	version        egretflow.StoreVersion
 	tablesRevision egretflow.Revision
 	deltas         []timedDelta
 	// reachable reports whether the last read of the servers succeeded, everRead
 	// whether any did. Until graceUntil, servers that are missing after an outage
-	// are kept.
-	reachable  bool
-	everRead   bool
-	graceUntil time.Time
+	// are kept, and until eraGraceUntil, whatever peers confirm, those that are missing
+	// after the store has come back from an older copy.
+	reachable     bool
+	everRead      bool
+	graceUntil    time.Time
+	eraGraceUntil time.Time
 	// lastList is the list that was read last and lastFingerprint identifies it.
 	// Until graceUntil, servers may hold more servers than it.
 	lastList        egretflow.ServerList
 	lastFingerprint uint64
 	// statedLeaving is not part of servers, which the peers must know alike.
 	statedLeaving statements
+	departures    map[egretflow.ServerName]departure
 	// pausedUntil holds the servers that want no work of this instance before then.
 	pausedUntil map[egretflow.ServerName]time.Time
 }
@@ -67,7 +70,7 @@
 	if len(changes) == 0 || len(changes) > maxDeltaServers {
 		return
 	}
-	d := timedDelta{ServersDelta: egretflow.ServersDelta{Revision: s.storeRevision}, at: now}
+	d := timedDelta{ServersDelta: egretflow.ServersDelta{Version: s.version}, at: now}
 	for _, c := range changes {
 		if entry, ok := s.servers[c.server]; ok {
 			d.Changed = append(d.Changed, entry)
@@ -80,11 +83,14 @@
 
 // applyDeltas applies the peer's deltas that are newer than the local server list,
 // and returns the changes. It does nothing if the result does not have the peer's
-// fingerprint.
+// fingerprint, or if the local list is of another era, in which the deltas lead nowhere.
 func (s *state) applyDeltas(c *egretflow.Confirmation, now time.Time) []change {
+	if c.Version.Era != s.version.Era {
+		return nil
+	}
 	entries := maps.Clone(s.servers)
 	for _, d := range c.Deltas {
-		if d.Revision <= s.storeRevision {
+		if d.Version.Era != s.version.Era || !d.Version.After(s.version) {
 			continue
 		}
 		for _, e := range d.Changed {
@@ -98,14 +104,15 @@
 		return nil
 	}
 	s.graceUntil = time.Time{}
-	return s.replaceServers(egretflow.ServerList{Entries: slices.Collect(maps.Values(entries)), Version: egretflow.StoreVersion{Revision: c.Revision}}, now)
+	return s.replaceServers(egretflow.ServerList{Entries: slices.Collect(maps.Values(entries)), Version: c.Version}, now)
 }
 
 // endGraceIfConfirmed drops the servers that are only kept until graceUntil, if the
 // peer's fingerprint is that of the list which this instance read last. It returns
-// the changes.
+// the changes. A peer that has started after the store came back from a copy knows only
+// what the copy holds, so that it ends no grace for that.
 func (s *state) endGraceIfConfirmed(servers uint64, now time.Time) []change {
-	if servers != s.lastFingerprint || servers == s.fingerprint {
+	if servers != s.lastFingerprint || servers == s.fingerprint || now.Before(s.eraGraceUntil) {
 		return nil
 	}
 	s.graceUntil = time.Time{}
@@ -120,11 +127,24 @@
 	return first
 }
 
+// beginEra begins the grace for servers that are missing in the older copy from which the
+// store has come back. It reports whether era is later than that of the local list.
+func (s *state) beginEra(era egretflow.Era, now time.Time) bool {
+	if !s.everRead || era <= s.version.Era {
+		return false
+	}
+	s.graceUntil = now.Add(ReregistrationGrace)
+	s.eraGraceUntil = s.graceUntil
+	return true
+}
+
 // replaceServers applies a list of servers and returns the changes, sorted by
-// server. Within the grace period after an outage it keeps the servers that the list
-// does not contain, except those whose registration is invalid (rule 3).
+// server. Within the grace period after an outage, or after the store has come back from
+// an older copy, it keeps the servers that the list does not contain, except those whose
+// registration is invalid (rule 3).
 func (s *state) replaceServers(list egretflow.ServerList, now time.Time) []change {
-	if !s.reachable && s.everRead {
+	returned := s.beginEra(list.Version.Era, now)
+	if s.everRead && !s.reachable {
 		s.graceUntil = now.Add(ReregistrationGrace)
 	}
 	s.reachable, s.everRead = true, true
@@ -144,7 +164,7 @@
 		}
 	}
 	s.lastFingerprint = fingerprint(next)
-	kept := false
+	kept, gone := false, map[egretflow.ServerName]egretflow.ServerEntry{}
 	for name, old := range s.servers {
 		if _, ok := next[name]; ok {
 			continue
@@ -153,16 +173,24 @@
 			next[name], kept = old, true
 			continue
 		}
+		gone[name] = old
 		changes = append(changes, change{egretflow.EventServerGone, name, old.Pool})
 	}
 	s.servers, s.fingerprint = next, fingerprint(next)
-	if !kept {
-		// While missing servers are kept, storeRevision stays lower, so that the
-		// confirmation of a peer that has read the same revision counts as newer.
-		s.storeRevision = list.Version.Revision
+	if kept {
+		// The list of a peer that has read the same version, and no longer keeps missing
+		// servers, counts as newer.
+		s.version = s.version.Later(list.Version.Previous())
+	} else {
+		s.version = list.Version
+	}
+	if returned {
+		s.closeDeparted(now)
 	}
+	s.noteDepartures(gone, now)
 	s.dropStatements()
 	s.appendDelta(changes, now)
+	changes = append(changes, s.reopen(now)...)
 	slices.SortFunc(changes, func(a, b change) int { return strings.Compare(string(a.server), string(b.server)) })
 	return changes
 }
--- a/registrar/statement.go
+++ b/registrar/statement.go
@@ -42,7 +42,7 @@
 	if !ok || r.state.isLeaving(&entry) {
 		return
 	}
-	r.state.statedLeaving[name] = entry.Server.StartedAt
+	r.state.statedLeaving[name] = statement{startedAt: entry.Server.StartedAt}
 	r.record(egretflow.EventServerLeaving, "Server", string(name), "Pool", string(entry.Pool), "Source", "Response")
 	r.publish()
 }
@@ -95,10 +95,11 @@
 	return opens
 }
 
-// isLeaving reports whether a server is registered as leaving or has said so itself.
+// isLeaving reports whether a server is registered as leaving, has said so itself, or had
+// departed before the store came back from a copy.
 func (s *state) isLeaving(e *egretflow.ServerEntry) bool {
-	startedAt, stated := s.statedLeaving[e.Server.Name]
-	return e.Leaving || stated && startedAt.Equal(e.Server.StartedAt)
+	stated, ok := s.statedLeaving[e.Server.Name]
+	return e.Leaving || ok && stated.startedAt.Equal(e.Server.StartedAt)
 }
 
 // dropStatements forgets the statements of servers that are gone or have started
@@ -109,13 +110,9 @@
 			delete(s.pausedUntil, name)
 		}
 	}
-	for name, startedAt := range s.statedLeaving {
-		if e, ok := s.servers[name]; !ok || !e.Server.StartedAt.Equal(startedAt) {
+	for name, stated := range s.statedLeaving {
+		if e, ok := s.servers[name]; !ok || !e.Server.StartedAt.Equal(stated.startedAt) {
 			delete(s.statedLeaving, name)
 		}
 	}
 }
-
-// statements maps the servers that have stated that they are leaving to the start of
-// the process that said so.
-type statements map[egretflow.ServerName]time.Time
