--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -161,7 +161,7 @@
 	now := r.cfg.Clock()
 	if !r.cfg.Eras.Learn(list.Version.Era, "") || r.state.version.After(list.Version) {
 		r.schedule.attemptedAt, r.schedule.failures = readAt, 0
-		r.record(egretflow.EventOldReading, "Version", list.Version.String(), "Known", r.state.version.String())
+		r.record(egretflow.EventOldReading, "Version", list.Version.String(), "Known", r.state.version.String(), "Era", strconv.FormatUint(uint64(r.cfg.Eras.Latest().Era), 10))
 		return
 	}
 	if !r.state.reachable {
