registrar: split replaceServers, and never go back to a former version

replaceServers had grown to 50 lines; the comparison and the servers that are missing are functions of their own. A list that was kept for the end of a grace could set the version back to the one at which it was read, also to an earlier era; the version only rises now.

--- a/registrar/departure.go
+++ b/registrar/departure.go
@@ -37,9 +37,9 @@
 // departed before the store came back from a copy that lists them as usable.
 type statements map[egretflow.ServerName]statement
 
-// noteDepartures notes what the list says of servers that leave. gone holds the servers that
-// it no longer contains.
-func (s *state) noteDepartures(gone map[egretflow.ServerName]egretflow.ServerEntry, now time.Time) {
+// noteDepartures notes what the list says of servers that leave. gone holds the servers
+// that it no longer contains.
+func (s *state) noteDepartures(gone []egretflow.ServerEntry, now time.Time) {
 	maps.DeleteFunc(s.departures, func(_ egretflow.ServerName, d departure) bool { return !now.Before(d.forgetAt) })
 	note := func(e *egretflow.ServerEntry, announced bool) {
 		s.departures[e.Server.Name] = departure{startedAt: e.Server.StartedAt, announced: announced, forgetAt: now.Add(departureLifetime)}
--- a/registrar/state.go
+++ b/registrar/state.go
@@ -149,9 +149,35 @@
 	}
 	s.reachable, s.everRead = true, true
 	s.lastList = list
-	next := make(map[egretflow.ServerName]egretflow.ServerEntry, len(list.Entries))
+	next, changes := s.compare(list.Entries)
+	s.lastFingerprint = fingerprint(next)
+	listed, version := len(next), list.Version
+	gone := s.missing(next, list.Invalid, now)
+	if len(next) > listed {
+		// The list of a peer that has read the same version, and no longer keeps missing
+		// servers, counts as newer.
+		version = version.Previous()
+	}
+	for _, e := range gone {
+		changes = append(changes, change{egretflow.EventServerGone, e.Server.Name, e.Pool})
+	}
+	s.servers, s.fingerprint, s.version = next, fingerprint(next), s.version.Later(version)
+	if returned {
+		s.closeDeparted(now)
+	}
+	s.noteDepartures(gone, now)
+	s.dropStatements()
+	s.appendDelta(changes, now)
+	changes = append(changes, s.reopen(now)...)
+	slices.SortFunc(changes, func(a, b change) int { return strings.Compare(string(a.server), string(b.server)) })
+	return changes
+}
+
+// compare returns the listed servers by name, and what has changed in them.
+func (s *state) compare(entries []egretflow.ServerEntry) (map[egretflow.ServerName]egretflow.ServerEntry, []change) {
+	next := make(map[egretflow.ServerName]egretflow.ServerEntry, len(entries))
 	var changes []change
-	for _, e := range list.Entries {
+	for _, e := range entries {
 		next[e.Server.Name] = e
 		old, known := s.servers[e.Server.Name]
 		switch {
@@ -163,36 +189,24 @@
 			changes = append(changes, change{egretflow.EventServerChanged, e.Server.Name, e.Pool})
 		}
 	}
-	s.lastFingerprint = fingerprint(next)
-	kept, gone := false, map[egretflow.ServerName]egretflow.ServerEntry{}
+	return next, changes
+}
+
+// missing returns the known servers that next does not contain. Within the grace period it
+// adds those to next instead whose registration is not invalid.
+func (s *state) missing(next map[egretflow.ServerName]egretflow.ServerEntry, invalid []egretflow.ServerName, now time.Time) []egretflow.ServerEntry {
+	var gone []egretflow.ServerEntry
 	for name, old := range s.servers {
 		if _, ok := next[name]; ok {
 			continue
 		}
-		if now.Before(s.graceUntil) && !slices.Contains(list.Invalid, name) {
-			next[name], kept = old, true
+		if now.Before(s.graceUntil) && !slices.Contains(invalid, name) {
+			next[name] = old
 			continue
 		}
-		gone[name] = old
-		changes = append(changes, change{egretflow.EventServerGone, name, old.Pool})
-	}
-	s.servers, s.fingerprint = next, fingerprint(next)
-	if kept {
-		// The list of a peer that has read the same version, and no longer keeps missing
-		// servers, counts as newer.
-		s.version = s.version.Later(list.Version.Previous())
-	} else {
-		s.version = list.Version
+		gone = append(gone, old)
 	}
-	if returned {
-		s.closeDeparted(now)
-	}
-	s.noteDepartures(gone, now)
-	s.dropStatements()
-	s.appendDelta(changes, now)
-	changes = append(changes, s.reopen(now)...)
-	slices.SortFunc(changes, func(a, b change) int { return strings.Compare(string(a.server), string(b.server)) })
-	return changes
+	return gone
 }
 
 // buildTables returns new tables with the next revision, made of the configuration
