registrar: what is kept after a return of the store stays with each instance

Cause: found in reading. While missing servers were kept, the list had the version just before the one that was read, so that peers would learn of changes in the grace. An instance that knew that a server had left would have taken it over again from one that kept it (TestKeptServersAreNotTakenOver fails on: "others are told 2 servers at version 1/60, which is after 1/50").

Change: after an outage the version stays lower, as it was. After a return of the store each instance keeps what the copy lacks by itself, and peers are told the list as it was read, with its version: they learn of changes at once, and nobody takes over what is kept. What is kept ends by a timer.

--- a/registrar/doc.go
+++ b/registrar/doc.go
@@ -19,9 +19,10 @@
 //     A server that is missing after the outage is therefore kept until
 //     ReregistrationGrace has passed, or until a peer confirms exactly the list
 //     that this instance has read. One whose registration is there but names no
-//     server to use counts as gone at once. The same holds after the store has come
-//     back from an older copy, but that no peer ends the grace. Servers that had
-//     departed before, and that the copy lists as usable, get no work.
+//     server to use counts as gone at once. After the store has come back from an
+//     older copy, each instance keeps what it knows for that time, and tells its peers
+//     the list as it was read. Servers that had departed before, and that the copy
+//     lists as usable, get no work.
 //  4. Before the first configuration there are no tables.
 //  5. In a fleet the instance with rank 0 reads the directory for all instances.
 //     It sends them a fingerprint of the server list and the latest changes to it.
--- a/registrar/era_test.go
+++ b/registrar/era_test.go
@@ -109,3 +109,35 @@
 		}
 	})
 }
+
+// Guards against a server that has left and gets work again at an instance that knew so,
+// because another one, which has missed that in an outage, keeps the server for the grace and
+// passes its list on as a newer one.
+func TestKeptServersAreNotTakenOver(t *testing.T) {
+	for _, era := range []egretflow.Era{1, 2} {
+		synctest.Test(t, func(t *testing.T) {
+			d := newDirectory()
+			d.config, d.servers, d.era, d.revision = configuration(1), []egretflow.ServerEntry{server(1), server(2)}, 1, 40
+			r := start(t, d, nil)
+			time.Sleep(time.Second)
+			d.set(func(d *fakeDirectory) { d.down = true })
+			time.Sleep(2 * time.Second)
+			d.set(func(d *fakeDirectory) {
+				d.down, d.servers, d.era, d.revision = false, []egretflow.ServerEntry{server(2)}, era, 60
+			})
+			time.Sleep(time.Second)
+			_, kept := r.Snapshot()
+			if !r.AcceptsWork("s1") {
+				t.Error("a server that is missing after the return is not kept")
+			}
+			// Others have known since revision 50 of this era that server 1 has left.
+			if known := (egretflow.StoreVersion{Era: era, Revision: 50}); len(kept.Entries) > 1 && kept.Version.After(known) {
+				t.Errorf("others are told %d servers at version %s, which is after %s", len(kept.Entries), kept.Version, known)
+			}
+			time.Sleep(3 * time.Second)
+			if _, list := r.Snapshot(); len(list.Entries) != 1 || list.Version != (egretflow.StoreVersion{Era: era, Revision: 61}) {
+				t.Errorf("%d servers at version %s after the grace, want 1 at %d/61", len(list.Entries), list.Version, era)
+			}
+		})
+	}
+}
--- a/registrar/reading.go
+++ b/registrar/reading.go
@@ -95,7 +95,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c := egretflow.Confirmation{
-		From: r.cfg.Instance, Configuration: r.configuration.State(), Servers: r.state.fingerprint, Version: r.state.version,
+		From: r.cfg.Instance, Configuration: r.configuration.State(), Servers: r.state.sharedFingerprint(), Version: r.state.version,
 		ReadAt: r.schedule.succeededAt, ConfirmedAt: r.schedule.confirmedAt,
 	}
 	for _, d := range r.state.deltas {
@@ -110,9 +110,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	list := egretflow.ServerList{Version: r.state.version, ConfirmedAt: r.schedule.confirmedAt}
-	for _, e := range r.state.servers {
-		list.Entries = append(list.Entries, e)
-	}
+	list.Entries = slices.Collect(maps.Values(r.state.shared()))
 	return r.state.configuration, list
 }
 
@@ -147,15 +145,14 @@
 	if unknownEra {
 		newer = c.Version.Revision > r.state.version.Revision
 	}
-	if newer && r.state.everRead && c.Servers != r.state.fingerprint {
+	if newer && r.state.everRead && c.Servers != r.state.sharedFingerprint() {
 		if changes := r.state.applyDeltas(c, r.cfg.Clock()); len(changes) > 0 {
 			r.publishChanges(changes)
 		}
 	}
 	switch {
-	case c.Servers == r.state.fingerprint:
-		r.state.beginEra(c.Version.Era, r.cfg.Clock())
-		r.state.version = r.state.version.Later(c.Version)
+	case c.Servers == r.state.sharedFingerprint():
+		r.state.confirm(c.Version, r.cfg.Clock())
 		if c.ReadAt.After(r.schedule.confirmedAt) {
 			r.schedule.confirmedAt, r.schedule.failures = c.ReadAt, 0
 		}
@@ -190,12 +187,20 @@
 	r.configuration.Recheck()
 }
 
-// awaitServers waits until a read of the servers is due or ctx ends.
+// awaitServers waits until a read of the servers is due or ctx ends. Meanwhile it drops
+// the servers that the store has lost, once they had the time to register again.
 func (r *Registrar) awaitServers(ctx context.Context) {
 	for ctx.Err() == nil {
 		rank, relayed := r.cfg.Rank(), r.cfg.Relayed()
 		r.mu.Lock()
-		left := r.schedule.due(rank, relayed, r.mismatch()).Sub(r.cfg.Clock())
+		now := r.cfg.Clock()
+		if changes := r.state.dropLost(now); len(changes) > 0 {
+			r.publishChanges(changes)
+		}
+		left := r.schedule.due(rank, relayed, r.mismatch()).Sub(now)
+		if r.state.keepsLost {
+			left = min(left, r.state.eraGraceUntil.Sub(now))
+		}
 		r.mu.Unlock()
 		if left <= 0 {
 			return
--- a/registrar/state.go
+++ b/registrar/state.go
@@ -33,6 +33,9 @@
 	// Until graceUntil, servers may hold more servers than it.
 	lastList        egretflow.ServerList
 	lastFingerprint uint64
+	// keepsLost reports whether servers has more servers than lastList because the store
+	// has come back from a copy that lacks them. Peers are told lastList then.
+	keepsLost bool
 	// statedLeaving is not part of servers, which the peers must know alike.
 	statedLeaving statements
 	departures    map[egretflow.ServerName]departure
@@ -88,7 +91,7 @@
 	if c.Version.Era != s.version.Era {
 		return nil
 	}
-	entries := maps.Clone(s.servers)
+	entries := s.shared()
 	for _, d := range c.Deltas {
 		if d.Version.Era != s.version.Era || !d.Version.After(s.version) {
 			continue
@@ -103,10 +106,32 @@
 	if fingerprint(entries) != c.Servers {
 		return nil
 	}
-	s.graceUntil = time.Time{}
+	if !now.Before(s.eraGraceUntil) {
+		s.graceUntil = time.Time{}
+	}
 	return s.replaceServers(egretflow.ServerList{Entries: slices.Collect(maps.Values(entries)), Version: c.Version}, now)
 }
 
+// shared returns the servers that peers are told, in a map of its own, and sharedFingerprint
+// what identifies them.
+func (s *state) shared() map[egretflow.ServerName]egretflow.ServerEntry {
+	if !s.keepsLost {
+		return maps.Clone(s.servers)
+	}
+	servers := make(map[egretflow.ServerName]egretflow.ServerEntry, len(s.lastList.Entries))
+	for _, e := range s.lastList.Entries {
+		servers[e.Server.Name] = e
+	}
+	return servers
+}
+
+func (s *state) sharedFingerprint() uint64 {
+	if s.keepsLost {
+		return s.lastFingerprint
+	}
+	return s.fingerprint
+}
+
 // endGraceIfConfirmed drops the servers that are only kept until graceUntil, if the
 // peer's fingerprint is that of the list which this instance read last. It returns
 // the changes. A peer that has started after the store came back from a copy knows only
@@ -138,6 +163,32 @@
 	return true
 }
 
+// dropLost drops the servers that were kept until eraGraceUntil and returns the changes.
+func (s *state) dropLost(now time.Time) []change {
+	if !s.keepsLost || now.Before(s.eraGraceUntil) {
+		return nil
+	}
+	return s.applyKnown(s.lastList, now)
+}
+
+// applyKnown applies a list that this instance has not read now, so that it says nothing of
+// whether the platform can be reached.
+func (s *state) applyKnown(list egretflow.ServerList, now time.Time) []change {
+	reachable := s.reachable
+	s.reachable = true
+	changes := s.replaceServers(list, now)
+	s.reachable = reachable
+	return changes
+}
+
+// confirm notes that a peer has read the list that this instance shares, at a version.
+func (s *state) confirm(version egretflow.StoreVersion, now time.Time) {
+	if version.Era > s.version.Era && s.everRead {
+		s.applyKnown(egretflow.ServerList{Entries: slices.Collect(maps.Values(s.shared())), Version: version}, now)
+	}
+	s.version = s.version.Later(version)
+}
+
 // replaceServers applies a list of servers and returns the changes, sorted by
 // server. Within the grace period after an outage, or after the store has come back from
 // an older copy, it keeps the servers that the list does not contain, except those whose
@@ -152,11 +203,17 @@
 	next, changes := s.compare(list.Entries)
 	s.lastFingerprint = fingerprint(next)
 	listed, version := len(next), list.Version
+	s.keepsLost = false
 	gone := s.missing(next, list.Invalid, now)
 	if len(next) > listed {
-		// The list of a peer that has read the same version, and no longer keeps missing
-		// servers, counts as newer.
-		version = version.Previous()
+		// While missing servers are kept, the version stays lower: the list of a peer
+		// that has read the same version without them counts as newer, and nobody that
+		// knows of their end takes them over. After a return of the store the peers are
+		// told the list as it was read, because each of them keeps what it lacks.
+		s.keepsLost = now.Before(s.eraGraceUntil)
+		if !s.keepsLost {
+			version = s.version
+		}
 	}
 	for _, e := range gone {
 		changes = append(changes, change{egretflow.EventServerGone, e.Server.Name, e.Pool})
--- a/storeversion.go
+++ b/storeversion.go
@@ -40,11 +40,6 @@
 	return v
 }
 
-// Previous returns the version just before v in its era.
-func (v StoreVersion) Previous() StoreVersion {
-	return StoreVersion{Era: v.Era, Revision: max(0, v.Revision-1)}
-}
-
 // String returns the revision, with the era before it if there is one.
 func (v StoreVersion) String() string {
 	if v.Era == 0 {
