registrar, gossiper: what is kept ends with a list that is fresh enough

The timer dropped servers that had registered again, at members that had an old list because they read from each other ("i2 no longer uses s022, which runs"). And a subscriber whose relay the store refuses learnt of the era 2.7 s after the return, and kept a server that had left for 5.7 s.

Change: servers are kept until a list is known that was read 2 s after this instance learnt of the return, or later; members read themselves every 0.7 s while they keep some, and subscribers read again at the end of the grace until their relay has such a list. A change of era is sent to peers and subscribers at once, like a change of the list.

--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -125,8 +125,9 @@
 	// storeAnsweredAt is when the last one that did not ended.
 	storeFailing    bool
 	storeAnsweredAt time.Time
-	// sentServers, sentVersion and sentMembers are what the last messages carried.
+	// sentServers, sentEra, sentVersion and sentMembers are what the last messages carried.
 	sentServers uint64
+	sentEra     egretflow.Era
 	sentVersion uint64
 	sentMembers []wireMember
 }
--- a/gossiper/send.go
+++ b/gossiper/send.go
@@ -271,17 +271,18 @@
 	return m.Leaving || len(m.Crashes) > 0 || g.changed(own.confirmation) || !slices.Equal(m.Members, g.sentMembers)
 }
 
-// changed reports whether c confirms another state than the last messages. The caller
-// holds mu.
+// changed reports whether c confirms another state than the last messages, or the same one
+// in another era of the store. The caller holds mu.
 func (g *Gossiper) changed(c egretflow.Confirmation) bool {
-	return c.Configuration.Version != g.sentVersion || !c.ConfirmedAt.IsZero() && c.Servers != g.sentServers
+	return c.Configuration.Version != g.sentVersion ||
+		!c.ConfirmedAt.IsZero() && (c.Servers != g.sentServers || c.Version.Era != g.sentEra)
 }
 
 // noteSent notes what other instances are sent. The caller holds mu.
 func (g *Gossiper) noteSent(m *message, own egretflow.Confirmation) {
 	g.sentVersion = own.Configuration.Version
 	if m.Confirmed.AgeMS >= 0 {
-		g.sentServers = own.Servers
+		g.sentServers, g.sentEra = own.Servers, own.Version.Era
 	}
 	if m.Kind == kindUpdate {
 		g.sentMembers = m.Members
--- a/registrar/reading.go
+++ b/registrar/reading.go
@@ -71,6 +71,19 @@
 	return due
 }
 
+// dueAfterReturn returns the time at which this instance must read the servers while it keeps
+// some that the store has lost, until graceUntil. Those that read through a relay need a
+// list that was read later than that of their relay, and wait for it.
+func (r *readSchedule) dueAfterReturn(relayed bool, graceUntil time.Time) time.Time {
+	if !relayed {
+		return r.attemptedAt.Add(ReadInterval)
+	}
+	if next := r.attemptedAt.Add(mismatchDelay); next.After(graceUntil) {
+		return next
+	}
+	return graceUntil
+}
+
 // fingerprint returns a hash of the given servers. It is compared with that of
 // peers.
 func fingerprint(servers map[egretflow.ServerName]egretflow.ServerEntry) uint64 {
@@ -138,7 +151,7 @@
 	if changes := r.state.reopen(r.cfg.Clock()); len(changes) > 0 {
 		r.publishChanges(changes)
 	}
-	if changes := r.state.endGraceIfConfirmed(c.Servers, r.cfg.Clock()); len(changes) > 0 {
+	if changes := r.state.endGraceIfConfirmed(c, r.cfg.Clock()); len(changes) > 0 {
 		r.publishChanges(changes)
 	}
 	newer := c.Version.After(r.state.version)
@@ -187,19 +200,15 @@
 	r.configuration.Recheck()
 }
 
-// awaitServers waits until a read of the servers is due or ctx ends. Meanwhile it drops
-// the servers that the store has lost, once they had the time to register again.
+// awaitServers waits until a read of the servers is due or ctx ends.
 func (r *Registrar) awaitServers(ctx context.Context) {
 	for ctx.Err() == nil {
 		rank, relayed := r.cfg.Rank(), r.cfg.Relayed()
 		r.mu.Lock()
 		now := r.cfg.Clock()
-		if changes := r.state.dropLost(now); len(changes) > 0 {
-			r.publishChanges(changes)
-		}
 		left := r.schedule.due(rank, relayed, r.mismatch()).Sub(now)
-		if r.state.keepsLost {
-			left = min(left, r.state.eraGraceUntil.Sub(now))
+		if r.state.keepsLost && r.schedule.failures == 0 {
+			left = min(left, r.schedule.dueAfterReturn(relayed, r.state.eraGraceUntil).Sub(now))
 		}
 		r.mu.Unlock()
 		if left <= 0 {
--- a/registrar/state.go
+++ b/registrar/state.go
@@ -29,6 +29,9 @@
 	everRead      bool
 	graceUntil    time.Time
 	eraGraceUntil time.Time
+	// registeredAgainAt is when all servers that run have registered again after the store
+	// came back from an older copy. An older list says nothing of those that it lacks.
+	registeredAgainAt time.Time
 	// lastList is the list that was read last and lastFingerprint identifies it.
 	// Until graceUntil, servers may hold more servers than it.
 	lastList        egretflow.ServerList
@@ -52,6 +55,9 @@
 }
 
 const (
+	// registrationTime is how long the servers take at most to register again after the
+	// return of the store.
+	registrationTime = 2 * time.Second
 	// deltaLifetime is how long a delta is sent to the peers. A peer that misses a
 	// delta reads the platform.
 	deltaLifetime = 1500 * time.Millisecond
@@ -109,7 +115,7 @@
 	if !now.Before(s.eraGraceUntil) {
 		s.graceUntil = time.Time{}
 	}
-	return s.replaceServers(egretflow.ServerList{Entries: slices.Collect(maps.Values(entries)), Version: c.Version}, now)
+	return s.replaceServers(egretflow.ServerList{Entries: slices.Collect(maps.Values(entries)), Version: c.Version, ConfirmedAt: c.ReadAt}, now)
 }
 
 // shared returns the servers that peers are told, in a map of its own, and sharedFingerprint
@@ -136,12 +142,14 @@
 // peer's fingerprint is that of the list which this instance read last. It returns
 // the changes. A peer that has started after the store came back from a copy knows only
 // what the copy holds, so that it ends no grace for that.
-func (s *state) endGraceIfConfirmed(servers uint64, now time.Time) []change {
-	if servers != s.lastFingerprint || servers == s.fingerprint || now.Before(s.eraGraceUntil) {
+func (s *state) endGraceIfConfirmed(c *egretflow.Confirmation, now time.Time) []change {
+	list := s.lastList
+	list.ConfirmedAt = c.ReadAt
+	if c.Servers != s.lastFingerprint || c.Servers == s.fingerprint || s.lacksLost(&list, now) {
 		return nil
 	}
 	s.graceUntil = time.Time{}
-	return s.replaceServers(s.lastList, now)
+	return s.replaceServers(list, now)
 }
 
 // markUnreachable marks the platform unreachable after a failed read and reports
@@ -160,17 +168,10 @@
 	}
 	s.graceUntil = now.Add(ReregistrationGrace)
 	s.eraGraceUntil = s.graceUntil
+	s.registeredAgainAt = now.Add(registrationTime)
 	return true
 }
 
-// dropLost drops the servers that were kept until eraGraceUntil and returns the changes.
-func (s *state) dropLost(now time.Time) []change {
-	if !s.keepsLost || now.Before(s.eraGraceUntil) {
-		return nil
-	}
-	return s.applyKnown(s.lastList, now)
-}
-
 // applyKnown applies a list that this instance has not read now, so that it says nothing of
 // whether the platform can be reached.
 func (s *state) applyKnown(list egretflow.ServerList, now time.Time) []change {
@@ -204,13 +205,13 @@
 	s.lastFingerprint = fingerprint(next)
 	listed, version := len(next), list.Version
 	s.keepsLost = false
-	gone := s.missing(next, list.Invalid, now)
+	gone := s.missing(next, &list, now)
 	if len(next) > listed {
 		// While missing servers are kept, the version stays lower: the list of a peer
 		// that has read the same version without them counts as newer, and nobody that
 		// knows of their end takes them over. After a return of the store the peers are
 		// told the list as it was read, because each of them keeps what it lacks.
-		s.keepsLost = now.Before(s.eraGraceUntil)
+		s.keepsLost = s.lacksLost(&list, now)
 		if !s.keepsLost {
 			version = s.version
 		}
@@ -249,15 +250,26 @@
 	return next, changes
 }
 
-// missing returns the known servers that next does not contain. Within the grace period it
-// adds those to next instead whose registration is not invalid.
-func (s *state) missing(next map[egretflow.ServerName]egretflow.ServerEntry, invalid []egretflow.ServerName, now time.Time) []egretflow.ServerEntry {
+// lacksLost reports whether the list may lack servers that run, because the store has come
+// back from a copy that lacks them.
+func (s *state) lacksLost(list *egretflow.ServerList, now time.Time) bool {
+	confirmedAt := list.ConfirmedAt
+	if confirmedAt.IsZero() {
+		confirmedAt = now
+	}
+	return now.Before(s.eraGraceUntil) || confirmedAt.Before(s.registeredAgainAt)
+}
+
+// missing returns the known servers that next, made of a list, does not contain. Within the
+// grace period it adds those to next instead whose registration is not invalid.
+func (s *state) missing(next map[egretflow.ServerName]egretflow.ServerEntry, list *egretflow.ServerList, now time.Time) []egretflow.ServerEntry {
 	var gone []egretflow.ServerEntry
+	keeps := now.Before(s.graceUntil) || s.lacksLost(list, now)
 	for name, old := range s.servers {
 		if _, ok := next[name]; ok {
 			continue
 		}
-		if now.Before(s.graceUntil) && !slices.Contains(invalid, name) {
+		if keeps && !slices.Contains(list.Invalid, name) {
 			next[name] = old
 			continue
 		}
