--- a/erafollower/erafollower.go
+++ b/erafollower/erafollower.go
@@ -12,7 +12,7 @@
 // # Rules
 //
 //  1. The latest era is the highest one that the store or another instance has named. It
-//     never falls: what an earlier era says is void, however late it arrives.
+//     never falls: what is told of an earlier era is ignored, however late it arrives.
 //  2. An era is learnt at the first answer or message that names it. It may have begun
 //     long before, so that the time since then is the least age of the era.
 //  3. Era 0 is what a store, or an instance of an earlier version, says that names none. It
--- a/registrar/state.go
+++ b/registrar/state.go
@@ -118,8 +118,7 @@
 	return s.replaceServers(egretflow.ServerList{Entries: slices.Collect(maps.Values(entries)), Version: c.Version, ConfirmedAt: c.ReadAt}, now)
 }
 
-// shared returns the servers that peers are told, in a map of its own, and sharedFingerprint
-// what identifies them.
+// shared returns the servers that peers are told, in a new map.
 func (s *state) shared() map[egretflow.ServerName]egretflow.ServerEntry {
 	if !s.keepsLost {
 		return maps.Clone(s.servers)
@@ -131,6 +130,7 @@
 	return servers
 }
 
+// sharedFingerprint identifies the servers that peers are told.
 func (s *state) sharedFingerprint() uint64 {
 	if s.keepsLost {
 		return s.lastFingerprint
--- a/storeversion.go
+++ b/storeversion.go
@@ -109,7 +109,7 @@
 type EraFollower interface {
 	// Learn notes that the store was in era when from answered: the name of another
 	// instance, or empty for the store itself. It reports whether no later era is known;
-	// an answer of an earlier one is void.
+	// an answer of an earlier one is to be ignored.
 	Learn(era Era, from InstanceName) bool
 	Latest() KnownEra
 }
